--- /dev/null
+++ b/bench/src/main/java/org/fuchsiawinch/bench/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * JMH benchmarks.
+ */
+package org.fuchsiawinch.bench;
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawinch/core/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Pure scheduling decisions.
+ */
+package org.fuchsiawinch.core;
--- /dev/null
+++ b/ctl/src/main/java/org/fuchsiawinch/ctl/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Command line of operators and finance.
+ */
+package org.fuchsiawinch.ctl;
--- /dev/null
+++ b/document/src/main/java/org/fuchsiawinch/document/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The operators document: sections, checks, signatures, versions.
+ */
+package org.fuchsiawinch.document;
--- /dev/null
+++ b/explore/src/main/java/org/fuchsiawinch/explore/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Seeded fault schedules over the node state machine.
+ */
+package org.fuchsiawinch.explore;
--- /dev/null
+++ b/model/src/main/java/org/fuchsiawinch/model/EstimatePolicy.java
@@ -0,0 +1,19 @@
+package org.fuchsiawinch.model;
+
+/**
+ * Rules for correcting declared run times and memory by what was seen.
+ *
+ * @param quantile quantile of seen to declared ratios that is used, between 0 and 1
+ * @param minSamples fewest finished jobs of a kind before a correction applies
+ * @param minFactor lowest correction factor
+ * @param maxFactor highest correction factor
+ * @param timeOverrunFactor factor over the corrected run time at which an attempt is ended; 0 for never
+ * @param memoryOverrunFactor factor over the granted memory at which an attempt is ended
+ */
+public record EstimatePolicy(
+        double quantile,
+        int minSamples,
+        double minFactor,
+        double maxFactor,
+        double timeOverrunFactor,
+        double memoryOverrunFactor) {}
--- /dev/null
+++ b/model/src/main/java/org/fuchsiawinch/model/StopMode.java
@@ -0,0 +1,9 @@
+package org.fuchsiawinch.model;
+
+/** How a running attempt is ended. */
+public enum StopMode {
+    /** Saves the progress, then stops. */
+    CHECKPOINT,
+    /** Stops; progress is lost. */
+    STOP
+}
--- /dev/null
+++ b/model/src/main/java/org/fuchsiawinch/model/TaskFailure.java
@@ -0,0 +1,15 @@
+package org.fuchsiawinch.model;
+
+/** Why a task ended without a result. */
+public enum TaskFailure {
+    /** The work itself reported a failure. */
+    WORK_FAILED,
+    /** The worker refused to start the task. */
+    START_REFUSED,
+    /** The task took more memory than the policy bears. */
+    MEMORY_OVERRUN,
+    /** The task ran longer than the policy bears. */
+    TIME_OVERRUN,
+    /** The worker was lost while the task may have been running. */
+    WORKER_LOST
+}
--- /dev/null
+++ b/model/src/main/java/org/fuchsiawinch/model/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Ids, resources, shapes, jobs and compiled policy; no dependencies.
+ */
+package org.fuchsiawinch.model;
--- /dev/null
+++ b/node/src/main/java/org/fuchsiawinch/node/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The node process.
+ */
+package org.fuchsiawinch.node;
--- /dev/null
+++ b/replay/src/main/java/org/fuchsiawinch/replay/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Trace replay, baselines and the independent checker.
+ */
+package org.fuchsiawinch.replay;
--- /dev/null
+++ b/report/src/main/java/org/fuchsiawinch/report/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Service-level burn report.
+ */
+package org.fuchsiawinch.report;
--- /dev/null
+++ b/runtime/src/main/java/org/fuchsiawinch/runtime/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Command line, settings, logs and metrics of every binary.
+ */
+package org.fuchsiawinch.runtime;
--- /dev/null
+++ b/wire/src/main/java/org/fuchsiawinch/wire/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * MessagePack codecs of records and peer frames.
+ */
+package org.fuchsiawinch.wire;
