--- /dev/null
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/fold/DocumentBook.java
@@ -0,0 +1,61 @@
+package org.fuchsiawinch.protocol.fold;
+
+import java.util.Optional;
+
+import org.fuchsiawinch.model.Policy;
+import org.fuchsiawinch.protocol.record.LogRecord;
+
+/** Folds the document's records. Deterministic; not thread-safe. */
+public interface DocumentBook {
+
+    /**
+     * Takes a record that concerns the document.
+     *
+     * @param record the record
+     * @return empty if it took effect or changed nothing rightly, else a typed refusal
+     */
+    Optional<Refusal> apply(LogRecord record);
+
+    /**
+     * Gives the document in force.
+     *
+     * @return the document, or empty before the first one
+     */
+    Optional<InForce> inForce();
+
+    /**
+     * The document in force.
+     *
+     * @param version its version
+     * @param text its whole text
+     * @param policy its compiled form
+     */
+    record InForce(int version, String text, Policy policy) {}
+
+    /**
+     * Why a document record was refused.
+     *
+     * @param code kind of refusal
+     * @param detail location and further detail
+     */
+    record Refusal(Code code, String detail) {
+
+        /** Kinds of refusal. */
+        public enum Code {
+            /** A document is in force already. */
+            ALREADY_FOUNDED,
+            /** No document is in force yet. */
+            NOT_FOUNDED,
+            /** The base version is not the one in force. */
+            CONFLICT,
+            /** The team does not own the section. */
+            NOT_OWNER,
+            /** The signature is not the team's. */
+            BAD_SIGNATURE,
+            /** The resulting document is not valid. */
+            INVALID,
+            /** The republished version is not the one in force, or its text differs. */
+            NOT_IN_FORCE
+        }
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/fold/LogFold.java
@@ -0,0 +1,271 @@
+package org.fuchsiawinch.protocol.fold;
+
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import org.fuchsiawinch.model.CellId;
+import org.fuchsiawinch.model.JobId;
+import org.fuchsiawinch.model.NodeId;
+import org.fuchsiawinch.protocol.record.Envelope;
+import org.fuchsiawinch.protocol.record.JobOutcome;
+import org.fuchsiawinch.protocol.record.LogRecord;
+
+/**
+ * The state that every node derives from the log, record by record. Two nodes that have read the same records have the
+ * same state. Not thread-safe: one thread owns a fold.
+ */
+public final class LogFold {
+
+    private final DocumentBook document;
+    private final Map<NodeId, Long> lastSequence = new HashMap<>();
+    private final Map<CellId, CellEntry> cells = new HashMap<>();
+    private final Map<JobId, JobEntry> jobs = new LinkedHashMap<>();
+    private Optional<DocumentBook.Refusal> documentRefusal = Optional.empty();
+    private long nextOffset;
+
+    /**
+     * Creates the state before the first record.
+     *
+     * @param document folds the document's records
+     */
+    public LogFold(DocumentBook document) {
+        this.document = document;
+    }
+
+    /**
+     * Takes the next record.
+     *
+     * @param offset its offset
+     * @param envelope the record
+     * @return empty if it took effect, else why it is void
+     */
+    public Optional<VoidCode> apply(long offset, Envelope envelope) {
+        nextOffset = offset + 1;
+        NodeId writer = envelope.id().writer();
+        if (envelope.id().sequence() <= lastSequence.getOrDefault(writer, 0L)) {
+            return Optional.of(VoidCode.DUPLICATE_RECORD);
+        }
+        lastSequence.put(writer, envelope.id().sequence());
+        return applyRecord(offset, envelope);
+    }
+
+    /**
+     * Gives the offset that is to be read next.
+     *
+     * @return the offset
+     */
+    public long nextOffset() {
+        return nextOffset;
+    }
+
+    /**
+     * Gives the folded document.
+     *
+     * @return the document's state
+     */
+    public DocumentBook document() {
+        return document;
+    }
+
+    /**
+     * Gives the judgement of the last document record.
+     *
+     * @return why it was refused, or empty if it took effect
+     */
+    public Optional<DocumentBook.Refusal> lastDocumentRefusal() {
+        return documentRefusal;
+    }
+
+    /**
+     * Looks a job up.
+     *
+     * @param job the job
+     * @return its entry, or empty if no record of it was read
+     */
+    public Optional<JobEntry> job(JobId job) {
+        return Optional.ofNullable(jobs.get(job));
+    }
+
+    /**
+     * Gives all jobs in order of acceptance.
+     *
+     * @return a read-only view
+     */
+    public Collection<JobEntry> jobs() {
+        return Collections.unmodifiableCollection(jobs.values());
+    }
+
+    /**
+     * Looks a cell up.
+     *
+     * @param cell the cell
+     * @return its entry
+     */
+    public CellEntry cell(CellId cell) {
+        return cells.getOrDefault(cell, CellEntry.UNCLAIMED);
+    }
+
+    private Optional<VoidCode> applyRecord(long offset, Envelope envelope) {
+        LogRecord record = envelope.record();
+        NodeId writer = envelope.id().writer();
+        long nowMs = envelope.writtenMs();
+        if (record instanceof LogRecord.CellClaimed claimed) {
+            return claim(offset, writer, claimed);
+        }
+        if (record instanceof LogRecord.CellHeld held) {
+            return hold(offset, writer, held);
+        }
+        if (record instanceof LogRecord.CellReleased released) {
+            return release(writer, released);
+        }
+        if (record instanceof LogRecord.JobAccepted accepted) {
+            return accept(accepted, nowMs);
+        }
+        if (record instanceof LogRecord.JobCancelled cancelled) {
+            return cancel(cancelled);
+        }
+        if (record instanceof LogRecord.AttemptPlaced placed) {
+            return place(writer, placed, nowMs);
+        }
+        if (record instanceof LogRecord.AttemptReleased released) {
+            return releaseAttempt(writer, released);
+        }
+        if (record instanceof LogRecord.AttemptEnded ended) {
+            return endAttempt(writer, ended);
+        }
+        if (record instanceof LogRecord.JobFinished finished) {
+            return finish(writer, finished, nowMs);
+        }
+        if (record instanceof LogRecord.Unrecognised) {
+            return Optional.of(VoidCode.UNRECOGNISED);
+        }
+        documentRefusal = document.apply(record);
+        return documentRefusal.map(refusal -> VoidCode.DOCUMENT_REFUSED);
+    }
+
+    private Optional<VoidCode> claim(long offset, NodeId writer, LogRecord.CellClaimed claimed) {
+        CellEntry cell = cell(claimed.cell());
+        if (claimed.epoch() != cell.epoch() + 1 || !writer.equals(claimed.owner())) {
+            return Optional.of(VoidCode.STALE_EPOCH);
+        }
+        cells.put(claimed.cell(), new CellEntry(claimed.epoch(), Optional.of(writer), offset));
+        return Optional.empty();
+    }
+
+    private Optional<VoidCode> hold(long offset, NodeId writer, LogRecord.CellHeld held) {
+        CellEntry cell = cell(held.cell());
+        if (!cell.ownedBy(writer, held.epoch())) {
+            return Optional.of(VoidCode.STALE_EPOCH);
+        }
+        cells.put(held.cell(), new CellEntry(cell.epoch(), cell.owner(), offset));
+        return Optional.empty();
+    }
+
+    private Optional<VoidCode> release(NodeId writer, LogRecord.CellReleased released) {
+        CellEntry cell = cell(released.cell());
+        if (!cell.ownedBy(writer, released.epoch())) {
+            return Optional.of(VoidCode.STALE_EPOCH);
+        }
+        cells.put(released.cell(), new CellEntry(cell.epoch(), Optional.empty(), cell.lastHeardOffset()));
+        return Optional.empty();
+    }
+
+    private Optional<VoidCode> accept(LogRecord.JobAccepted accepted, long nowMs) {
+        JobId id = accepted.job().id();
+        if (jobs.containsKey(id)) {
+            return Optional.of(VoidCode.DUPLICATE_JOB);
+        }
+        jobs.put(id, JobEntry.accepted(accepted.cell(), accepted.job(), accepted.payload(), nowMs));
+        return Optional.empty();
+    }
+
+    private Optional<VoidCode> cancel(LogRecord.JobCancelled cancelled) {
+        JobEntry job = jobs.get(cancelled.job());
+        if (job == null) {
+            return Optional.of(VoidCode.UNKNOWN_JOB);
+        }
+        if (job.status() == JobStatus.FINISHED || job.cancelled()) {
+            return Optional.of(VoidCode.WRONG_STATUS);
+        }
+        jobs.put(cancelled.job(), job.withCancel());
+        return Optional.empty();
+    }
+
+    private Optional<VoidCode> place(NodeId writer, LogRecord.AttemptPlaced placed, long nowMs) {
+        JobEntry job = jobs.get(placed.attempt().job());
+        Optional<VoidCode> refused = checkOwner(writer, placed.cell(), placed.epoch(), job);
+        if (refused.isPresent()) {
+            return refused;
+        }
+        if (job.status() != JobStatus.WAITING) {
+            return Optional.of(VoidCode.WRONG_STATUS);
+        }
+        if (placed.attempt().number() != job.attemptNumber() + 1) {
+            return Optional.of(VoidCode.WRONG_ATTEMPT);
+        }
+        jobs.put(placed.attempt().job(), job.placed(placed.placements(), placed.lent(), nowMs));
+        return Optional.empty();
+    }
+
+    private Optional<VoidCode> releaseAttempt(NodeId writer, LogRecord.AttemptReleased released) {
+        JobEntry job = jobs.get(released.attempt().job());
+        Optional<VoidCode> refused = checkOwner(writer, released.cell(), released.epoch(), job);
+        if (refused.isPresent()) {
+            return refused;
+        }
+        if (job.status() != JobStatus.PLACED) {
+            return Optional.of(VoidCode.WRONG_STATUS);
+        }
+        if (!released.attempt().equals(job.attempt())) {
+            return Optional.of(VoidCode.WRONG_ATTEMPT);
+        }
+        jobs.put(released.attempt().job(), job.released());
+        return Optional.empty();
+    }
+
+    private Optional<VoidCode> endAttempt(NodeId writer, LogRecord.AttemptEnded ended) {
+        JobEntry job = jobs.get(ended.attempt().job());
+        Optional<VoidCode> refused = checkOwner(writer, ended.cell(), ended.epoch(), job);
+        if (refused.isPresent()) {
+            return refused;
+        }
+        if (job.status() != JobStatus.PLACED && job.status() != JobStatus.RELEASED) {
+            return Optional.of(VoidCode.WRONG_STATUS);
+        }
+        if (!ended.attempt().equals(job.attempt())) {
+            return Optional.of(VoidCode.WRONG_ATTEMPT);
+        }
+        jobs.put(ended.attempt().job(), job.waiting());
+        return Optional.empty();
+    }
+
+    private Optional<VoidCode> finish(NodeId writer, LogRecord.JobFinished finished, long nowMs) {
+        JobEntry job = jobs.get(finished.job());
+        Optional<VoidCode> refused = checkOwner(writer, finished.cell(), finished.epoch(), job);
+        if (refused.isPresent()) {
+            return refused;
+        }
+        if (job.status() == JobStatus.FINISHED) {
+            return Optional.of(VoidCode.WRONG_STATUS);
+        }
+        if (finished.outcome() instanceof JobOutcome.NotRun && job.everReleased()) {
+            return Optional.of(VoidCode.WRONG_STATUS);
+        }
+        jobs.put(finished.job(), job.finished(finished.outcome(), nowMs));
+        return Optional.empty();
+    }
+
+    private Optional<VoidCode> checkOwner(NodeId writer, CellId cell, long epoch, JobEntry job) {
+        if (!cell(cell).ownedBy(writer, epoch)) {
+            return Optional.of(VoidCode.STALE_EPOCH);
+        }
+        if (job == null || !job.cell().equals(cell)) {
+            return Optional.of(VoidCode.UNKNOWN_JOB);
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeMachine.java
@@ -0,0 +1,452 @@
+package org.fuchsiawinch.protocol.node;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Supplier;
+
+import org.fuchsiawinch.core.Reason;
+import org.fuchsiawinch.core.Scheduler;
+import org.fuchsiawinch.model.JobId;
+import org.fuchsiawinch.model.JobSpec;
+import org.fuchsiawinch.protocol.fold.CellEntry;
+import org.fuchsiawinch.protocol.fold.DocumentBook;
+import org.fuchsiawinch.protocol.fold.JobEntry;
+import org.fuchsiawinch.protocol.fold.JobStatus;
+import org.fuchsiawinch.protocol.fold.LogFold;
+import org.fuchsiawinch.protocol.fold.VoidCode;
+import org.fuchsiawinch.protocol.node.internal.Appender;
+import org.fuchsiawinch.protocol.node.internal.CellOwner;
+import org.fuchsiawinch.protocol.node.internal.Outlet;
+import org.fuchsiawinch.protocol.node.internal.RequestDesk;
+import org.fuchsiawinch.protocol.record.Envelope;
+import org.fuchsiawinch.protocol.record.LogRecord;
+import org.fuchsiawinch.protocol.record.RecordId;
+
+/**
+ * A whole node without input or output: takes inputs and gives effects. The same inputs at the same times give the same
+ * effects. Not thread-safe: one thread owns it from construction until it emits {@link NodeEffect.Drained}.
+ */
+public final class NodeMachine {
+
+    private static final long ACCEPT_TIMEOUT_MS = 5000;
+    private static final long LOG_DOWN_AFTER_MS = 2000;
+    private static final long LOG_RETRY_MS = 5000;
+    private static final long READ_FRESH_MS = 1500;
+
+    private final NodeSettings settings;
+    private final LogFold fold;
+    private final Appender appender;
+    private final RequestDesk desk = new RequestDesk();
+    private final CellOwner owner;
+    private final Set<JobId> submitting = new HashSet<>();
+    private final Set<RecordId> documentChanges = new HashSet<>();
+    private List<NodeEffect> effects = new ArrayList<>();
+    private long endReachedMs = Long.MIN_VALUE / 2;
+    private long ownerHeardMs;
+    private long ownerHeardOffset = -2;
+    private long ownedEpoch;
+    private boolean claimPending;
+    private boolean holdPending;
+    private boolean releasePending;
+    private long heldMs;
+    private int documentVersion;
+    private boolean draining;
+    private boolean drained;
+
+    /**
+     * Creates a node that has read nothing yet.
+     *
+     * @param settings the node's settings
+     * @param document folds the document's records
+     * @param schedulers makes a scheduler for each take-over of a cell
+     */
+    public NodeMachine(NodeSettings settings, DocumentBook document, Supplier<Scheduler> schedulers) {
+        this.settings = settings;
+        this.fold = new LogFold(document);
+        this.appender = new Appender(settings.node(), settings.appendLimit());
+        this.owner = new CellOwner(settings, schedulers, fold, new MachineOutlet());
+    }
+
+    /**
+     * Takes one input.
+     *
+     * @param input what reached the node
+     * @param nowMs present time in ms since the epoch
+     * @return what to do, in order
+     */
+    public List<NodeEffect> handle(NodeInput input, long nowMs) {
+        effects = new ArrayList<>();
+        dispatch(input, nowMs);
+        appender.next(nowMs).ifPresent(effects::add);
+        return effects;
+    }
+
+    /**
+     * Gives the state that was read from the log.
+     *
+     * @return the log's state; not to be changed
+     */
+    public LogFold fold() {
+        return fold;
+    }
+
+    /**
+     * Says whether this node schedules its cell.
+     *
+     * @return true while it does
+     */
+    public boolean schedules() {
+        return owner.active();
+    }
+
+    /**
+     * Says why a job waits, if this node schedules it.
+     *
+     * @param job the job
+     * @param nowMs present time in ms since the epoch
+     * @return the reason, or empty
+     */
+    public Optional<Reason> waitReason(JobId job, long nowMs) {
+        return owner.waitReason(job, nowMs);
+    }
+
+    private void dispatch(NodeInput input, long nowMs) {
+        if (input instanceof NodeInput.RecordRead read) {
+            recordRead(read.offset(), read.envelope(), nowMs);
+        } else if (input instanceof NodeInput.LogEndReached) {
+            endReached(nowMs);
+        } else if (input instanceof NodeInput.AppendDone done) {
+            appender.done(done.firstSequence());
+        } else if (input instanceof NodeInput.AppendFailed failed) {
+            appender.failed(failed.firstSequence(), nowMs);
+        } else if (input instanceof NodeInput.WorkersListed workers) {
+            owner.listed(workers.workers(), workers.leaving(), nowMs);
+        } else if (input instanceof NodeInput.WorkerReplied replied) {
+            owner.replied(replied.worker(), replied.epoch(), replied.reply(), nowMs);
+        } else if (input instanceof NodeInput.JobSubmit submit) {
+            submit(submit, nowMs);
+        } else if (input instanceof NodeInput.JobLookup lookup) {
+            lookup(lookup, nowMs);
+        } else if (input instanceof NodeInput.JobCancel cancel) {
+            cancel(cancel, nowMs);
+        } else if (input instanceof NodeInput.DocumentChange change) {
+            changeDocument(change, nowMs);
+        } else if (input instanceof NodeInput.Drain) {
+            drain(nowMs);
+        } else {
+            tick(nowMs);
+        }
+    }
+
+    private void recordRead(long offset, Envelope envelope, long nowMs) {
+        if (offset < fold.nextOffset()) {
+            return;
+        }
+        Optional<VoidCode> refused = fold.apply(offset, envelope);
+        boolean own = envelope.id().writer().equals(settings.node());
+        LogRecord record = envelope.record();
+        if (own) {
+            ownRecordRead(envelope, refused, nowMs);
+        }
+        if (refused.isPresent()) {
+            return;
+        }
+        followOwner(nowMs);
+        followDocument(nowMs);
+        jobOf(record).flatMap(fold::job).ifPresent(job -> desk.jobChanged(job, effects::add));
+        if (jobOf(record).flatMap(fold::job).filter(this::inCell).isPresent()) {
+            owner.recordApplied(record, nowMs);
+        }
+    }
+
+    private void ownRecordRead(Envelope envelope, Optional<VoidCode> refused, long nowMs) {
+        LogRecord record = envelope.record();
+        if (refused.filter(VoidCode.DUPLICATE_RECORD::equals).isPresent()) {
+            return;
+        }
+        if (record instanceof LogRecord.CellClaimed) {
+            claimPending = false;
+        } else if (record instanceof LogRecord.CellHeld) {
+            holdPending = false;
+        } else if (record instanceof LogRecord.CellReleased) {
+            releasePending = false;
+        } else if (record instanceof LogRecord.JobAccepted accepted) {
+            submitting.remove(accepted.job().id());
+            fold.job(accepted.job().id()).ifPresent(job -> desk.jobChanged(job, effects::add));
+        }
+        if (documentChanges.remove(envelope.id())) {
+            answerDocumentChange(envelope, refused);
+        }
+        if (refused.isPresent()) {
+            effects.add(new NodeEffect.Report(new NodeEvent.OwnRecordVoid(envelope.id(), refused.get())));
+            owner.recordVoid(record, nowMs);
+        }
+    }
+
+    private void answerDocumentChange(Envelope envelope, Optional<VoidCode> refused) {
+        int version =
+                fold.document().inForce().map(DocumentBook.InForce::version).orElse(0);
+        Optional<DocumentBook.Refusal> refusal = refused.isPresent() ? fold.lastDocumentRefusal() : Optional.empty();
+        desk.recordRead(envelope.id(), new NodeReply.DocumentJudged(version, refusal), effects::add);
+    }
+
+    private void followOwner(long nowMs) {
+        CellEntry cell = fold.cell(settings.cell());
+        if (cell.lastHeardOffset() != ownerHeardOffset) {
+            ownerHeardOffset = cell.lastHeardOffset();
+            ownerHeardMs = nowMs;
+        }
+        boolean mine = cell.ownedBy(settings.node(), cell.epoch());
+        if (mine && cell.epoch() != ownedEpoch) {
+            ownedEpoch = cell.epoch();
+            effects.add(new NodeEffect.Report(new NodeEvent.CellTaken(settings.cell(), ownedEpoch)));
+            owner.take(ownedEpoch, nowMs);
+            return;
+        }
+        if (!mine && ownedEpoch > 0) {
+            ownedEpoch = 0;
+            effects.add(new NodeEffect.Report(new NodeEvent.CellLost(settings.cell(), cell.epoch())));
+            owner.drop();
+        }
+    }
+
+    private void followDocument(long nowMs) {
+        int version =
+                fold.document().inForce().map(DocumentBook.InForce::version).orElse(0);
+        if (version == documentVersion) {
+            return;
+        }
+        documentVersion = version;
+        effects.add(new NodeEffect.Report(new NodeEvent.DocumentInForce(version)));
+        owner.documentChanged(nowMs);
+    }
+
+    private void endReached(long nowMs) {
+        if (nowMs - endReachedMs > READ_FRESH_MS) {
+            ownerHeardMs = nowMs;
+        }
+        endReachedMs = nowMs;
+    }
+
+    private void tick(long nowMs) {
+        owner.tick(nowMs);
+        desk.expire(nowMs, job -> fold.job(job).orElse(null), effects::add);
+        competeForCell(nowMs);
+        if (draining) {
+            finishDrain();
+        }
+    }
+
+    private void competeForCell(long nowMs) {
+        CellEntry cell = fold.cell(settings.cell());
+        if (ownedEpoch > 0) {
+            hold(nowMs);
+            return;
+        }
+        boolean caughtUp = nowMs - endReachedMs <= READ_FRESH_MS;
+        if (draining || claimPending || !caughtUp) {
+            return;
+        }
+        long patienceMs = cell.owner().isPresent() ? settings.claimAfterMs() : 0;
+        if (nowMs - ownerHeardMs < patienceMs + settings.claimRank() * settings.holdEveryMs()) {
+            return;
+        }
+        claimPending = true;
+        appender.add(new LogRecord.CellClaimed(settings.cell(), settings.node(), cell.epoch() + 1), nowMs);
+    }
+
+    private void hold(long nowMs) {
+        if (holdPending || releasePending || nowMs - heldMs < settings.holdEveryMs()) {
+            return;
+        }
+        holdPending = true;
+        heldMs = nowMs;
+        appender.add(new LogRecord.CellHeld(settings.cell(), ownedEpoch), nowMs);
+    }
+
+    private void submit(NodeInput.JobSubmit submit, long nowMs) {
+        JobSpec job = submit.job();
+        Optional<JobEntry> known = fold.job(job.id());
+        if (known.isPresent()) {
+            answerKnown(submit, known.get(), nowMs);
+            return;
+        }
+        Optional<NodeReply.Refused> refusal = refuse(job, nowMs);
+        if (refusal.isPresent()) {
+            effects.add(new NodeEffect.Reply(submit.requestId(), refusal.get()));
+            return;
+        }
+        boolean outcome = submit.waitMs() > 0;
+        long untilMs = nowMs + Math.max(submit.waitMs(), ACCEPT_TIMEOUT_MS);
+        desk.awaitJob(submit.requestId(), job.id(), untilMs, outcome);
+        if (submitting.add(job.id())) {
+            appender.add(new LogRecord.JobAccepted(settings.cell(), job, submit.payload()), nowMs);
+        }
+    }
+
+    private void answerKnown(NodeInput.JobSubmit submit, JobEntry known, long nowMs) {
+        if (!known.spec().equals(submit.job())) {
+            reply(submit.requestId(), refused(NodeReply.RefusalCode.KEY_REUSED));
+            return;
+        }
+        answerOrWait(submit.requestId(), known, submit.waitMs(), nowMs);
+    }
+
+    private void lookup(NodeInput.JobLookup lookup, long nowMs) {
+        Optional<JobEntry> known = fold.job(lookup.job());
+        if (known.isPresent()) {
+            answerOrWait(lookup.requestId(), known.get(), lookup.waitMs(), nowMs);
+            return;
+        }
+        boolean fresh = nowMs - endReachedMs <= READ_FRESH_MS;
+        boolean unsure = !fresh || submitting.contains(lookup.job());
+        reply(lookup.requestId(), unsure ? new NodeReply.Pending() : new NodeReply.UnknownJob());
+    }
+
+    private void answerOrWait(long requestId, JobEntry job, long waitMs, long nowMs) {
+        if (job.status() == JobStatus.FINISHED || waitMs <= 0 || draining) {
+            reply(requestId, new NodeReply.Job(job));
+            return;
+        }
+        desk.awaitJob(requestId, job.spec().id(), nowMs + waitMs, true);
+    }
+
+    private void cancel(NodeInput.JobCancel cancel, long nowMs) {
+        Optional<JobEntry> known = fold.job(cancel.job());
+        if (known.isEmpty()) {
+            reply(cancel.requestId(), new NodeReply.UnknownJob());
+            return;
+        }
+        if (known.get().status() == JobStatus.FINISHED || known.get().cancelled()) {
+            reply(cancel.requestId(), new NodeReply.Job(known.get()));
+            return;
+        }
+        if (logDown(nowMs)) {
+            reply(cancel.requestId(), logUnavailable());
+            return;
+        }
+        desk.awaitJob(cancel.requestId(), cancel.job(), nowMs + ACCEPT_TIMEOUT_MS, false);
+        appender.add(new LogRecord.JobCancelled(cancel.job()), nowMs);
+    }
+
+    private void changeDocument(NodeInput.DocumentChange change, long nowMs) {
+        if (draining) {
+            reply(change.requestId(), refused(NodeReply.RefusalCode.DRAINING));
+            return;
+        }
+        if (logDown(nowMs)) {
+            reply(change.requestId(), logUnavailable());
+            return;
+        }
+        RecordId id = appender.add(change.record(), nowMs);
+        documentChanges.add(id);
+        desk.awaitRecord(change.requestId(), id, nowMs + ACCEPT_TIMEOUT_MS);
+    }
+
+    private Optional<NodeReply.Refused> refuse(JobSpec job, long nowMs) {
+        if (draining) {
+            return Optional.of(refused(NodeReply.RefusalCode.DRAINING));
+        }
+        if (logDown(nowMs)) {
+            return Optional.of(logUnavailable());
+        }
+        if (endReachedMs < 0) {
+            return Optional.of(new NodeReply.Refused(NodeReply.RefusalCode.NOT_READY, OptionalLong.of(1000)));
+        }
+        Optional<DocumentBook.InForce> document = fold.document().inForce();
+        if (document.isEmpty()) {
+            return Optional.of(refused(NodeReply.RefusalCode.NO_DOCUMENT));
+        }
+        if (!document.get().policy().workspaces().containsKey(job.workspace())) {
+            return Optional.of(refused(NodeReply.RefusalCode.UNKNOWN_WORKSPACE));
+        }
+        if (appender.pending() >= settings.pendingLimit()) {
+            return Optional.of(new NodeReply.Refused(NodeReply.RefusalCode.OVERLOADED, OptionalLong.of(1000)));
+        }
+        boolean late = job.deadlineMs().isPresent() && job.deadlineMs().getAsLong() <= nowMs;
+        if (late || (!job.idempotent() && job.deadlineMs().isEmpty())) {
+            return Optional.of(refused(NodeReply.RefusalCode.DEADLINE));
+        }
+        return Optional.empty();
+    }
+
+    private void drain(long nowMs) {
+        if (draining) {
+            return;
+        }
+        draining = true;
+        if (ownedEpoch > 0) {
+            releasePending = true;
+            appender.add(new LogRecord.CellReleased(settings.cell(), ownedEpoch), nowMs);
+        }
+        desk.answerAccepted(job -> fold.job(job).orElse(null), effects::add);
+    }
+
+    private void finishDrain() {
+        desk.answerAccepted(job -> fold.job(job).orElse(null), effects::add);
+        if (drained || releasePending || desk.open() > 0 || appender.pending() > 0) {
+            return;
+        }
+        drained = true;
+        effects.add(new NodeEffect.Drained());
+    }
+
+    private boolean logDown(long nowMs) {
+        return appender.failingForMs(nowMs) > LOG_DOWN_AFTER_MS;
+    }
+
+    private static NodeReply.Refused logUnavailable() {
+        return new NodeReply.Refused(NodeReply.RefusalCode.LOG_UNAVAILABLE, OptionalLong.of(LOG_RETRY_MS));
+    }
+
+    private static NodeReply.Refused refused(NodeReply.RefusalCode code) {
+        return new NodeReply.Refused(code, OptionalLong.empty());
+    }
+
+    private void reply(long requestId, NodeReply reply) {
+        effects.add(new NodeEffect.Reply(requestId, reply));
+    }
+
+    private boolean inCell(JobEntry job) {
+        return job.cell().equals(settings.cell());
+    }
+
+    private static Optional<JobId> jobOf(LogRecord record) {
+        if (record instanceof LogRecord.JobAccepted accepted) {
+            return Optional.of(accepted.job().id());
+        }
+        if (record instanceof LogRecord.JobCancelled cancelled) {
+            return Optional.of(cancelled.job());
+        }
+        if (record instanceof LogRecord.AttemptPlaced placed) {
+            return Optional.of(placed.attempt().job());
+        }
+        if (record instanceof LogRecord.AttemptReleased released) {
+            return Optional.of(released.attempt().job());
+        }
+        if (record instanceof LogRecord.AttemptEnded ended) {
+            return Optional.of(ended.attempt().job());
+        }
+        if (record instanceof LogRecord.JobFinished finished) {
+            return Optional.of(finished.job());
+        }
+        return Optional.empty();
+    }
+
+    private final class MachineOutlet implements Outlet {
+
+        @Override
+        public RecordId append(LogRecord record, long nowMs) {
+            return appender.add(record, nowMs);
+        }
+
+        @Override
+        public void emit(NodeEffect effect) {
+            effects.add(effect);
+        }
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeSettings.java
@@ -0,0 +1,46 @@
+package org.fuchsiawinch.protocol.node;
+
+import org.fuchsiawinch.model.CellId;
+import org.fuchsiawinch.model.NodeId;
+
+/**
+ * Settings of the node state machine. Immutable.
+ *
+ * @param node id of this process
+ * @param cell the cell that the node competes for
+ * @param holdEveryMs time in ms between the owner's signs of life in the log
+ * @param claimAfterMs silence in ms of the owner after which another node claims the cell
+ * @param claimRank order among the nodes; each rank waits one hold interval more before it claims
+ * @param renewEveryMs time in ms between lease renewals of a worker
+ * @param leaseMs length in ms of a worker lease
+ * @param clockDriftMs bound in ms on the difference of two clocks over a lease
+ * @param startWithinMs time in ms from placement to the start-by time
+ * @param inventoryWaitMs longest time in ms that a new owner waits for workers before it schedules with the others
+ * @param appendLimit most records in one append
+ * @param pendingLimit most records waiting for the log
+ */
+public record NodeSettings(
+        NodeId node,
+        CellId cell,
+        long holdEveryMs,
+        long claimAfterMs,
+        int claimRank,
+        long renewEveryMs,
+        long leaseMs,
+        long clockDriftMs,
+        long startWithinMs,
+        long inventoryWaitMs,
+        int appendLimit,
+        int pendingLimit) {
+
+    /**
+     * Gives the default settings.
+     *
+     * @param node id of the process
+     * @param claimRank order among the nodes
+     * @return the settings
+     */
+    public static NodeSettings defaults(NodeId node, int claimRank) {
+        return new NodeSettings(node, new CellId("main"), 500, 2000, claimRank, 1000, 5000, 250, 2000, 1500, 64, 4096);
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/Appender.java
@@ -0,0 +1,150 @@
+package org.fuchsiawinch.protocol.node.internal;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+
+import org.fuchsiawinch.model.NodeId;
+import org.fuchsiawinch.protocol.node.NodeEffect;
+import org.fuchsiawinch.protocol.record.Envelope;
+import org.fuchsiawinch.protocol.record.LogRecord;
+import org.fuchsiawinch.protocol.record.RecordId;
+
+/**
+ * Numbers this node's records and appends them in order, one batch at a time. A batch whose answer got lost is appended
+ * again unchanged; readers void the copy by its sequence. Not thread-safe.
+ */
+public final class Appender {
+
+    private static final long FIRST_BACKOFF_MS = 100;
+    private static final long MAX_BACKOFF_MS = 5000;
+    private static final long JITTER_PERCENT = 50;
+
+    private final NodeId node;
+    private final int batchLimit;
+    private final Deque<Envelope> queue = new ArrayDeque<>();
+    private List<Envelope> batch = List.of();
+    private boolean inFlight;
+    private int failures;
+    private long failingSinceMs;
+    private long retryAtMs;
+    private long lastSequence;
+
+    /**
+     * Creates an appender.
+     *
+     * @param node the writer
+     * @param batchLimit most records in a batch
+     */
+    public Appender(NodeId node, int batchLimit) {
+        this.node = node;
+        this.batchLimit = batchLimit;
+    }
+
+    /**
+     * Queues a record.
+     *
+     * @param record the record
+     * @param nowMs present time in ms since the epoch
+     * @return its id
+     */
+    public RecordId add(LogRecord record, long nowMs) {
+        lastSequence++;
+        RecordId id = new RecordId(node, lastSequence);
+        queue.addLast(new Envelope(id, Envelope.SCHEMA_VERSION, nowMs, record));
+        return id;
+    }
+
+    /**
+     * Gives the next batch to append, if none is in flight and no back-off is running.
+     *
+     * @param nowMs present time in ms since the epoch
+     * @return the append, or empty
+     */
+    public Optional<NodeEffect.Append> next(long nowMs) {
+        if (inFlight || nowMs < retryAtMs) {
+            return Optional.empty();
+        }
+        if (batch.isEmpty()) {
+            batch = takeBatch();
+        }
+        if (batch.isEmpty()) {
+            return Optional.empty();
+        }
+        inFlight = true;
+        return Optional.of(new NodeEffect.Append(batch));
+    }
+
+    /**
+     * Takes an acknowledgement.
+     *
+     * @param firstSequence sequence of the batch's first record
+     */
+    public void done(long firstSequence) {
+        if (!isCurrent(firstSequence)) {
+            return;
+        }
+        batch = List.of();
+        inFlight = false;
+        failures = 0;
+        retryAtMs = 0;
+    }
+
+    /**
+     * Takes a failure; the batch will be appended again after a back-off.
+     *
+     * @param firstSequence sequence of the batch's first record
+     * @param nowMs present time in ms since the epoch
+     */
+    public void failed(long firstSequence, long nowMs) {
+        if (!isCurrent(firstSequence)) {
+            return;
+        }
+        if (failures == 0) {
+            failingSinceMs = nowMs;
+        }
+        inFlight = false;
+        long backoff = Math.min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS << Math.min(failures, 10));
+        retryAtMs = nowMs + backoff + jitter(backoff);
+        failures++;
+    }
+
+    /**
+     * Says how long appends have been failing.
+     *
+     * @param nowMs present time in ms since the epoch
+     * @return time in ms since the first failure of the batch; 0 if the last append succeeded
+     */
+    public long failingForMs(long nowMs) {
+        return failures == 0 ? 0 : Math.max(1, nowMs - failingSinceMs);
+    }
+
+    /**
+     * Counts the records that are not acknowledged.
+     *
+     * @return number of records
+     */
+    public int pending() {
+        return queue.size() + batch.size();
+    }
+
+    private boolean isCurrent(long firstSequence) {
+        return !batch.isEmpty() && batch.get(0).id().sequence() == firstSequence;
+    }
+
+    private List<Envelope> takeBatch() {
+        List<Envelope> taken = new ArrayList<>(Math.min(batchLimit, queue.size()));
+        while (taken.size() < batchLimit && !queue.isEmpty()) {
+            taken.add(queue.removeFirst());
+        }
+        return taken;
+    }
+
+    /** Spreads the retries of several nodes without a random source: hashes the writer and the count of failures. */
+    private long jitter(long backoff) {
+        int hash = node.hashCode() * 31 + failures;
+        return Math.floorMod(hash * 0x9E3779B1, 1000) * backoff * JITTER_PERCENT / 100 / 1000;
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/AttemptDriver.java
@@ -0,0 +1,407 @@
+package org.fuchsiawinch.protocol.node.internal;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.fuchsiawinch.core.SchedulerEvent;
+import org.fuchsiawinch.model.AttemptId;
+import org.fuchsiawinch.model.JobId;
+import org.fuchsiawinch.model.JobSpec;
+import org.fuchsiawinch.model.Placement;
+import org.fuchsiawinch.model.Resources;
+import org.fuchsiawinch.model.StopMode;
+import org.fuchsiawinch.model.TaskFailure;
+import org.fuchsiawinch.model.TaskId;
+import org.fuchsiawinch.model.WorkerId;
+import org.fuchsiawinch.protocol.fold.JobEntry;
+import org.fuchsiawinch.protocol.fold.JobStatus;
+import org.fuchsiawinch.protocol.node.NodeEffect;
+import org.fuchsiawinch.protocol.node.NodeSettings;
+import org.fuchsiawinch.protocol.record.AttemptEnd;
+import org.fuchsiawinch.protocol.record.LogRecord;
+import org.fuchsiawinch.protocol.worker.TaskReport;
+import org.fuchsiawinch.protocol.worker.TaskState;
+import org.fuchsiawinch.protocol.worker.WorkerCommand;
+import org.fuchsiawinch.protocol.worker.WorkerReply;
+
+/**
+ * Drives attempts through prepare, release, stop and end: no part runs before all are prepared and the release is read
+ * back from the log. Not thread-safe.
+ */
+final class AttemptDriver {
+
+    private static final Resources PROBE_RESOURCES = new Resources(100, 64, 0, 1, 1);
+    private static final String PROBE_PREFIX = "probe:";
+
+    private final NodeSettings settings;
+    private final Outlet outlet;
+    private final EventSink scheduler;
+    private final Map<AttemptId, AttemptView> attempts = new LinkedHashMap<>();
+    private final Map<AttemptId, Long> forgetAtMs = new HashMap<>();
+    private final Map<TaskId, Inventory> inventory = new HashMap<>();
+    private final Map<WorkerId, TaskId> probes = new HashMap<>();
+    private int probeCount;
+    private long epoch;
+
+    AttemptDriver(NodeSettings settings, Outlet outlet, EventSink scheduler) {
+        this.settings = settings;
+        this.outlet = outlet;
+        this.scheduler = scheduler;
+    }
+
+    void begin(long newEpoch) {
+        epoch = newEpoch;
+    }
+
+    void clear() {
+        attempts.clear();
+        forgetAtMs.clear();
+        inventory.clear();
+        probes.clear();
+    }
+
+    /** Takes up an attempt of an earlier owner, as the log and the inventory show it. */
+    void recover(JobEntry job, long nowMs) {
+        boolean released = job.status() == JobStatus.RELEASED;
+        AttemptView.Phase phase = released ? AttemptView.Phase.RUNNING : AttemptView.Phase.STOPPING;
+        AttemptView attempt = new AttemptView(job.attempt(), job.spec(), job.placements(), phase);
+        attempt.released(released);
+        attempt.startByMs(nowMs);
+        for (Placement placement : job.placements()) {
+            Inventory found = inventory.get(new TaskId(job.attempt(), placement.part()));
+            if (found != null && found.worker().equals(placement.worker())) {
+                attempt.report(found.report());
+            }
+        }
+        attempts.put(attempt.id(), attempt);
+    }
+
+    /** Forgets the inventory after recovery; parts of other attempts will be stopped when next reported. */
+    void keepOnly(Set<AttemptId> recovered) {
+        attempts.keySet().retainAll(recovered);
+        inventory.clear();
+    }
+
+    void start(AttemptId id, JobSpec job, List<Placement> placements) {
+        attempts.put(id, new AttemptView(id, job, placements, AttemptView.Phase.PLACING));
+    }
+
+    void placed(AttemptId id, byte[] payload, long nowMs) {
+        AttemptView attempt = attempts.get(id);
+        if (attempt == null) {
+            return;
+        }
+        attempt.startByMs(nowMs + settings.startWithinMs());
+        if (attempt.phase() == AttemptView.Phase.STOPPING) {
+            attempt.placements().forEach(placement -> attempt.gone(placement.part()));
+            advance(attempt, nowMs);
+            return;
+        }
+        attempt.phase(AttemptView.Phase.PREPARING);
+        for (Placement placement : attempt.placements()) {
+            send(
+                    placement.worker(),
+                    new WorkerCommand.Prepare(
+                            settings.cell(),
+                            epoch,
+                            new TaskId(id, placement.part()),
+                            attempt.job().shape().perPart(),
+                            attempt.job().kind(),
+                            payload,
+                            attempt.startByMs(),
+                            attempt.startByMs() + settings.leaseMs()));
+        }
+    }
+
+    void neverPlaced(AttemptId id, long nowMs) {
+        if (attempts.remove(id) != null) {
+            scheduler.decide(new SchedulerEvent.AttemptStopped(id, false), nowMs);
+        }
+    }
+
+    void released(AttemptId id, long nowMs) {
+        AttemptView attempt = attempts.get(id);
+        if (attempt == null) {
+            return;
+        }
+        attempt.released(true);
+        if (attempt.phase() == AttemptView.Phase.RELEASING) {
+            attempt.phase(AttemptView.Phase.RUNNING);
+        }
+        advance(attempt, nowMs);
+    }
+
+    void ended(AttemptId id, AttemptEnd end, long nowMs) {
+        if (attempts.remove(id) == null) {
+            return;
+        }
+        forgetAtMs.put(id, nowMs + settings.startWithinMs() + settings.clockDriftMs());
+        scheduler.decide(new SchedulerEvent.AttemptStopped(id, end == AttemptEnd.CHECKPOINTED), nowMs);
+    }
+
+    void finished(JobId job, long nowMs) {
+        Optional<AttemptView> found = attempts.values().stream()
+                .filter(attempt -> attempt.id().job().equals(job))
+                .findFirst();
+        if (found.isEmpty()) {
+            return;
+        }
+        AttemptView attempt = found.get();
+        attempts.remove(attempt.id());
+        forgetAtMs.put(attempt.id(), nowMs + settings.startWithinMs() + settings.clockDriftMs());
+        if (attempt.stopRequested()) {
+            scheduler.decide(new SchedulerEvent.JobCancelled(job), nowMs);
+            scheduler.decide(new SchedulerEvent.AttemptStopped(attempt.id(), false), nowMs);
+            return;
+        }
+        attempt.placements().forEach(placement -> tellCompleted(attempt, placement.part(), nowMs));
+    }
+
+    void stop(AttemptId id, StopMode mode, long nowMs) {
+        AttemptView attempt = attempts.get(id);
+        if (attempt == null || attempt.phase() == AttemptView.Phase.ENDING) {
+            return;
+        }
+        attempt.stop(mode);
+        if (attempt.startByMs() > 0) {
+            advance(attempt, nowMs);
+        }
+    }
+
+    void workerLost(WorkerId worker) {
+        for (AttemptView attempt : attempts.values()) {
+            attempt.placements().stream()
+                    .filter(placement -> placement.worker().equals(worker))
+                    .forEach(placement -> attempt.gone(placement.part()));
+        }
+    }
+
+    void probe(WorkerId worker, long nowMs) {
+        probeCount++;
+        JobId job = new JobId(PROBE_PREFIX + worker + ":" + epoch);
+        TaskId task = new TaskId(new AttemptId(job, probeCount), 0);
+        probes.put(worker, task);
+        long startByMs = nowMs + settings.startWithinMs();
+        send(
+                worker,
+                new WorkerCommand.Prepare(
+                        settings.cell(),
+                        epoch,
+                        task,
+                        PROBE_RESOURCES,
+                        "probe",
+                        new byte[0],
+                        startByMs,
+                        startByMs + settings.leaseMs()));
+    }
+
+    /**
+     * Takes a worker's report.
+     *
+     * @return whether the worker holds no live part that the cell does not know
+     */
+    boolean reported(WorkerId worker, WorkerReply reply, boolean active, long nowMs) {
+        if (!active) {
+            reply.tasks().forEach(report -> inventory.put(report.task(), new Inventory(worker, report)));
+            return true;
+        }
+        boolean clean = true;
+        Set<TaskId> present = new HashSet<>();
+        for (TaskReport report : reply.tasks()) {
+            present.add(report.task());
+            clean &= reportedTask(worker, report, nowMs);
+        }
+        markAbsent(worker, present, nowMs);
+        return clean;
+    }
+
+    void advanceAll(long nowMs) {
+        for (AttemptView attempt : new ArrayList<>(attempts.values())) {
+            if (attempts.containsKey(attempt.id())) {
+                advance(attempt, nowMs);
+            }
+        }
+    }
+
+    private boolean reportedTask(WorkerId worker, TaskReport report, long nowMs) {
+        if (report.task().attempt().job().value().startsWith(PROBE_PREFIX)) {
+            probeReported(worker, report, nowMs);
+            return true;
+        }
+        AttemptView attempt = attempts.get(report.task().attempt());
+        if (attempt != null && attempt.on(report.task().part(), worker)) {
+            attempt.report(report);
+            return true;
+        }
+        if (!report.state().ended()) {
+            send(worker, new WorkerCommand.Stop(settings.cell(), epoch, report.task(), StopMode.STOP));
+            return false;
+        }
+        if (nowMs >= forgetAtMs.getOrDefault(report.task().attempt(), 0L)) {
+            forgetAtMs.remove(report.task().attempt());
+            send(worker, new WorkerCommand.Forget(settings.cell(), epoch, report.task()));
+        }
+        return true;
+    }
+
+    private void probeReported(WorkerId worker, TaskReport report, long nowMs) {
+        boolean current = report.task().equals(probes.get(worker));
+        if (report.state() == TaskState.PREPARED && current) {
+            send(worker, new WorkerCommand.Release(settings.cell(), epoch, report.task(), nowMs + settings.leaseMs()));
+            return;
+        }
+        if (!report.state().ended()) {
+            return;
+        }
+        send(worker, new WorkerCommand.Forget(settings.cell(), epoch, report.task()));
+        if (current) {
+            probes.remove(worker);
+            boolean healthy = report.state() == TaskState.COMPLETED;
+            scheduler.decide(new SchedulerEvent.ProbeEnded(worker, healthy), nowMs);
+        }
+    }
+
+    private void markAbsent(WorkerId worker, Set<TaskId> present, long nowMs) {
+        for (AttemptView attempt : attempts.values()) {
+            boolean settled = attempt.startByMs() > 0 && nowMs > attempt.startByMs() + settings.clockDriftMs();
+            boolean placed = attempt.phase() != AttemptView.Phase.PLACING;
+            if (!placed || !settled) {
+                continue;
+            }
+            for (Placement placement : attempt.placements()) {
+                if (placement.worker().equals(worker)
+                        && !present.contains(new TaskId(attempt.id(), placement.part()))) {
+                    attempt.gone(placement.part());
+                }
+            }
+        }
+    }
+
+    private void advance(AttemptView attempt, long nowMs) {
+        switch (attempt.phase()) {
+            case PREPARING -> advancePreparing(attempt, nowMs);
+            case RUNNING -> advanceRunning(attempt, nowMs);
+            case STOPPING -> advanceStopping(attempt, nowMs);
+            default -> {
+                // the log answers next
+            }
+        }
+    }
+
+    private void advancePreparing(AttemptView attempt, long nowMs) {
+        if (attempt.allInState(TaskState.PREPARED)) {
+            attempt.phase(AttemptView.Phase.RELEASING);
+            outlet.append(new LogRecord.AttemptReleased(settings.cell(), epoch, attempt.id()), nowMs);
+            return;
+        }
+        boolean late = nowMs > attempt.startByMs();
+        for (Placement placement : attempt.placements()) {
+            boolean prepared = attempt.report(placement.part())
+                    .filter(report -> report.state() == TaskState.PREPARED)
+                    .isPresent();
+            if (attempt.ended(placement.part()) || (late && !prepared)) {
+                tellFailed(attempt, placement.part(), TaskFailure.START_REFUSED, nowMs);
+            }
+        }
+    }
+
+    private void advanceRunning(AttemptView attempt, long nowMs) {
+        for (Placement placement : attempt.placements()) {
+            Optional<TaskReport> report = attempt.report(placement.part());
+            if (report.filter(part -> part.state() == TaskState.PREPARED).isPresent()
+                    && !attempt.ended(placement.part())) {
+                send(
+                        placement.worker(),
+                        new WorkerCommand.Release(
+                                settings.cell(),
+                                epoch,
+                                new TaskId(attempt.id(), placement.part()),
+                                nowMs + settings.leaseMs()));
+            }
+        }
+        if (attempt.allReleased() && attempt.announceOnce()) {
+            scheduler.decide(new SchedulerEvent.AttemptRunning(attempt.id()), nowMs);
+        }
+        if (attempt.allInState(TaskState.COMPLETED)) {
+            complete(attempt, nowMs);
+            return;
+        }
+        attempt.placements().forEach(placement -> tellState(attempt, placement.part(), nowMs));
+    }
+
+    private void advanceStopping(AttemptView attempt, long nowMs) {
+        if (attempt.released() && attempt.allInState(TaskState.COMPLETED)) {
+            complete(attempt, nowMs);
+            return;
+        }
+        if (attempt.allEnded()) {
+            attempt.phase(AttemptView.Phase.ENDING);
+            outlet.append(new LogRecord.AttemptEnded(settings.cell(), epoch, attempt.id(), endOf(attempt)), nowMs);
+            return;
+        }
+        if (!attempt.stopDue(nowMs, settings.renewEveryMs())) {
+            return;
+        }
+        for (Placement placement : attempt.placements()) {
+            if (!attempt.ended(placement.part())) {
+                TaskId task = new TaskId(attempt.id(), placement.part());
+                send(placement.worker(), new WorkerCommand.Stop(settings.cell(), epoch, task, attempt.stopMode()));
+            }
+        }
+    }
+
+    private static AttemptEnd endOf(AttemptView attempt) {
+        if (!attempt.released()) {
+            return AttemptEnd.NOT_RELEASED;
+        }
+        return attempt.allCheckpointed() ? AttemptEnd.CHECKPOINTED : AttemptEnd.STOPPED;
+    }
+
+    private void complete(AttemptView attempt, long nowMs) {
+        attempt.phase(AttemptView.Phase.ENDING);
+        List<byte[]> parts = attempt.placements().stream()
+                .map(placement -> attempt.report(placement.part())
+                        .flatMap(TaskReport::answer)
+                        .orElse(new byte[0]))
+                .toList();
+        outlet.append(
+                new LogRecord.JobFinished(settings.cell(), epoch, attempt.id().job(), Answers.join(parts)), nowMs);
+    }
+
+    private void tellState(AttemptView attempt, int part, long nowMs) {
+        if (attempt.phase() != AttemptView.Phase.RUNNING || !attempt.ended(part)) {
+            return;
+        }
+        Optional<TaskReport> report = attempt.report(part);
+        if (report.filter(ended -> ended.state() == TaskState.COMPLETED).isPresent()) {
+            tellCompleted(attempt, part, nowMs);
+            return;
+        }
+        TaskFailure failure = report.flatMap(TaskReport::failure).orElse(TaskFailure.WORKER_LOST);
+        tellFailed(attempt, part, failure, nowMs);
+    }
+
+    private void tellCompleted(AttemptView attempt, int part, long nowMs) {
+        if (attempt.tellOnce(part)) {
+            scheduler.decide(new SchedulerEvent.TaskCompleted(new TaskId(attempt.id(), part)), nowMs);
+        }
+    }
+
+    private void tellFailed(AttemptView attempt, int part, TaskFailure failure, long nowMs) {
+        if (attempt.tellOnce(part)) {
+            scheduler.decide(new SchedulerEvent.TaskFailed(new TaskId(attempt.id(), part), failure), nowMs);
+        }
+    }
+
+    private void send(WorkerId worker, WorkerCommand command) {
+        outlet.emit(new NodeEffect.Command(worker, command));
+    }
+
+    private record Inventory(WorkerId worker, TaskReport report) {}
+}
--- /dev/null
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/AttemptView.java
@@ -0,0 +1,168 @@
+package org.fuchsiawinch.protocol.node.internal;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.fuchsiawinch.model.AttemptId;
+import org.fuchsiawinch.model.JobSpec;
+import org.fuchsiawinch.model.Placement;
+import org.fuchsiawinch.model.StopMode;
+import org.fuchsiawinch.model.WorkerId;
+import org.fuchsiawinch.protocol.worker.TaskReport;
+import org.fuchsiawinch.protocol.worker.TaskState;
+
+/** What a cell's owner knows of one attempt under way. Not thread-safe. */
+final class AttemptView {
+
+    /** What the owner is doing with the attempt. */
+    enum Phase {
+        /** Its placement record is not read back yet. */
+        PLACING,
+        /** Its parts are being prepared. */
+        PREPARING,
+        /** Its release record is not read back yet. */
+        RELEASING,
+        /** Its parts are being released, or run. */
+        RUNNING,
+        /** Its parts are being stopped. */
+        STOPPING,
+        /** Its end record is not read back yet. */
+        ENDING
+    }
+
+    private final AttemptId id;
+    private final JobSpec job;
+    private final List<Placement> placements;
+    private final Map<Integer, TaskReport> reports = new HashMap<>();
+    private final Map<Integer, Boolean> toldScheduler = new HashMap<>();
+    private final Map<Integer, Boolean> gone = new HashMap<>();
+    private Phase phase;
+    private long startByMs;
+    private boolean announced;
+    private StopMode stopMode = StopMode.STOP;
+    private boolean released;
+    private boolean stopRequested;
+    private long stopSentMs;
+
+    AttemptView(AttemptId id, JobSpec job, List<Placement> placements, Phase phase) {
+        this.id = id;
+        this.job = job;
+        this.placements = placements;
+        this.phase = phase;
+    }
+
+    AttemptId id() {
+        return id;
+    }
+
+    JobSpec job() {
+        return job;
+    }
+
+    List<Placement> placements() {
+        return placements;
+    }
+
+    Phase phase() {
+        return phase;
+    }
+
+    void phase(Phase value) {
+        phase = value;
+    }
+
+    long startByMs() {
+        return startByMs;
+    }
+
+    void startByMs(long value) {
+        startByMs = value;
+    }
+
+    boolean released() {
+        return released;
+    }
+
+    void released(boolean value) {
+        released = value;
+    }
+
+    StopMode stopMode() {
+        return stopMode;
+    }
+
+    void stop(StopMode mode) {
+        phase = Phase.STOPPING;
+        stopMode = mode;
+        stopRequested = true;
+    }
+
+    boolean stopRequested() {
+        return stopRequested;
+    }
+
+    /** Says whether stop commands are to be sent now, and notes that they are. */
+    boolean stopDue(long nowMs, long everyMs) {
+        if (nowMs - stopSentMs < everyMs) {
+            return false;
+        }
+        stopSentMs = nowMs;
+        return true;
+    }
+
+    boolean announceOnce() {
+        boolean first = !announced;
+        announced = true;
+        return first;
+    }
+
+    boolean tellOnce(int part) {
+        return toldScheduler.put(part, Boolean.TRUE) == null;
+    }
+
+    void report(TaskReport report) {
+        reports.put(report.task().part(), report);
+    }
+
+    /** Notes that a part does not exist on its worker, or that the worker is lost. */
+    void gone(int part) {
+        gone.put(part, Boolean.TRUE);
+    }
+
+    Optional<TaskReport> report(int part) {
+        return Optional.ofNullable(reports.get(part));
+    }
+
+    boolean on(int part, WorkerId worker) {
+        return part < placements.size() && placements.get(part).worker().equals(worker);
+    }
+
+    boolean allInState(TaskState state) {
+        return placements.stream().allMatch(placement -> report(placement.part())
+                .filter(report -> report.state() == state)
+                .isPresent());
+    }
+
+    boolean allReleased() {
+        return placements.stream().allMatch(placement -> report(placement.part())
+                .filter(report -> report.state() != TaskState.PREPARED)
+                .isPresent());
+    }
+
+    boolean ended(int part) {
+        return gone.containsKey(part)
+                || report(part).filter(report -> report.state().ended()).isPresent();
+    }
+
+    boolean allEnded() {
+        return placements.stream().allMatch(placement -> ended(placement.part()));
+    }
+
+    boolean allCheckpointed() {
+        return placements.stream().allMatch(placement -> report(placement.part())
+                .filter(report -> report.state() == TaskState.CHECKPOINTED || report.state() == TaskState.COMPLETED)
+                .isPresent());
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/CellOwner.java
@@ -0,0 +1,418 @@
+package org.fuchsiawinch.protocol.node.internal;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+
+import org.fuchsiawinch.core.Decision;
+import org.fuchsiawinch.core.Reason;
+import org.fuchsiawinch.core.Scheduler;
+import org.fuchsiawinch.core.SchedulerEvent;
+import org.fuchsiawinch.model.AttemptId;
+import org.fuchsiawinch.model.JobId;
+import org.fuchsiawinch.model.WorkerId;
+import org.fuchsiawinch.model.WorkerSpec;
+import org.fuchsiawinch.protocol.fold.JobEntry;
+import org.fuchsiawinch.protocol.fold.JobStatus;
+import org.fuchsiawinch.protocol.fold.LogFold;
+import org.fuchsiawinch.protocol.node.NodeEffect;
+import org.fuchsiawinch.protocol.node.NodeEvent;
+import org.fuchsiawinch.protocol.node.NodeSettings;
+import org.fuchsiawinch.protocol.record.JobOutcome;
+import org.fuchsiawinch.protocol.record.LogRecord;
+import org.fuchsiawinch.protocol.worker.WorkerCommand;
+import org.fuchsiawinch.protocol.worker.WorkerReply;
+
+/**
+ * Runs the scheduler of a cell while this node owns it: takes inventory, renews leases, and turns decisions into
+ * records and records that were read back into worker commands. Not thread-safe.
+ */
+public final class CellOwner {
+
+    private static final long SCHEDULER_TICK_MS = 1000;
+
+    private enum Phase {
+        IDLE,
+        INVENTORY,
+        ACTIVE
+    }
+
+    private final NodeSettings settings;
+    private final Supplier<Scheduler> schedulers;
+    private final LogFold fold;
+    private final Outlet outlet;
+    private final Map<WorkerId, WorkerView> workers = new TreeMap<>();
+    private final AttemptDriver attempts;
+    private List<WorkerSpec> listed = List.of();
+    private Set<WorkerId> listedLeaving = Set.of();
+    private Phase phase = Phase.IDLE;
+    private Scheduler scheduler;
+    private long epoch;
+    private long tookMs;
+    private long schedulerTickMs;
+
+    /**
+     * Creates an owner that owns nothing yet.
+     *
+     * @param settings the node's settings
+     * @param schedulers makes a scheduler for each take-over
+     * @param fold the node's log state
+     * @param outlet takes records and effects
+     */
+    public CellOwner(NodeSettings settings, Supplier<Scheduler> schedulers, LogFold fold, Outlet outlet) {
+        this.settings = settings;
+        this.schedulers = schedulers;
+        this.fold = fold;
+        this.outlet = outlet;
+        this.attempts = new AttemptDriver(settings, outlet, this::decide);
+    }
+
+    /**
+     * Says whether this node schedules the cell.
+     *
+     * @return true from the end of the inventory until the cell is lost
+     */
+    public boolean active() {
+        return phase == Phase.ACTIVE;
+    }
+
+    /**
+     * Starts the inventory after the node's claim was read back.
+     *
+     * @param newEpoch epoch of the claim
+     * @param nowMs present time in ms since the epoch
+     */
+    public void take(long newEpoch, long nowMs) {
+        drop();
+        phase = Phase.INVENTORY;
+        epoch = newEpoch;
+        tookMs = nowMs;
+        attempts.begin(newEpoch);
+        listed.forEach(worker -> addWorker(worker, nowMs));
+        renewLeases(nowMs);
+    }
+
+    /** Forgets everything after the cell was lost or given up. */
+    public void drop() {
+        phase = Phase.IDLE;
+        workers.clear();
+        attempts.clear();
+        scheduler = null;
+    }
+
+    /**
+     * Takes the platform's list of workers.
+     *
+     * @param all all listed workers
+     * @param leaving those that are about to leave
+     * @param nowMs present time in ms since the epoch
+     */
+    public void listed(List<WorkerSpec> all, List<WorkerId> leaving, long nowMs) {
+        listed = all;
+        listedLeaving = Set.copyOf(leaving);
+        if (phase == Phase.IDLE) {
+            return;
+        }
+        all.stream()
+                .filter(worker -> !workers.containsKey(worker.id()))
+                .toList()
+                .forEach(worker -> addWorker(worker, nowMs));
+        leaving.forEach(worker -> markLeaving(worker, nowMs));
+    }
+
+    /**
+     * Takes a worker's answer.
+     *
+     * @param id the worker
+     * @param ofEpoch epoch of the command that it answers
+     * @param reply the answer
+     * @param nowMs present time in ms since the epoch
+     */
+    public void replied(WorkerId id, long ofEpoch, WorkerReply reply, long nowMs) {
+        WorkerView worker = workers.get(id);
+        if (phase == Phase.IDLE || worker == null || ofEpoch != epoch || reply.fence() > epoch) {
+            return;
+        }
+        worker.replied(nowMs);
+        boolean clean = attempts.reported(id, reply, phase == Phase.ACTIVE, nowMs);
+        if (clean) {
+            reach(worker, nowMs);
+        }
+        if (reply.leaving()) {
+            markLeaving(id, nowMs);
+        }
+        if (phase == Phase.INVENTORY) {
+            activateWhenReady(nowMs);
+            return;
+        }
+        attempts.advanceAll(nowMs);
+    }
+
+    /**
+     * Takes a record of this cell that took effect.
+     *
+     * @param record the record
+     * @param nowMs present time in ms since the epoch
+     */
+    public void recordApplied(LogRecord record, long nowMs) {
+        if (phase != Phase.ACTIVE) {
+            return;
+        }
+        if (record instanceof LogRecord.JobAccepted accepted) {
+            decide(new SchedulerEvent.JobSubmitted(accepted.job()), nowMs);
+        } else if (record instanceof LogRecord.JobCancelled cancelled) {
+            decide(new SchedulerEvent.JobCancelled(cancelled.job()), nowMs);
+        } else if (record instanceof LogRecord.AttemptPlaced placed) {
+            attempts.placed(placed.attempt(), payload(placed.attempt().job()), nowMs);
+        } else if (record instanceof LogRecord.AttemptReleased released) {
+            attempts.released(released.attempt(), nowMs);
+        } else if (record instanceof LogRecord.AttemptEnded ended) {
+            attempts.ended(ended.attempt(), ended.end(), nowMs);
+        } else if (record instanceof LogRecord.JobFinished finished) {
+            attempts.finished(finished.job(), nowMs);
+        }
+    }
+
+    /**
+     * Takes an own record that is void.
+     *
+     * @param record the record
+     * @param nowMs present time in ms since the epoch
+     */
+    public void recordVoid(LogRecord record, long nowMs) {
+        if (phase != Phase.ACTIVE) {
+            return;
+        }
+        if (record instanceof LogRecord.AttemptPlaced placed) {
+            attempts.neverPlaced(placed.attempt(), nowMs);
+            return;
+        }
+        if (record instanceof LogRecord.JobFinished finished
+                && finished.outcome() instanceof JobOutcome.NotRun notRun
+                && fold.job(finished.job()).filter(JobEntry::everReleased).isPresent()) {
+            finish(finished.job(), new JobOutcome.Broken(notRun.code()), nowMs);
+        }
+    }
+
+    /**
+     * Takes a change of the document in force.
+     *
+     * @param nowMs present time in ms since the epoch
+     */
+    public void documentChanged(long nowMs) {
+        if (phase != Phase.ACTIVE) {
+            return;
+        }
+        fold.document()
+                .inForce()
+                .ifPresent(document -> decide(new SchedulerEvent.PolicyChanged(document.policy()), nowMs));
+    }
+
+    /**
+     * Renews leases, detects silent workers and lets the scheduler know the time.
+     *
+     * @param nowMs present time in ms since the epoch
+     */
+    public void tick(long nowMs) {
+        if (phase == Phase.IDLE) {
+            return;
+        }
+        renewLeases(nowMs);
+        if (phase == Phase.INVENTORY) {
+            activateWhenReady(nowMs);
+            return;
+        }
+        checkSilence(nowMs);
+        attempts.advanceAll(nowMs);
+        if (nowMs - schedulerTickMs >= SCHEDULER_TICK_MS) {
+            schedulerTickMs = nowMs;
+            decide(new SchedulerEvent.Tick(), nowMs);
+        }
+    }
+
+    /**
+     * Says why a job waits.
+     *
+     * @param job the job
+     * @param nowMs present time in ms since the epoch
+     * @return the scheduler's reason, or empty if it does not wait here
+     */
+    public Optional<Reason> waitReason(JobId job, long nowMs) {
+        return scheduler == null ? Optional.empty() : scheduler.waitReason(job, nowMs);
+    }
+
+    private void addWorker(WorkerSpec spec, long nowMs) {
+        workers.put(spec.id(), new WorkerView(spec, nowMs, nowMs + settings.leaseMs()));
+    }
+
+    private void reach(WorkerView worker, long nowMs) {
+        WorkerView.Contact before = worker.contact();
+        worker.contact(WorkerView.Contact.REACHED);
+        if (phase != Phase.ACTIVE || before == WorkerView.Contact.REACHED) {
+            return;
+        }
+        decide(new SchedulerEvent.WorkerJoined(worker.spec()), nowMs);
+        if (worker.leaving()) {
+            decide(new SchedulerEvent.WorkerLeaving(worker.spec().id()), nowMs);
+        }
+    }
+
+    private void markLeaving(WorkerId id, long nowMs) {
+        WorkerView worker = workers.get(id);
+        if (worker == null || worker.leaving()) {
+            return;
+        }
+        worker.leaving(true);
+        if (phase == Phase.ACTIVE && worker.contact() == WorkerView.Contact.REACHED) {
+            decide(new SchedulerEvent.WorkerLeaving(id), nowMs);
+        }
+    }
+
+    private void renewLeases(long nowMs) {
+        for (WorkerView worker : workers.values()) {
+            if (!worker.renewalDue(nowMs, settings.renewEveryMs())) {
+                continue;
+            }
+            boolean doubtful =
+                    worker.contact() == WorkerView.Contact.IN_DOUBT || worker.contact() == WorkerView.Contact.LOST;
+            long untilMs = doubtful ? 0 : nowMs + settings.leaseMs();
+            worker.sent(nowMs, untilMs);
+            outlet.emit(new NodeEffect.Command(
+                    worker.spec().id(), new WorkerCommand.Renew(settings.cell(), epoch, untilMs)));
+        }
+    }
+
+    private void checkSilence(long nowMs) {
+        for (WorkerView worker : List.copyOf(workers.values())) {
+            WorkerId id = worker.spec().id();
+            boolean reached = worker.contact() == WorkerView.Contact.REACHED;
+            if (reached && worker.silentFor(nowMs, settings.leaseMs() / 2)) {
+                worker.contact(WorkerView.Contact.IN_DOUBT);
+                outlet.emit(new NodeEffect.Report(new NodeEvent.WorkerSilent(id)));
+                decide(new SchedulerEvent.WorkerInDoubt(id), nowMs);
+            }
+            if (worker.contact() == WorkerView.Contact.IN_DOUBT
+                    && worker.silentFor(nowMs, settings.leaseMs() / 2)
+                    && worker.leaseLapsed(nowMs, settings.clockDriftMs())) {
+                worker.contact(WorkerView.Contact.LOST);
+                attempts.workerLost(id);
+                decide(new SchedulerEvent.WorkerLost(id), nowMs);
+            }
+        }
+    }
+
+    private void activateWhenReady(long nowMs) {
+        boolean allReached =
+                workers.values().stream().allMatch(worker -> worker.contact() == WorkerView.Contact.REACHED);
+        boolean waited = nowMs - tookMs >= settings.inventoryWaitMs();
+        if (waited || (allReached && !workers.isEmpty())) {
+            activate(nowMs);
+        }
+    }
+
+    private void activate(long nowMs) {
+        phase = Phase.ACTIVE;
+        scheduler = schedulers.get();
+        schedulerTickMs = nowMs;
+        int reached = 0;
+        documentChanged(nowMs);
+        for (WorkerView worker : workers.values()) {
+            WorkerId id = worker.spec().id();
+            decide(new SchedulerEvent.WorkerJoined(worker.spec()), nowMs);
+            if (worker.contact() == WorkerView.Contact.REACHED) {
+                reached++;
+            } else {
+                worker.contact(WorkerView.Contact.IN_DOUBT);
+                decide(new SchedulerEvent.WorkerInDoubt(id), nowMs);
+            }
+            if (worker.leaving() || listedLeaving.contains(id)) {
+                worker.leaving(true);
+                decide(new SchedulerEvent.WorkerLeaving(id), nowMs);
+            }
+        }
+        recoverJobs(nowMs);
+        outlet.emit(new NodeEffect.Report(
+                new NodeEvent.CellActive(settings.cell(), epoch, reached, workers.size() - reached)));
+    }
+
+    private void recoverJobs(long nowMs) {
+        List<JobEntry> waiting = new ArrayList<>();
+        Set<AttemptId> recovered = new HashSet<>();
+        for (JobEntry job : List.copyOf(fold.jobs())) {
+            if (!job.cell().equals(settings.cell()) || job.status() == JobStatus.FINISHED) {
+                continue;
+            }
+            if (job.status() == JobStatus.WAITING) {
+                waiting.add(job);
+                continue;
+            }
+            recovered.add(job.attempt());
+            attempts.recover(job, nowMs);
+            decide(
+                    new SchedulerEvent.AttemptRecovered(job.spec(), job.attempt(), job.placements(), job.attemptMs()),
+                    nowMs);
+        }
+        attempts.keepOnly(recovered);
+        for (JobEntry job : waiting) {
+            decide(new SchedulerEvent.JobSubmitted(job.spec()), nowMs);
+        }
+        for (JobEntry job : List.copyOf(fold.jobs())) {
+            if (job.cell().equals(settings.cell()) && job.cancelled() && job.status() != JobStatus.FINISHED) {
+                decide(new SchedulerEvent.JobCancelled(job.spec().id()), nowMs);
+            }
+        }
+        attempts.advanceAll(nowMs);
+    }
+
+    private byte[] payload(JobId job) {
+        return fold.job(job).map(JobEntry::payload).orElse(new byte[0]);
+    }
+
+    private void decide(SchedulerEvent event, long nowMs) {
+        if (phase != Phase.ACTIVE) {
+            return;
+        }
+        for (Decision decision : scheduler.decide(event, nowMs)) {
+            outlet.emit(new NodeEffect.Report(new NodeEvent.Decided(decision)));
+            carryOut(decision, nowMs);
+        }
+    }
+
+    private void carryOut(Decision decision, long nowMs) {
+        if (decision instanceof Decision.StartGang start) {
+            startGang(start, nowMs);
+        } else if (decision instanceof Decision.StopGang stop) {
+            attempts.stop(stop.attempt(), stop.mode(), nowMs);
+        } else if (decision instanceof Decision.EndJob end) {
+            String code = end.reason().code().name();
+            boolean released =
+                    fold.job(end.job()).filter(JobEntry::everReleased).isPresent();
+            JobOutcome outcome = released
+                    ? new JobOutcome.Broken(code)
+                    : new JobOutcome.NotRun(code, end.reason().retryAfterMs());
+            finish(end.job(), outcome, nowMs);
+        } else if (decision instanceof Decision.ProbeWorker probe) {
+            attempts.probe(probe.worker(), nowMs);
+        }
+    }
+
+    private void startGang(Decision.StartGang start, long nowMs) {
+        Optional<JobEntry> job = fold.job(start.attempt().job());
+        if (job.isEmpty()) {
+            return;
+        }
+        attempts.start(start.attempt(), job.get().spec(), start.placements());
+        outlet.append(
+                new LogRecord.AttemptPlaced(settings.cell(), epoch, start.attempt(), start.placements(), start.lent()),
+                nowMs);
+    }
+
+    private void finish(JobId job, JobOutcome outcome, long nowMs) {
+        outlet.append(new LogRecord.JobFinished(settings.cell(), epoch, job, outcome), nowMs);
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/WorkerView.java
@@ -0,0 +1,73 @@
+package org.fuchsiawinch.protocol.node.internal;
+
+import org.fuchsiawinch.model.WorkerSpec;
+
+/** What a cell's owner knows of one worker. Not thread-safe. */
+final class WorkerView {
+
+    /** How far the worker can be relied on. */
+    enum Contact {
+        /** Has not answered in this epoch yet. */
+        UNSEEN,
+        /** Answers. */
+        REACHED,
+        /** Does not answer; its lease may still hold. */
+        IN_DOUBT,
+        /** Does not answer, and its lease has lapsed. */
+        LOST
+    }
+
+    private final WorkerSpec spec;
+    private Contact contact = Contact.UNSEEN;
+    private boolean leaving;
+    private long lastSentMs;
+    private long lastReplyMs;
+    private long leaseUntilMs;
+
+    WorkerView(WorkerSpec spec, long nowMs, long leaseUntilMs) {
+        this.spec = spec;
+        this.lastReplyMs = nowMs;
+        this.leaseUntilMs = leaseUntilMs;
+    }
+
+    WorkerSpec spec() {
+        return spec;
+    }
+
+    Contact contact() {
+        return contact;
+    }
+
+    void contact(Contact value) {
+        contact = value;
+    }
+
+    boolean leaving() {
+        return leaving;
+    }
+
+    void leaving(boolean value) {
+        leaving = value;
+    }
+
+    boolean renewalDue(long nowMs, long everyMs) {
+        return nowMs - lastSentMs >= everyMs;
+    }
+
+    void sent(long nowMs, long grantedUntilMs) {
+        lastSentMs = nowMs;
+        leaseUntilMs = Math.max(leaseUntilMs, grantedUntilMs);
+    }
+
+    void replied(long nowMs) {
+        lastReplyMs = nowMs;
+    }
+
+    boolean silentFor(long nowMs, long boundMs) {
+        return nowMs - lastReplyMs > boundMs;
+    }
+
+    boolean leaseLapsed(long nowMs, long driftMs) {
+        return nowMs > leaseUntilMs + driftMs;
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Parts of the node state machine.
+ */
+package org.fuchsiawinch.protocol.node.internal;
--- /dev/null
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The node state machine without input or output.
+ */
+package org.fuchsiawinch.protocol.node;
--- /dev/null
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/record/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Records of the platform's log.
+ */
+package org.fuchsiawinch.protocol.record;
--- /dev/null
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/worker/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Messages between nodes and workers.
+ */
+package org.fuchsiawinch.protocol.worker;
