--- /dev/null
+++ b/document/src/main/java/org/fuchsiawinch/document/Document.java
@@ -0,0 +1,78 @@
+package org.fuchsiawinch.document;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.fuchsiawinch.document.internal.Digests;
+import org.fuchsiawinch.model.Policy;
+
+/**
+ * A valid document with its text. Immutable and safe for use by many threads.
+ *
+ * @param version version, from 1; 0 for a document that is not accepted yet
+ * @param text the whole text as written by the teams
+ * @param sectionTexts text of each section, with the comments above it; joined in order they give the whole text
+ * @param teams teams by name
+ * @param currency currency of all amounts of money, for display
+ * @param policy the document in the form that the scheduler reads
+ * @param serviceLevels service levels of all workspaces
+ * @param access digests of tokens
+ */
+public record Document(
+        int version,
+        String text,
+        Map<Section, String> sectionTexts,
+        Map<String, Team> teams,
+        String currency,
+        Policy policy,
+        List<ServiceLevel> serviceLevels,
+        Access access) {
+
+    /** Copies the collections. */
+    public Document {
+        sectionTexts = Map.copyOf(sectionTexts);
+        teams = Map.copyOf(teams);
+        serviceLevels = List.copyOf(serviceLevels);
+    }
+
+    /**
+     * Gives the same document under another version.
+     *
+     * @param newVersion the version
+     * @return a copy whose policy carries the version too
+     */
+    public Document withVersion(int newVersion) {
+        Policy newPolicy = new Policy(
+                newVersion,
+                policy.objective(),
+                policy.workspaces(),
+                policy.lending(),
+                policy.estimates(),
+                policy.faults(),
+                policy.admission(),
+                policy.prices());
+        return new Document(newVersion, text, sectionTexts, teams, currency, newPolicy, serviceLevels, access);
+    }
+
+    /**
+     * Gives the digest of the text.
+     *
+     * @return SHA-256 in 64 lower-case hexadecimal digits
+     */
+    public String digest() {
+        return Digests.sha256Hex(text);
+    }
+
+    /**
+     * Finds the team that owns a section.
+     *
+     * @param section the section
+     * @return the owner; empty only if the document was not made by the reader
+     */
+    public Optional<Team> ownerOf(Section section) {
+        return teams.values().stream()
+                .filter(team -> team.sections().contains(section))
+                .findFirst();
+    }
+}
--- /dev/null
+++ b/document/src/main/java/org/fuchsiawinch/document/DocumentReader.java
@@ -0,0 +1,54 @@
+package org.fuchsiawinch.document;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.fuchsiawinch.document.internal.DocumentBinder;
+import org.fuchsiawinch.document.internal.Problems;
+import org.fuchsiawinch.document.internal.RootGroup;
+import org.fuchsiawinch.document.internal.SectionSplitter;
+import org.fuchsiawinch.document.internal.YamlNode.Mapping;
+import org.fuchsiawinch.document.internal.YamlTreeParser;
+
+/**
+ * Reads documents. A document is accepted whole or rejected whole with all its problems. Immutable and safe for use
+ * by many threads.
+ */
+public final class DocumentReader {
+
+    private final YamlTreeParser parser = new YamlTreeParser();
+
+    /**
+     * Reads a document.
+     *
+     * @param fileName name of the file, for the places of problems
+     * @param yamlText the whole text
+     * @return the document of version 0, or the problems
+     */
+    public DocumentResult read(String fileName, String yamlText) {
+        Problems problems = new Problems(fileName);
+        Optional<Document> document = parser.parse(yamlText, problems).flatMap(tree -> bind(yamlText, tree, problems));
+        if (document.isEmpty() || !problems.isEmpty()) {
+            return new DocumentResult.Rejected(problems.sorted());
+        }
+        return new DocumentResult.Accepted(document.get());
+    }
+
+    /**
+     * Lists the definitions of all fields.
+     *
+     * @return the definitions in the order of the sections
+     */
+    public static List<FieldDefinition> fieldDefinitions() {
+        return RootGroup.GROUP.groups().stream()
+                .flatMap(group -> group.definitions(""))
+                .toList();
+    }
+
+    private static Optional<Document> bind(String text, Mapping tree, Problems problems) {
+        Map<Section, String> sectionTexts =
+                SectionSplitter.split(text, tree, problems).orElse(Map.of());
+        return DocumentBinder.bind(text, sectionTexts, tree, problems);
+    }
+}
--- /dev/null
+++ b/document/src/main/java/org/fuchsiawinch/document/ServiceLevel.java
@@ -0,0 +1,17 @@
+package org.fuchsiawinch.document;
+
+import java.util.OptionalLong;
+
+import org.fuchsiawinch.model.WorkspaceId;
+
+/**
+ * A service level of one workspace.
+ *
+ * @param workspace the workspace
+ * @param kind what is measured
+ * @param targetShare share of good events to reach, between 0 and 1
+ * @param thresholdMs longest time in ms of a good event; empty for kinds without a time
+ * @param windowMs length in ms of the window over which the share is taken
+ */
+public record ServiceLevel(
+        WorkspaceId workspace, ServiceLevelKind kind, double targetShare, OptionalLong thresholdMs, long windowMs) {}
--- /dev/null
+++ b/document/src/main/java/org/fuchsiawinch/document/internal/Parsed.java
@@ -0,0 +1,28 @@
+package org.fuchsiawinch.document.internal;
+
+import org.fuchsiawinch.document.ProblemCode;
+
+/**
+ * Result of parsing a value.
+ *
+ * @param <T> type of the value
+ */
+public sealed interface Parsed<T> {
+
+    /**
+     * The value was read.
+     *
+     * @param <T> type of the value
+     * @param value the value
+     */
+    record Value<T>(T value) implements Parsed<T> {}
+
+    /**
+     * The value is malformed.
+     *
+     * @param <T> type of the value
+     * @param code kind of the problem
+     * @param detail what was found and what is expected
+     */
+    record Fault<T>(ProblemCode code, String detail) implements Parsed<T> {}
+}
--- /dev/null
+++ b/document/src/main/java/org/fuchsiawinch/document/internal/Problems.java
@@ -0,0 +1,56 @@
+package org.fuchsiawinch.document.internal;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+import org.fuchsiawinch.document.DocumentProblem;
+import org.fuchsiawinch.document.ProblemCode;
+
+/** Collects the problems of one file. Used by one thread during one read. */
+public final class Problems {
+
+    private final String file;
+    private final List<DocumentProblem> found = new ArrayList<>();
+
+    /**
+     * Creates an empty collection.
+     *
+     * @param file name of the file
+     */
+    public Problems(String file) {
+        this.file = file;
+    }
+
+    /**
+     * Adds a problem.
+     *
+     * @param line line in the file, from 1
+     * @param field path of the field
+     * @param code kind of the problem
+     * @param detail what was found and what is expected
+     */
+    public void add(int line, String field, ProblemCode code, String detail) {
+        found.add(new DocumentProblem(file, line, field, code, detail));
+    }
+
+    /**
+     * Says whether no problem was found so far.
+     *
+     * @return true if there is none
+     */
+    public boolean isEmpty() {
+        return found.isEmpty();
+    }
+
+    /**
+     * Lists the problems.
+     *
+     * @return the problems by line, those of one line in the order in which they were found
+     */
+    public List<DocumentProblem> sorted() {
+        return found.stream()
+                .sorted(Comparator.comparingInt(DocumentProblem::line))
+                .toList();
+    }
+}
