--- /dev/null
+++ b/runtime/src/main/java/org/fuchsiawinch/runtime/SettingsReader.java
@@ -0,0 +1,143 @@
+package org.fuchsiawinch.runtime;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.MissingArgumentException;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+
+/** Reads the settings of a program and reports all problems at once. Immutable and thread-safe. */
+public final class SettingsReader {
+
+    private static final String HELP = "help";
+
+    private final String program;
+    private final String purpose;
+    private final List<Setting<?>> definitions;
+
+    /**
+     * Creates a reader.
+     *
+     * @param program name of the program
+     * @param purpose one line that says what it does
+     * @param definitions all of its settings
+     */
+    public SettingsReader(String program, String purpose, List<Setting<?>> definitions) {
+        this.program = program;
+        this.purpose = purpose;
+        this.definitions = List.copyOf(definitions);
+    }
+
+    /**
+     * Reads flags, then environment variables, then defaults.
+     *
+     * @param arguments arguments of the program
+     * @param environment environment variables
+     * @return the values, all problems, or the help text
+     */
+    public SettingsResult read(String[] arguments, Map<String, String> environment) {
+        List<SettingProblem> problems = new ArrayList<>();
+        Optional<CommandLine> line = parse(arguments, problems);
+        if (line.filter(parsed -> parsed.hasOption(HELP)).isPresent()) {
+            return new SettingsResult.Help(helpText());
+        }
+        Map<String, Object> values = new HashMap<>();
+        for (Setting<?> setting : definitions) {
+            readOne(setting, line, environment, values, problems);
+        }
+        return problems.isEmpty()
+                ? new SettingsResult.Valid(new Settings(values))
+                : new SettingsResult.Invalid(problems);
+    }
+
+    /**
+     * Gives the definitions, for the generated documentation.
+     *
+     * @return all settings
+     */
+    public List<Setting<?>> definitions() {
+        return definitions;
+    }
+
+    /**
+     * Gives the help text.
+     *
+     * @return one line for each setting, with its variable, default and bounds
+     */
+    public String helpText() {
+        StringBuilder text = new StringBuilder("usage: " + program + " [--flag value ...]\n" + purpose + "\n\n");
+        for (Setting<?> setting : definitions) {
+            text.append(String.format(
+                    "  --%-22s %s (%s; %s; variable %s)%n",
+                    setting.flag(),
+                    setting.description(),
+                    setting.expected(),
+                    setting.defaultText().map(value -> "default " + value).orElse("must be given"),
+                    setting.variable()));
+        }
+        return text.append("  --help                   print this text\n").toString();
+    }
+
+    private Optional<CommandLine> parse(String[] arguments, List<SettingProblem> problems) {
+        Options options = new Options();
+        definitions.forEach(setting -> options.addOption(Option.builder()
+                .longOpt(setting.flag())
+                .hasArg()
+                .desc(setting.description())
+                .get()));
+        options.addOption(Option.builder().longOpt(HELP).get());
+        try {
+            CommandLine line =
+                    DefaultParser.builder().setAllowPartialMatching(false).get().parse(options, arguments, true);
+            line.getArgList().forEach(extra -> problems.add(unexpected(extra)));
+            return Optional.of(line);
+        } catch (MissingArgumentException e) {
+            String flag = e.getOption().getLongOpt();
+            problems.add(new SettingProblem(SettingProblem.Code.MALFORMED, flag, "needs a value"));
+        } catch (ParseException e) {
+            problems.add(new SettingProblem(SettingProblem.Code.MALFORMED, program, e.getMessage()));
+        }
+        return Optional.empty();
+    }
+
+    private static SettingProblem unexpected(String argument) {
+        if (argument.startsWith("--")) {
+            return new SettingProblem(SettingProblem.Code.UNKNOWN_FLAG, argument.substring(2), "no such flag");
+        }
+        return new SettingProblem(SettingProblem.Code.MALFORMED, argument, "stands without a flag");
+    }
+
+    private static void readOne(
+            Setting<?> setting,
+            Optional<CommandLine> line,
+            Map<String, String> environment,
+            Map<String, Object> values,
+            List<SettingProblem> problems) {
+        Optional<String> text = line.map(parsed -> parsed.getOptionValue(setting.flag()))
+                .or(() -> Optional.ofNullable(environment.get(setting.variable())))
+                .or(setting::defaultText);
+        if (text.isEmpty()) {
+            problems.add(new SettingProblem(SettingProblem.Code.MISSING, setting.flag(), "give " + setting.expected()));
+            return;
+        }
+        if (text.get().isEmpty()
+                && setting.defaultText().filter(String::isEmpty).isPresent()) {
+            values.put(setting.flag(), "");
+            return;
+        }
+        Optional<?> value = setting.parser().apply(text.get());
+        if (value.isEmpty()) {
+            problems.add(new SettingProblem(
+                    SettingProblem.Code.INVALID, setting.flag(), "'" + text.get() + "' is not " + setting.expected()));
+            return;
+        }
+        values.put(setting.flag(), value.get());
+    }
+}
