--- /dev/null
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/fold/LedgerBook.java
@@ -0,0 +1,114 @@
+package org.fuchsiawinch.protocol.fold;
+
+import java.util.Optional;
+
+import org.fuchsiawinch.document.Document;
+import org.fuchsiawinch.document.Section;
+import org.fuchsiawinch.document.ledger.DocumentLedger;
+import org.fuchsiawinch.document.ledger.LedgerOutcome;
+import org.fuchsiawinch.document.ledger.LedgerRecord;
+import org.fuchsiawinch.document.ledger.LedgerStep;
+import org.fuchsiawinch.protocol.record.LogRecord;
+
+/** Folds the document's records with the document module's ledger. Not thread-safe. */
+public final class LedgerBook implements DocumentBook {
+
+    private DocumentLedger ledger = DocumentLedger.atLogStart();
+    private long steps;
+
+    /** Creates a book with no document in force. */
+    public LedgerBook() {
+        // starts at the first record
+    }
+
+    @Override
+    public Optional<Refusal> apply(LogRecord record) {
+        if (record instanceof LogRecord.DocumentFounded founded) {
+            return step(new LedgerRecord.Genesis(founded.text()));
+        }
+        if (record instanceof LogRecord.DocumentProposed proposed) {
+            return propose(proposed);
+        }
+        if (record instanceof LogRecord.DocumentRepublished copy) {
+            return compare(copy);
+        }
+        return Optional.empty();
+    }
+
+    @Override
+    public Optional<InForce> inForce() {
+        return ledger.current().map(document -> new InForce(document.version(), document.text(), document.policy()));
+    }
+
+    /**
+     * Gives the parsed document in force.
+     *
+     * @return the document, or empty before the first one
+     */
+    public Optional<Document> document() {
+        return ledger.current();
+    }
+
+    /**
+     * Gives the ledger, for its history.
+     *
+     * @return the present ledger; immutable
+     */
+    public DocumentLedger ledger() {
+        return ledger;
+    }
+
+    private Optional<Refusal> propose(LogRecord.DocumentProposed proposed) {
+        Optional<Section> section = sectionOf(proposed.section());
+        if (section.isEmpty()) {
+            return Optional.of(new Refusal(Refusal.Code.INVALID, "unknown section " + proposed.section()));
+        }
+        return step(new LedgerRecord.Proposal(
+                proposed.team(), section.get(), proposed.baseVersion(), proposed.text(), proposed.signature()));
+    }
+
+    private static Optional<Section> sectionOf(String name) {
+        for (Section section : Section.values()) {
+            if (section.key().equals(name)) {
+                return Optional.of(section);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private Optional<Refusal> compare(LogRecord.DocumentRepublished copy) {
+        boolean same = ledger.current()
+                .filter(document -> document.version() == copy.version())
+                .filter(document -> document.text().equals(copy.text()))
+                .isPresent();
+        return same
+                ? Optional.empty()
+                : Optional.of(new Refusal(Refusal.Code.NOT_IN_FORCE, "version " + copy.version()));
+    }
+
+    private Optional<Refusal> step(LedgerRecord record) {
+        boolean founding = record instanceof LedgerRecord.Genesis;
+        LedgerStep step = ledger.apply(steps, record);
+        steps++;
+        ledger = step.ledger();
+        return refusalOf(step.outcome(), founding);
+    }
+
+    private static Optional<Refusal> refusalOf(LedgerOutcome outcome, boolean founding) {
+        if (outcome instanceof LedgerOutcome.Conflict conflict) {
+            Refusal.Code code = founding ? Refusal.Code.ALREADY_FOUNDED : Refusal.Code.CONFLICT;
+            return Optional.of(new Refusal(code, "version " + conflict.currentVersion() + " is in force"));
+        }
+        if (outcome instanceof LedgerOutcome.BadSignature bad) {
+            return Optional.of(new Refusal(Refusal.Code.BAD_SIGNATURE, "team " + bad.team()));
+        }
+        if (outcome instanceof LedgerOutcome.NotOwner notOwner) {
+            return Optional.of(new Refusal(Refusal.Code.NOT_OWNER, "team " + notOwner.team()));
+        }
+        if (outcome instanceof LedgerOutcome.Invalid invalid) {
+            return Optional.of(
+                    new Refusal(Refusal.Code.INVALID, invalid.problems().toString()));
+        }
+        return Optional.empty();
+    }
+}
