Fold proposals into versions of the document

Cause: the log has no compare-and-set, so every node must decide alike which proposal makes the next version, also after restarts, lost records and races.

--- a/document/src/main/java/org/fuchsiawinch/document/Document.java
+++ b/document/src/main/java/org/fuchsiawinch/document/Document.java
@@ -1,8 +1,11 @@
 package org.fuchsiawinch.document;
 
+import java.util.Collections;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 
 import org.fuchsiawinch.document.internal.Digests;
 import org.fuchsiawinch.model.Policy;
@@ -12,7 +15,8 @@
  *
  * @param version version, from 1; 0 for a document that is not accepted yet
  * @param text the whole text as written by the teams
- * @param sectionTexts text of each section, with the comments above it; joined in order they give the whole text
+ * @param sectionTexts text of each section in the order of the file, with the comments above it; joined they give the
+ *     whole text
  * @param teams teams by name
  * @param currency currency of all amounts of money, for display
  * @param policy the document in the form that the scheduler reads
@@ -31,8 +35,8 @@
 
     /** Copies the collections. */
     public Document {
-        sectionTexts = Map.copyOf(sectionTexts);
-        teams = Map.copyOf(teams);
+        sectionTexts = Collections.unmodifiableMap(new LinkedHashMap<>(sectionTexts));
+        teams = Collections.unmodifiableMap(new TreeMap<>(teams));
         serviceLevels = List.copyOf(serviceLevels);
     }
 
@@ -55,6 +59,19 @@
         return new Document(newVersion, text, sectionTexts, teams, currency, newPolicy, serviceLevels, access);
     }
 
+    /**
+     * Gives the whole text with one section replaced.
+     *
+     * @param section the section
+     * @param sectionText its new text
+     * @return the whole text, which may be invalid
+     */
+    public String textWith(Section section, String sectionText) {
+        StringBuilder whole = new StringBuilder();
+        sectionTexts.forEach((each, own) -> whole.append(each == section ? sectionText : own));
+        return whole.toString();
+    }
+
     /**
      * Gives the digest of the text.
      *
--- a/document/src/main/java/org/fuchsiawinch/document/internal/SectionSplitter.java
+++ b/document/src/main/java/org/fuchsiawinch/document/internal/SectionSplitter.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -24,7 +25,7 @@
      * @param text the whole text
      * @param tree the parsed text
      * @param problems takes the problems found
-     * @return text of each section, or empty if the text cannot be split
+     * @return text of each section in the order of the file, or empty if the text cannot be split
      */
     public static Optional<Map<Section, String>> split(String text, Mapping tree, Problems problems) {
         List<String> lines = lines(text);
@@ -46,7 +47,7 @@
         List<Section> inOrder = keyLines.keySet().stream()
                 .sorted((a, b) -> Integer.compare(keyLines.get(a), keyLines.get(b)))
                 .toList();
-        Map<Section, String> texts = new EnumMap<>(Section.class);
+        Map<Section, String> texts = new LinkedHashMap<>();
         for (int i = 0; i < inOrder.size(); i++) {
             int from = i == 0 ? 0 : firstLine(lines, keyLines.get(inOrder.get(i)));
             int to = i + 1 == inOrder.size() ? lines.size() : firstLine(lines, keyLines.get(inOrder.get(i + 1)));
--- /dev/null
+++ b/document/src/main/java/org/fuchsiawinch/document/ledger/DocumentLedger.java
@@ -0,0 +1,310 @@
+package org.fuchsiawinch.document.ledger;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.fuchsiawinch.document.Document;
+import org.fuchsiawinch.document.DocumentProblem;
+import org.fuchsiawinch.document.DocumentReader;
+import org.fuchsiawinch.document.DocumentResult;
+import org.fuchsiawinch.document.ProblemCode;
+import org.fuchsiawinch.document.Section;
+import org.fuchsiawinch.document.Team;
+import org.fuchsiawinch.document.internal.Digests;
+import org.fuchsiawinch.document.ledger.LedgerOutcome.Accepted;
+import org.fuchsiawinch.document.ledger.LedgerOutcome.Adopted;
+import org.fuchsiawinch.document.ledger.LedgerOutcome.AlreadyApplied;
+import org.fuchsiawinch.document.ledger.LedgerOutcome.Conflict;
+import org.fuchsiawinch.document.ledger.LedgerOutcome.Fault;
+import org.fuchsiawinch.document.ledger.LedgerOutcome.Inconsistent;
+import org.fuchsiawinch.document.ledger.LedgerOutcome.Invalid;
+import org.fuchsiawinch.document.ledger.LedgerOutcome.NotNewer;
+import org.fuchsiawinch.document.ledger.LedgerOutcome.Pending;
+import org.fuchsiawinch.document.ledger.LedgerOutcome.Settled;
+import org.fuchsiawinch.document.ledger.LedgerRecord.Genesis;
+import org.fuchsiawinch.document.ledger.LedgerRecord.Proposal;
+import org.fuchsiawinch.document.ledger.LedgerRecord.Republication;
+
+/**
+ * Fold over the document's records in log order. It is a function of the records alone, so all readers of the log
+ * agree on the version in force at each offset. A reader that lacks earlier records keeps later ones waiting until a
+ * republished state covers the gap. The version in force never falls. Immutable; each step gives a new ledger.
+ */
+public final class DocumentLedger {
+
+    private static final int HISTORY_BOUND = 1_000;
+    private static final String FILE_NAME = "document";
+    private static final DocumentReader READER = new DocumentReader();
+
+    private final Optional<Document> current;
+    private final long throughOffset;
+    private final Optional<Gap> gap;
+    private final List<VersionEntry> history;
+
+    /** Records missing before an offset, and those read since. */
+    private record Gap(long resumedAt, List<Waiting> waiting) {}
+
+    /** A record that waits for a republished state. */
+    private record Waiting(long offset, LedgerRecord record) {}
+
+    private DocumentLedger(
+            Optional<Document> current, long throughOffset, Optional<Gap> gap, List<VersionEntry> history) {
+        this.current = current;
+        this.throughOffset = throughOffset;
+        this.gap = gap;
+        this.history = history;
+    }
+
+    /**
+     * Starts a reader at the very first record of the log.
+     *
+     * @return a ledger with no document in force
+     */
+    public static DocumentLedger atLogStart() {
+        return new DocumentLedger(Optional.empty(), -1, Optional.empty(), List.of());
+    }
+
+    /**
+     * Starts a reader on a log whose first records are gone.
+     *
+     * @param firstOffset offset of the first record that can be read
+     * @return a ledger that waits for a republished state
+     */
+    public static DocumentLedger joiningAt(long firstOffset) {
+        return atLogStart().resumingAt(firstOffset);
+    }
+
+    /**
+     * Tells the reader that records before an offset cannot be read any more. The version in force stays.
+     *
+     * @param firstOffset offset of the first record that can be read
+     * @return this ledger if it reflects all records before the offset, else one that waits for a republished state
+     */
+    public DocumentLedger resumingAt(long firstOffset) {
+        if (firstOffset <= throughOffset + 1) {
+            return this;
+        }
+        return new DocumentLedger(current, throughOffset, Optional.of(new Gap(firstOffset, List.of())), history);
+    }
+
+    /**
+     * Gives the document in force.
+     *
+     * @return the document, or empty if none is in force or known
+     */
+    public Optional<Document> current() {
+        return current;
+    }
+
+    /**
+     * Gives the version in force.
+     *
+     * @return the version, or 0 if none is in force or known
+     */
+    public int version() {
+        return current.map(Document::version).orElse(0);
+    }
+
+    /**
+     * Says whether records wait for a republished state.
+     *
+     * @return true if the reader lacks records before the ones that it read last
+     */
+    public boolean waiting() {
+        return gap.isPresent();
+    }
+
+    /**
+     * Lists the versions that this reader saw being made.
+     *
+     * @return the last 1,000 of them, oldest first; versions before a republished state are not known
+     */
+    public List<VersionEntry> history() {
+        return history;
+    }
+
+    /**
+     * Copies the state for the log or for another node.
+     *
+     * @param readThrough offset of the last log record of any kind that this reader has applied or skipped
+     * @return the copy, or empty while records wait
+     */
+    public Optional<Republication> republication(long readThrough) {
+        if (waiting()) {
+            return Optional.empty();
+        }
+        String text = current.map(Document::text).orElse("");
+        long through = Math.max(throughOffset, readThrough);
+        return Optional.of(new Republication(version(), text, Digests.sha256Hex(text), through));
+    }
+
+    /**
+     * Applies a record of the log. Records must come in log order; those that the state reflects already are skipped.
+     *
+     * @param offset offset of the record
+     * @param record the record
+     * @return the next state and the outcome
+     */
+    public LedgerStep apply(long offset, LedgerRecord record) {
+        if (offset <= throughOffset) {
+            return new LedgerStep(this, new AlreadyApplied());
+        }
+        if (record instanceof Republication copy) {
+            return applyCopy(offset, copy);
+        }
+        if (gap.isPresent()) {
+            List<Waiting> longer = new ArrayList<>(gap.get().waiting());
+            longer.add(new Waiting(offset, record));
+            Gap next = new Gap(gap.get().resumedAt(), List.copyOf(longer));
+            return new LedgerStep(
+                    new DocumentLedger(current, throughOffset, Optional.of(next), history), new Pending());
+        }
+        LedgerStep step = record instanceof Genesis genesis
+                ? applyGenesis(offset, genesis)
+                : applyProposal(offset, (Proposal) record);
+        return new LedgerStep(step.ledger().readThrough(offset), step.outcome());
+    }
+
+    /**
+     * Takes over a newer state from another node, as when the log cannot be reached.
+     *
+     * @param copy the other node's state
+     * @return the next state and the outcome
+     */
+    public LedgerStep adopt(Republication copy) {
+        if (!Digests.sha256Hex(copy.text()).equals(copy.digest())) {
+            return inconsistent(Fault.DIGEST_MISMATCH);
+        }
+        if (copy.version() == version()
+                && version() > 0
+                && !copy.text().equals(current.get().text())) {
+            return inconsistent(Fault.SAME_VERSION_OTHER_TEXT);
+        }
+        boolean newer = copy.version() > version();
+        if (newer && copy.throughOffset() <= throughOffset) {
+            return inconsistent(Fault.VERSION_NOT_IN_LOG);
+        }
+        if (copy.version() < version() || copy.throughOffset() <= throughOffset) {
+            return new LedgerStep(this, new NotNewer(version()));
+        }
+        return install(copy);
+    }
+
+    private LedgerStep applyCopy(long offset, Republication copy) {
+        if (copy.throughOffset() >= offset) {
+            return inconsistent(Fault.OFFSET_IN_FUTURE);
+        }
+        if (gap.isPresent()) {
+            return adopt(copy);
+        }
+        DocumentLedger caughtUp = readThrough(offset - 1);
+        LedgerStep step = caughtUp.adopt(copy);
+        return new LedgerStep(step.ledger().readThrough(offset), step.outcome());
+    }
+
+    private LedgerStep install(Republication copy) {
+        Optional<Document> next = current;
+        if (copy.version() > version()) {
+            DocumentResult result = READER.read(FILE_NAME, copy.text());
+            if (!(result instanceof DocumentResult.Accepted accepted)) {
+                return inconsistent(Fault.INVALID_TEXT);
+            }
+            next = Optional.of(accepted.document().withVersion(copy.version()));
+        }
+        if (gap.isEmpty() || copy.throughOffset() + 1 < gap.get().resumedAt()) {
+            DocumentLedger ledger = new DocumentLedger(next, copy.throughOffset(), gap, history);
+            return new LedgerStep(ledger, new Adopted(copy.version(), List.of()));
+        }
+        DocumentLedger ledger = new DocumentLedger(next, copy.throughOffset(), Optional.empty(), history);
+        return ledger.settle(copy.version(), gap.get().waiting());
+    }
+
+    private LedgerStep settle(int adoptedVersion, List<Waiting> waiting) {
+        DocumentLedger ledger = this;
+        List<Settled> settled = new ArrayList<>();
+        for (Waiting each : waiting) {
+            LedgerStep step = ledger.apply(each.offset(), each.record());
+            ledger = step.ledger();
+            settled.add(new Settled(each.offset(), step.outcome()));
+        }
+        return new LedgerStep(ledger, new Adopted(adoptedVersion, settled));
+    }
+
+    private LedgerStep applyGenesis(long offset, Genesis genesis) {
+        if (current.isPresent()) {
+            return conflict();
+        }
+        return accept(offset, genesis.text(), "", Optional.empty(), "");
+    }
+
+    private LedgerStep applyProposal(long offset, Proposal proposal) {
+        Optional<VersionEntry> repeated = history.stream()
+                .filter(entry -> entry.version() == proposal.baseVersion() + 1)
+                .filter(entry -> entry.signature().equals(proposal.signature()))
+                .findFirst();
+        if (repeated.isPresent()) {
+            return new LedgerStep(this, new Accepted(repeated.get().version()));
+        }
+        if (current.isEmpty() || proposal.baseVersion() != version()) {
+            return conflict();
+        }
+        Document base = current.get();
+        Optional<Team> owner =
+                base.ownerOf(proposal.section()).filter(team -> team.name().equals(proposal.team()));
+        if (owner.isEmpty()) {
+            return new LedgerStep(this, new LedgerOutcome.NotOwner(proposal.team(), proposal.section()));
+        }
+        if (!SectionSigner.verifies(proposal, base, owner.get().publicKey())) {
+            return new LedgerStep(this, new LedgerOutcome.BadSignature(proposal.team(), proposal.section()));
+        }
+        if (proposal.sectionText().equals(base.sectionTexts().get(proposal.section()))) {
+            return invalid(proposal.section(), ProblemCode.UNCHANGED, "the section in force has the same text");
+        }
+        String text = base.textWith(proposal.section(), proposal.sectionText());
+        return accept(offset, text, proposal.team(), Optional.of(proposal.section()), proposal.signature());
+    }
+
+    private LedgerStep accept(long offset, String text, String team, Optional<Section> section, String signature) {
+        DocumentResult result = READER.read(FILE_NAME, text);
+        if (result instanceof DocumentResult.Rejected rejected) {
+            return new LedgerStep(this, new Invalid(rejected.problems()));
+        }
+        Document document = ((DocumentResult.Accepted) result).document().withVersion(version() + 1);
+        if (section.isPresent() && changesOtherSection(document, section.get())) {
+            return invalid(section.get(), ProblemCode.SYNTAX, "the text reaches into another section");
+        }
+        VersionEntry entry = new VersionEntry(document.version(), offset, team, section, signature, document.digest());
+        List<VersionEntry> longer = new ArrayList<>(history);
+        longer.add(entry);
+        List<VersionEntry> bounded = longer.subList(Math.max(0, longer.size() - HISTORY_BOUND), longer.size());
+        DocumentLedger ledger =
+                new DocumentLedger(Optional.of(document), offset, Optional.empty(), List.copyOf(bounded));
+        return new LedgerStep(ledger, new Accepted(document.version()));
+    }
+
+    private boolean changesOtherSection(Document next, Section section) {
+        Document base = current.orElse(next);
+        return base.sectionTexts().entrySet().stream()
+                .filter(entry -> entry.getKey() != section)
+                .anyMatch(entry -> !entry.getValue().equals(next.sectionTexts().get(entry.getKey())));
+    }
+
+    private LedgerStep invalid(Section section, ProblemCode code, String detail) {
+        DocumentProblem problem = new DocumentProblem(FILE_NAME, 1, section.key(), code, detail);
+        return new LedgerStep(this, new Invalid(List.of(problem)));
+    }
+
+    private LedgerStep conflict() {
+        return new LedgerStep(
+                this, new Conflict(version(), current.map(Document::text).orElse("")));
+    }
+
+    private LedgerStep inconsistent(Fault fault) {
+        return new LedgerStep(this, new Inconsistent(fault));
+    }
+
+    private DocumentLedger readThrough(long offset) {
+        return new DocumentLedger(current, Math.max(throughOffset, offset), gap, history);
+    }
+}
--- /dev/null
+++ b/document/src/main/java/org/fuchsiawinch/document/ledger/LedgerRecord.java
@@ -0,0 +1,36 @@
+package org.fuchsiawinch.document.ledger;
+
+import org.fuchsiawinch.document.Section;
+
+/** A record of the document in the platform's log. */
+public sealed interface LedgerRecord {
+
+    /**
+     * The first document. It becomes version 1 if none is in force.
+     *
+     * @param text the whole text
+     */
+    record Genesis(String text) implements LedgerRecord {}
+
+    /**
+     * A change of one section.
+     *
+     * @param team name of the team that signed
+     * @param section the section
+     * @param baseVersion version that the change was made from
+     * @param sectionText new text of the section, with the comments above it
+     * @param signature Ed25519 signature in base64, see {@link SectionSigner}
+     */
+    record Proposal(String team, Section section, int baseVersion, String sectionText, String signature)
+            implements LedgerRecord {}
+
+    /**
+     * A copy of the state of the fold, written within the log's retention time and exchanged between nodes.
+     *
+     * @param version version in force; 0 if none is
+     * @param text the whole text; empty if none is in force
+     * @param digest SHA-256 of the text in 64 lower-case hexadecimal digits
+     * @param throughOffset offset of the last log record that the state reflects; -1 for none
+     */
+    record Republication(int version, String text, String digest, long throughOffset) implements LedgerRecord {}
+}
--- /dev/null
+++ b/document/src/main/java/org/fuchsiawinch/document/ledger/SigningException.java
@@ -0,0 +1,18 @@
+package org.fuchsiawinch.document.ledger;
+
+import org.fuchsiawinch.model.FuchsiawinchException;
+
+/** Reports that the Java runtime could not compute a signature. */
+public final class SigningException extends FuchsiawinchException {
+
+    private static final long serialVersionUID = 1L;
+
+    /**
+     * Creates the exception.
+     *
+     * @param cause the failure of the runtime
+     */
+    public SigningException(Throwable cause) {
+        super("the section could not be signed", cause);
+    }
+}
--- /dev/null
+++ b/document/src/main/java/org/fuchsiawinch/document/ledger/VersionEntry.java
@@ -0,0 +1,18 @@
+package org.fuchsiawinch.document.ledger;
+
+import java.util.Optional;
+
+import org.fuchsiawinch.document.Section;
+
+/**
+ * One version of the document in its history.
+ *
+ * @param version the version
+ * @param offset offset of the log record that made it
+ * @param team team that signed the change; empty for the first document
+ * @param section section that was changed; empty for the first document
+ * @param signature signature of the change; empty for the first document
+ * @param digest SHA-256 of the whole text in 64 lower-case hexadecimal digits
+ */
+public record VersionEntry(
+        int version, long offset, String team, Optional<Section> section, String signature, String digest) {}
--- a/document/src/test/java/org/fuchsiawinch/document/Samples.java
+++ b/document/src/test/java/org/fuchsiawinch/document/Samples.java
@@ -6,21 +6,21 @@
 import java.nio.file.Path;
 
 /** Loads the sample documents. */
-final class Samples {
+public final class Samples {
 
     private static final Path FOLDER = Path.of("..", "samples");
 
     private Samples() {}
 
-    static String text(String user) {
+    public static String text(String user) {
         return read(FOLDER.resolve(user).resolve("document.yaml"));
     }
 
-    static String key(String user, String team) {
+    public static String key(String user, String team) {
         return read(FOLDER.resolve(user).resolve("keys").resolve(team + ".sample.pem"));
     }
 
-    static Document accepted(String user) {
+    public static Document accepted(String user) {
         DocumentResult result = new DocumentReader().read(user, text(user));
         if (result instanceof DocumentResult.Accepted accepted) {
             return accepted.document();
@@ -28,7 +28,7 @@
         throw new AssertionError(result.toString());
     }
 
-    static String read(Path path) {
+    public static String read(Path path) {
         try {
             return Files.readString(path);
         } catch (IOException e) {
--- /dev/null
+++ b/document/src/test/java/org/fuchsiawinch/document/ledger/DocumentLedgerTest.java
@@ -0,0 +1,182 @@
+package org.fuchsiawinch.document.ledger;
+
+import org.fuchsiawinch.document.Document;
+import org.fuchsiawinch.document.ProblemCode;
+import org.fuchsiawinch.document.Section;
+import org.fuchsiawinch.document.ledger.LedgerOutcome.Accepted;
+import org.fuchsiawinch.document.ledger.LedgerOutcome.BadSignature;
+import org.fuchsiawinch.document.ledger.LedgerOutcome.Conflict;
+import org.fuchsiawinch.document.ledger.LedgerOutcome.Invalid;
+import org.fuchsiawinch.document.ledger.LedgerOutcome.NotOwner;
+import org.fuchsiawinch.document.ledger.LedgerRecord.Genesis;
+import org.fuchsiawinch.document.ledger.LedgerRecord.Proposal;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertSame;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+/** Checks which proposals the fold accepts. */
+public final class DocumentLedgerTest {
+
+    private final DocumentLedger first =
+            DocumentLedger.atLogStart().apply(0, new Genesis(Editors.TEXT)).ledger();
+    private final Document base = first.current().orElseThrow();
+
+    /** Only the first first document counts. */
+    @Test
+    public void acceptsOneGenesis() {
+        assertEquals(first.version(), 1);
+        LedgerStep second = first.apply(1, new Genesis(Editors.TEXT.replace("FJD", "EUR")));
+        assertEquals(second.outcome(), new Conflict(1, Editors.TEXT));
+        assertEquals(second.ledger().current().orElseThrow().currency(), "FJD");
+    }
+
+    /** A first document with a problem leaves nothing in force. */
+    @Test
+    public void refusesAnInvalidGenesisWhole() {
+        LedgerStep step = DocumentLedger.atLogStart().apply(0, new Genesis("teams: 1\n"));
+        assertTrue(step.outcome() instanceof Invalid, step.toString());
+        assertEquals(step.ledger().version(), 0);
+    }
+
+    /** Of two changes of one base the first in log order wins; the other author gets the winner's text. */
+    @Test
+    public void resolvesARaceByLogOrder() {
+        LedgerStep engineering = first.apply(1, Editors.checkpoint(base, 30));
+        assertEquals(engineering.outcome(), new Accepted(2));
+        LedgerStep finance = engineering.ledger().apply(2, Editors.planLimit(base, 100));
+        String inForce = engineering.ledger().current().orElseThrow().text();
+        assertEquals(finance.outcome(), new Conflict(2, inForce));
+        assertTrue(inForce.contains("checkpoint: 30s"));
+        LedgerStep retried = finance.ledger()
+                .apply(3, Editors.planLimit(engineering.ledger().current().get(), 100));
+        assertEquals(retried.outcome(), new Accepted(3));
+        Document merged = retried.ledger().current().orElseThrow();
+        assertEquals(merged.policy().version(), 3);
+        assertEquals(merged.policy().lending().checkpointMs(), 30_000L);
+        assertTrue(merged.text().contains("plans: {amount: 100"));
+    }
+
+    /** A proposal appended twice because its answer was lost is accepted once and told so twice. */
+    @Test
+    public void countsARepeatedProposalOnce() {
+        Proposal proposal = Editors.checkpoint(base, 30);
+        DocumentLedger once = first.apply(1, proposal).ledger();
+        LedgerStep twice = once.apply(2, proposal);
+        assertEquals(twice.outcome(), new Accepted(2));
+        assertEquals(twice.ledger().version(), 2);
+        assertEquals(twice.ledger().history().size(), 2);
+    }
+
+    /** A change of text, base, section or author after signing is void. */
+    @Test
+    public void refusesTamperedProposals() {
+        Proposal signed = Editors.checkpoint(base, 30);
+        Proposal otherText = new Proposal(
+                signed.team(), signed.section(), 1, signed.sectionText().replace("30s", "31s"), signed.signature());
+        assertEquals(first.apply(1, otherText).outcome(), new BadSignature("engineering", Section.CAPACITY));
+        Proposal otherSection =
+                new Proposal("engineering", Section.OBJECTIVE, 1, signed.sectionText(), signed.signature());
+        assertEquals(first.apply(1, otherSection).outcome(), new BadSignature("engineering", Section.OBJECTIVE));
+        Proposal noSignature = new Proposal(signed.team(), signed.section(), 1, signed.sectionText(), "?");
+        assertEquals(first.apply(1, noSignature).outcome(), new BadSignature("engineering", Section.CAPACITY));
+        Proposal otherTeam = new Proposal("finance", Section.CAPACITY, 1, signed.sectionText(), signed.signature());
+        assertEquals(first.apply(1, otherTeam).outcome(), new NotOwner("finance", Section.CAPACITY));
+        DocumentLedger moved = first.apply(1, Editors.checkpoint(base, 40)).ledger();
+        Proposal otherBase = new Proposal(signed.team(), signed.section(), 2, signed.sectionText(), signed.signature());
+        assertEquals(moved.apply(2, otherBase).outcome(), new BadSignature("engineering", Section.CAPACITY));
+    }
+
+    /** A proposal signed for another installation's document of the same version is void. */
+    @Test
+    public void refusesASignatureForAnotherHistory() {
+        Document elsewhere = DocumentLedger.atLogStart()
+                .apply(0, new Genesis(Editors.TEXT.replace("FJD", "EUR")))
+                .ledger()
+                .current()
+                .orElseThrow();
+        Proposal foreign = Editors.checkpoint(elsewhere, 30);
+        assertEquals(first.apply(1, foreign).outcome(), new BadSignature("engineering", Section.CAPACITY));
+    }
+
+    /** A section's owner that signs another team's section is refused. */
+    @Test
+    public void refusesASectionOfAnotherOwner() {
+        Proposal raise = Editors.signer("engineering")
+                .sign(
+                        "engineering",
+                        base,
+                        Section.SPENDING,
+                        Editors.planLimit(base, 1).sectionText());
+        LedgerStep step = first.apply(1, raise);
+        assertEquals(step.outcome(), new NotOwner("engineering", Section.SPENDING));
+        assertEquals(step.ledger().version(), 1);
+    }
+
+    /** A change that makes the whole document invalid is refused whole, with the place in the whole text. */
+    @Test
+    public void keepsTheOldDocumentWhenTheNewOneIsInvalid() {
+        String text = base.sectionTexts().get(Section.CAPACITY).replace("    forecasts:\n", "    outlook:\n");
+        Proposal proposal = Editors.signer("engineering").sign("engineering", base, Section.CAPACITY, text);
+        LedgerStep step = first.apply(1, proposal);
+        Invalid invalid = (Invalid) step.outcome();
+        assertTrue(invalid.problems().stream()
+                .anyMatch(problem -> problem.field().equals("spending.limits.forecasts")
+                        && problem.code() == ProblemCode.UNKNOWN_REFERENCE
+                        && Editors.TEXT.lines().toList().get(problem.line() - 1).contains("forecasts: {amount")));
+        assertSame(step.ledger().current().orElseThrow(), base);
+    }
+
+    /** A section's text cannot bring lines of another section with it. */
+    @Test
+    public void refusesATextThatReachesIntoAnotherSection() {
+        String objective = base.sectionTexts().get(Section.OBJECTIVE);
+        for (String text : new String[] {
+            objective + "spending:\n  currency: FJD\n",
+            objective + "\n# Comment that would belong to the next section\n",
+            objective.stripTrailing()
+        }) {
+            Proposal proposal = Editors.signer("engineering").sign("engineering", base, Section.OBJECTIVE, text);
+            assertTrue(first.apply(1, proposal).outcome() instanceof Invalid, text);
+        }
+    }
+
+    /** A proposal that changes nothing makes no version. */
+    @Test
+    public void refusesAnUnchangedSection() {
+        Invalid invalid = (Invalid) first.apply(1, Editors.checkpoint(base, 20)).outcome();
+        assertEquals(invalid.problems().get(0).code(), ProblemCode.UNCHANGED);
+    }
+
+    /** A replaced key counts from the next version on. */
+    @Test
+    public void followsReplacedKeys() {
+        String finance = base.text().lines().toList().get(9).strip();
+        String office = base.text().lines().toList().get(3).strip();
+        String teams = base.sectionTexts().get(Section.TEAMS).replace(finance, office);
+        Proposal replace = Editors.signer("office").sign("office", base, Section.TEAMS, teams);
+        DocumentLedger replaced = first.apply(1, replace).ledger();
+        assertEquals(replaced.version(), 2);
+        Document next = replaced.current().orElseThrow();
+        assertEquals(
+                replaced.apply(2, Editors.planLimit(next, 1)).outcome(), new BadSignature("finance", Section.SPENDING));
+        Proposal byNewKey = Editors.signer("office")
+                .sign(
+                        "finance",
+                        next,
+                        Section.SPENDING,
+                        Editors.planLimit(next, 1).sectionText());
+        assertEquals(replaced.apply(2, byNewKey).outcome(), new Accepted(3));
+    }
+
+    /** A file without a private key is a typed error that names the file. */
+    @Test
+    public void namesTheUnreadableKeyFile() {
+        UnreadableKeyException error =
+                org.testng.Assert.expectThrows(UnreadableKeyException.class, () -> SectionSigner.ofPem("a.pem", "x"));
+        assertTrue(error.getMessage().startsWith("a.pem "));
+        assertThrows(UnreadableKeyException.class, () -> SectionSigner.ofPem("a.pem", ""));
+    }
+}
