--- /dev/null
+++ b/node/src/main/java/org/fuchsiawinch/node/NodeFlags.java
@@ -0,0 +1,89 @@
+package org.fuchsiawinch.node;
+
+import java.util.List;
+
+import org.fuchsiawinch.runtime.Setting;
+import org.fuchsiawinch.runtime.SettingsReader;
+
+/** Settings of the node process. */
+public final class NodeFlags {
+
+    /** Name of the node. */
+    public static final Setting<String> NAME = Setting.text("name", "name of the node, unique among the live ones");
+
+    /** Address to listen on. */
+    public static final Setting<String> HOST =
+            Setting.text("host", "IP address to listen on").withDefault("127.0.0.1");
+
+    /** Port to listen on. */
+    public static final Setting<Long> PORT = Setting.number("port", "TCP port to listen on", 1, 65535);
+
+    /** Data centre of the node. */
+    public static final Setting<String> DATA_CENTRE =
+            Setting.text("data-centre", "data centre that the node runs in").withDefault("local");
+
+    /** Where the platform's services are. */
+    public static final Setting<String> PLATFORM_URL =
+            Setting.text("platform-url", "URL of the platform's services").withDefault("http://127.0.0.1:7400");
+
+    /** Order in which nodes claim a cell without owner. */
+    public static final Setting<Long> CLAIM_RANK = Setting.number(
+                    "claim-rank", "rank among the nodes; each rank waits one hold interval more before a claim", 0, 63)
+            .withDefault("0");
+
+    /** Interval of the owner's signs of life. */
+    public static final Setting<Long> HOLD_EVERY_MS = Setting.number(
+                    "hold-every-ms", "interval in ms of the cell owner's records in the log", 100, 60_000)
+            .withDefault("500");
+
+    /** Silence after which a cell is claimed. */
+    public static final Setting<Long> CLAIM_AFTER_MS = Setting.number(
+                    "claim-after-ms", "silence in ms of a cell's owner before another node claims it", 500, 600_000)
+            .withDefault("2000");
+
+    /** Lease of workers. */
+    public static final Setting<Long> LEASE_MS = Setting.number(
+                    "lease-ms", "length in ms of a worker lease", 1000, 600_000)
+            .withDefault("5000");
+
+    /** Token for founding the document. */
+    public static final Setting<String> FOUNDING_TOKEN = Setting.text(
+                    "founding-token", "bearer token that may found the document; empty for none")
+            .withDefault("");
+
+    /** Size of the input ring. */
+    public static final Setting<Long> RING_SIZE = Setting.number(
+                    "ring-size", "inputs that may wait for the node's main thread; a power of two", 64, 1_048_576)
+            .withDefault("16384");
+
+    /** Largest HTTP body. */
+    public static final Setting<Long> BODY_LIMIT_BYTES = Setting.number(
+                    "body-limit-bytes", "largest HTTP body in bytes", 1024, 16_777_216)
+            .withDefault("262144");
+
+    private NodeFlags() {}
+
+    /**
+     * Gives the reader of all settings.
+     *
+     * @return the reader
+     */
+    public static SettingsReader reader() {
+        return new SettingsReader(
+                "fuchsiawinch-node",
+                "Runs one node between callers, the platform and workers.",
+                List.of(
+                        NAME,
+                        HOST,
+                        PORT,
+                        DATA_CENTRE,
+                        PLATFORM_URL,
+                        CLAIM_RANK,
+                        HOLD_EVERY_MS,
+                        CLAIM_AFTER_MS,
+                        LEASE_MS,
+                        FOUNDING_TOKEN,
+                        RING_SIZE,
+                        BODY_LIMIT_BYTES));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsiawinch/node/NodeMain.java
@@ -0,0 +1,32 @@
+package org.fuchsiawinch.node;
+
+import org.fuchsiawinch.runtime.Program;
+import org.fuchsiawinch.runtime.Settings;
+
+/** Runs one node until it is drained. */
+public final class NodeMain {
+
+    private NodeMain() {}
+
+    /**
+     * Starts the process.
+     *
+     * @param arguments flags
+     */
+    public static void main(String[] arguments) {
+        int status = Program.run(NodeFlags.reader(), arguments, System.out, System.err, NodeMain::serve);
+        System.exit(status);
+    }
+
+    private static int serve(Settings settings) {
+        NodeProcess node = new NodeProcess(settings, System.currentTimeMillis());
+        node.start();
+        Runtime.getRuntime().addShutdownHook(new Thread(node::drainAndStop, "drain"));
+        try {
+            node.awaitDrained();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return Program.EXIT_OK;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsiawinch/node/NodeProcess.java
@@ -0,0 +1,229 @@
+package org.fuchsiawinch.node;
+
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicReference;
+
+import com.codahale.metrics.MetricRegistry;
+import org.fuchsiawinch.core.Decision;
+import org.fuchsiawinch.core.baseline.FirstFitScheduler;
+import org.fuchsiawinch.document.Document;
+import org.fuchsiawinch.model.CellId;
+import org.fuchsiawinch.model.NodeId;
+import org.fuchsiawinch.node.adapter.LogClient;
+import org.fuchsiawinch.node.adapter.WorkerClient;
+import org.fuchsiawinch.node.http.HttpFront;
+import org.fuchsiawinch.node.http.NodeStatus;
+import org.fuchsiawinch.node.http.OpenRequests;
+import org.fuchsiawinch.node.loop.NodeLoop;
+import org.fuchsiawinch.protocol.fold.LedgerBook;
+import org.fuchsiawinch.protocol.node.NodeEffect;
+import org.fuchsiawinch.protocol.node.NodeEvent;
+import org.fuchsiawinch.protocol.node.NodeInput;
+import org.fuchsiawinch.protocol.node.NodeMachine;
+import org.fuchsiawinch.protocol.node.NodeSettings;
+import org.fuchsiawinch.runtime.EventLog;
+import org.fuchsiawinch.runtime.Settings;
+
+/** Wires one node: its state machine, the threads around it, and the adapters. Runs from {@link #start} once. */
+public final class NodeProcess {
+
+    private static final EventLog LOG = new EventLog(NodeProcess.class);
+    private static final long TICK_MS = 50;
+    private static final long WORKER_POLL_MS = 1000;
+    private static final long DRAIN_LINGER_MS = 500;
+
+    private final String name;
+    private final LedgerBook book = new LedgerBook();
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final OpenRequests open = new OpenRequests();
+    private final AtomicReference<Optional<Document>> document = new AtomicReference<>(Optional.empty());
+    private final CountDownLatch drained = new CountDownLatch(1);
+    private final NodeLoop loop;
+    private final LogClient log;
+    private final WorkerClient workers;
+    private final HttpFront front;
+    private final NodeStatus status;
+
+    /**
+     * Creates a node that does not run yet.
+     *
+     * @param settings checked settings
+     * @param startedMs present time in ms since the epoch; makes the id of a restarted node new
+     */
+    public NodeProcess(Settings settings, long startedMs) {
+        this.name = settings.value(NodeFlags.NAME);
+        NodeMachine machine =
+                new NodeMachine(machineSettings(settings, startedMs), book, () -> new FirstFitScheduler(false));
+        this.loop = new NodeLoop(
+                machine,
+                this::carryOut,
+                System::currentTimeMillis,
+                settings.value(NodeFlags.RING_SIZE).intValue(),
+                metrics);
+        String platform = settings.value(NodeFlags.PLATFORM_URL);
+        this.log = new LogClient(platform, loop::publish);
+        this.workers = new WorkerClient(platform, loop::publish);
+        this.status =
+                new NodeStatus(name, settings.value(NodeFlags.DATA_CENTRE), () -> loop.publish(new NodeInput.Drain()));
+        this.front = new HttpFront(
+                settings.value(NodeFlags.HOST),
+                settings.value(NodeFlags.PORT).intValue(),
+                settings.value(NodeFlags.BODY_LIMIT_BYTES).intValue(),
+                settings.value(NodeFlags.FOUNDING_TOKEN),
+                loop,
+                open,
+                document::get,
+                metrics,
+                status,
+                workers::lastList);
+    }
+
+    /** Starts all threads and listens. */
+    public void start() {
+        loop.start();
+        thread("log-reader", log::follow);
+        thread("ticker", () -> every(TICK_MS, () -> loop.publish(new NodeInput.Tick())));
+        thread("worker-list", () -> every(WORKER_POLL_MS, workers::poll));
+        front.start();
+        LOG.info("node_started", "node", name);
+    }
+
+    /** Hands the cell over, answers every open request, then closes the port. */
+    public void drainAndStop() {
+        status.requestDrain();
+        try {
+            drained.await();
+            Thread.sleep(DRAIN_LINGER_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        front.stop();
+        LOG.info("node_stopped", "node", name);
+    }
+
+    /**
+     * Waits until a drain is complete.
+     *
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public void awaitDrained() throws InterruptedException {
+        drained.await();
+    }
+
+    private static NodeSettings machineSettings(Settings settings, long startedMs) {
+        NodeId id = new NodeId(settings.value(NodeFlags.NAME) + "-" + startedMs);
+        NodeSettings defaults =
+                NodeSettings.defaults(id, settings.value(NodeFlags.CLAIM_RANK).intValue());
+        return new NodeSettings(
+                id,
+                new CellId("main"),
+                settings.value(NodeFlags.HOLD_EVERY_MS),
+                settings.value(NodeFlags.CLAIM_AFTER_MS),
+                defaults.claimRank(),
+                defaults.renewEveryMs(),
+                settings.value(NodeFlags.LEASE_MS),
+                defaults.clockDriftMs(),
+                defaults.startWithinMs(),
+                defaults.inventoryWaitMs(),
+                defaults.appendLimit(),
+                defaults.pendingLimit());
+    }
+
+    private void carryOut(NodeEffect effect) {
+        if (effect instanceof NodeEffect.Append append) {
+            metrics.meter("log.appends").mark();
+            metrics.meter("log.records").mark(append.batch().size());
+            log.append(append);
+        } else if (effect instanceof NodeEffect.Command command) {
+            metrics.meter("worker.commands").mark();
+            workers.send(command);
+        } else if (effect instanceof NodeEffect.Reply reply) {
+            open.reply(reply.requestId(), reply.reply());
+        } else if (effect instanceof NodeEffect.Report report) {
+            report(report.event());
+        } else {
+            drained.countDown();
+        }
+    }
+
+    private void report(NodeEvent event) {
+        if (event instanceof NodeEvent.DocumentInForce inForce) {
+            document.set(book.document());
+            LOG.info("document_in_force", "node", name, "version", inForce.version());
+        } else if (event instanceof NodeEvent.CellTaken taken) {
+            LOG.info("cell_taken", "node", name, "cell", taken.cell(), "epoch", taken.epoch());
+        } else if (event instanceof NodeEvent.CellLost lost) {
+            LOG.info("cell_lost", "node", name, "cell", lost.cell(), "epoch", lost.epoch());
+        } else if (event instanceof NodeEvent.CellActive active) {
+            LOG.info(
+                    "cell_active",
+                    "node",
+                    name,
+                    "epoch",
+                    active.epoch(),
+                    "workers",
+                    active.workers(),
+                    "in_doubt",
+                    active.inDoubt());
+        } else if (event instanceof NodeEvent.Decided decided) {
+            reportDecision(decided.decision());
+        } else if (event instanceof NodeEvent.WorkerSilent silent) {
+            LOG.warn("worker_silent", "node", name, "worker", silent.worker());
+        } else if (event instanceof NodeEvent.OwnRecordVoid refused) {
+            LOG.info("record_void", "node", name, "sequence", refused.id().sequence(), "code", refused.code());
+        }
+    }
+
+    private void reportDecision(Decision decision) {
+        metrics.counter("decisions." + decision.reason().code()).inc();
+        LOG.info(
+                "decision",
+                "node",
+                name,
+                "kind",
+                decision.getClass().getSimpleName(),
+                "reason",
+                decision.reason().code(),
+                "subject",
+                subject(decision),
+                "price_micros",
+                decision.reason().priceMicros());
+    }
+
+    private static Object subject(Decision decision) {
+        if (decision instanceof Decision.StartGang start) {
+            return start.attempt();
+        }
+        if (decision instanceof Decision.StopGang stop) {
+            return stop.attempt();
+        }
+        if (decision instanceof Decision.EndJob end) {
+            return end.job();
+        }
+        if (decision instanceof Decision.ProbeWorker probe) {
+            return probe.worker();
+        }
+        if (decision instanceof Decision.QuarantineWorker quarantine) {
+            return quarantine.worker();
+        }
+        return ((Decision.GuaranteeLost) decision).workspace();
+    }
+
+    private static void thread(String name, Runnable body) {
+        Thread thread = new Thread(body, name);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private static void every(long periodMs, Runnable body) {
+        while (!Thread.currentThread().isInterrupted()) {
+            body.run();
+            try {
+                Thread.sleep(periodMs);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsiawinch/node/adapter/LogUnavailableException.java
@@ -0,0 +1,18 @@
+package org.fuchsiawinch.node.adapter;
+
+import org.fuchsiawinch.model.FuchsiawinchException;
+
+/** Reports that the platform's log refused a read. */
+public final class LogUnavailableException extends FuchsiawinchException {
+
+    private static final long serialVersionUID = 1L;
+
+    /**
+     * Creates the exception.
+     *
+     * @param status HTTP status of the answer
+     */
+    public LogUnavailableException(int status) {
+        super("log answered with status " + status);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsiawinch/node/adapter/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Adapters to the platform.
+ */
+package org.fuchsiawinch.node.adapter;
--- /dev/null
+++ b/node/src/main/java/org/fuchsiawinch/node/http/CallerRoutes.java
@@ -0,0 +1,76 @@
+package org.fuchsiawinch.node.http;
+
+import java.util.Optional;
+import java.util.function.BiFunction;
+
+import org.fuchsiawinch.model.JobId;
+import org.fuchsiawinch.model.JobSpec;
+import org.fuchsiawinch.model.WorkspaceId;
+import org.fuchsiawinch.node.loop.NodeLoop;
+import org.fuchsiawinch.protocol.node.NodeInput;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.http.server.HttpServerRoutes;
+
+/** The callers' API: submit, ask for and cancel the jobs of one's own workspace. Thread-safe. */
+final class CallerRoutes {
+
+    private static final long MAX_WAIT_MS = 600_000;
+
+    private final NodeLoop loop;
+    private final OpenRequests open;
+    private final Doors doors;
+    private final Responder responder;
+
+    CallerRoutes(NodeLoop loop, OpenRequests open, Doors doors, Responder responder) {
+        this.loop = loop;
+        this.open = open;
+        this.doors = doors;
+        this.responder = responder;
+    }
+
+    void register(HttpServerRoutes routes) {
+        routes.post("/v1/jobs", this::submit)
+                .get("/v1/jobs/{key}", (request, response) -> withKey(request, response, this::lookUp))
+                .delete("/v1/jobs/{key}", (request, response) -> withKey(request, response, this::cancel));
+    }
+
+    private Mono<Void> submit(HttpServerRequest request, HttpServerResponse response) {
+        Optional<WorkspaceId> workspace = doors.workspace(request);
+        if (workspace.isEmpty()) {
+            return responder.send(response, Mono.just(unknownToken()));
+        }
+        long waitMs = Responder.waitMs(request, MAX_WAIT_MS);
+        return responder.withBody(request, response, Views.JobRequest.class, body -> {
+            JobSpec job = body.spec(workspace.get());
+            return open.submit(loop, id -> new NodeInput.JobSubmit(id, job, body.payloadBytes(), waitMs))
+                    .map(Answer::of);
+        });
+    }
+
+    private Mono<Answer> lookUp(HttpServerRequest request, JobId job) {
+        long waitMs = Responder.waitMs(request, MAX_WAIT_MS);
+        return open.submit(loop, id -> new NodeInput.JobLookup(id, job, waitMs)).map(Answer::of);
+    }
+
+    private Mono<Answer> cancel(HttpServerRequest request, JobId job) {
+        return open.submit(loop, id -> new NodeInput.JobCancel(id, job)).map(Answer::of);
+    }
+
+    private Mono<Void> withKey(
+            HttpServerRequest request,
+            HttpServerResponse response,
+            BiFunction<HttpServerRequest, JobId, Mono<Answer>> handler) {
+        Optional<WorkspaceId> workspace = doors.workspace(request);
+        if (workspace.isEmpty()) {
+            return responder.send(response, Mono.just(unknownToken()));
+        }
+        String key = request.param("key");
+        return responder.send(response, Mono.defer(() -> handler.apply(request, Views.jobId(workspace.get(), key))));
+    }
+
+    private static Answer unknownToken() {
+        return Answer.error(401, "UNKNOWN_TOKEN", "the bearer token is not in the document's access section");
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsiawinch/node/http/HttpFront.java
@@ -0,0 +1,79 @@
+package org.fuchsiawinch.node.http;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.util.concurrent.DefaultEventExecutor;
+import org.fuchsiawinch.document.Document;
+import org.fuchsiawinch.node.loop.NodeLoop;
+import org.fuchsiawinch.wire.PlatformMessages;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+
+/** Serves callers and operators over HTTP from {@link #start} to {@link #stop}. */
+public final class HttpFront {
+
+    private static final int MAX_HEADER_BYTES = 8192;
+    private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(10);
+    private static final Duration IDLE_TIMEOUT = Duration.ofMinutes(2);
+    private static final Duration STOP_TIMEOUT = Duration.ofSeconds(10);
+
+    private final HttpServer server;
+    private DisposableServer running;
+
+    /**
+     * Creates a front that does not listen yet.
+     *
+     * @param host IP address to listen on
+     * @param port TCP port
+     * @param bodyLimitBytes largest body in bytes
+     * @param foundingToken token that may found the document; empty for none
+     * @param loop the node's main thread
+     * @param open joins requests and replies
+     * @param document the document in force
+     * @param metrics the node's metrics
+     * @param status the node's status
+     * @param workers the platform's last list of workers
+     */
+    public HttpFront(
+            String host,
+            int port,
+            int bodyLimitBytes,
+            String foundingToken,
+            NodeLoop loop,
+            OpenRequests open,
+            Supplier<Optional<Document>> document,
+            MetricRegistry metrics,
+            NodeStatus status,
+            Supplier<List<PlatformMessages.ListedWorker>> workers) {
+        Doors doors = new Doors(document, foundingToken);
+        Responder responder = new Responder(metrics, bodyLimitBytes);
+        CallerRoutes callers = new CallerRoutes(loop, open, doors, responder);
+        OperatorRoutes operators = new OperatorRoutes(loop, open, doors, responder, document, metrics, status, workers);
+        this.server = HttpServer.create()
+                .host(host)
+                .port(port)
+                .idleTimeout(IDLE_TIMEOUT)
+                .requestTimeout(REQUEST_TIMEOUT)
+                .httpRequestDecoder(decoder -> decoder.maxHeaderSize(MAX_HEADER_BYTES))
+                .channelGroup(new DefaultChannelGroup(new DefaultEventExecutor()))
+                .route(routes -> {
+                    callers.register(routes);
+                    operators.register(routes);
+                });
+    }
+
+    /** Binds the port. */
+    public void start() {
+        running = server.bindNow();
+    }
+
+    /** Takes no new connections, finishes the requests under way, then closes the port. */
+    public void stop() {
+        running.disposeNow(STOP_TIMEOUT);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsiawinch/node/http/NodeStatus.java
@@ -0,0 +1,76 @@
+package org.fuchsiawinch.node.http;
+
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import org.fuchsiawinch.protocol.fold.DocumentBook;
+import org.fuchsiawinch.protocol.node.NodeMachine;
+
+/** What a node tells of itself, and its switch to drain. Thread-safe. */
+public final class NodeStatus {
+
+    private final String name;
+    private final String dataCentre;
+    private final Runnable drain;
+    private final AtomicBoolean draining = new AtomicBoolean();
+
+    /**
+     * Creates the status of a node that takes requests.
+     *
+     * @param name name of the node
+     * @param dataCentre its data centre
+     * @param drain starts the drain; called at most once
+     */
+    public NodeStatus(String name, String dataCentre, Runnable drain) {
+        this.name = name;
+        this.dataCentre = dataCentre;
+        this.drain = drain;
+    }
+
+    /** Starts the drain unless it was started before. */
+    public void requestDrain() {
+        if (draining.compareAndSet(false, true)) {
+            drain.run();
+        }
+    }
+
+    /**
+     * Says whether the node is stopping.
+     *
+     * @return true once a drain was requested
+     */
+    public boolean draining() {
+        return draining.get();
+    }
+
+    NodeView view(NodeMachine machine) {
+        return new NodeView(
+                name,
+                dataCentre,
+                draining.get(),
+                machine.schedules(),
+                machine.fold().nextOffset(),
+                machine.fold()
+                        .document()
+                        .inForce()
+                        .map(DocumentBook.InForce::version)
+                        .orElse(0));
+    }
+
+    /**
+     * A node.
+     *
+     * @param node its name
+     * @param dataCentre its data centre
+     * @param draining whether it is stopping
+     * @param schedules whether it schedules its cell
+     * @param nextOffset offset of the log record that it reads next
+     * @param documentVersion version of the document in force on it
+     */
+    record NodeView(
+            String node,
+            String dataCentre,
+            boolean draining,
+            boolean schedules,
+            long nextOffset,
+            int documentVersion) {}
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsiawinch/node/http/OpenRequests.java
@@ -0,0 +1,56 @@
+package org.fuchsiawinch.node.http;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongFunction;
+
+import org.fuchsiawinch.node.loop.LoopFullException;
+import org.fuchsiawinch.node.loop.NodeLoop;
+import org.fuchsiawinch.protocol.node.NodeInput;
+import org.fuchsiawinch.protocol.node.NodeReply;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.MonoSink;
+
+/** Joins HTTP requests with the replies of the node state machine. Thread-safe. */
+public final class OpenRequests {
+
+    private final AtomicLong lastId = new AtomicLong();
+    private final Map<Long, MonoSink<NodeReply>> sinks = new ConcurrentHashMap<>();
+
+    /** Creates the table without open requests. */
+    public OpenRequests() {
+        // starts empty
+    }
+
+    /**
+     * Hands a request to the loop.
+     *
+     * @param loop the loop
+     * @param request makes the input for a request id
+     * @return the reply; a {@link LoopFullException} if the ring is full
+     */
+    public Mono<NodeReply> submit(NodeLoop loop, LongFunction<NodeInput> request) {
+        return Mono.create(sink -> {
+            long id = lastId.incrementAndGet();
+            sinks.put(id, sink);
+            sink.onDispose(() -> sinks.remove(id));
+            if (!loop.tryPublish(request.apply(id))) {
+                sink.error(new LoopFullException());
+            }
+        });
+    }
+
+    /**
+     * Passes a reply on.
+     *
+     * @param requestId the request
+     * @param reply the reply
+     */
+    public void reply(long requestId, NodeReply reply) {
+        MonoSink<NodeReply> sink = sinks.remove(requestId);
+        if (sink != null) {
+            sink.success(reply);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsiawinch/node/http/OperatorRoutes.java
@@ -0,0 +1,256 @@
+package org.fuchsiawinch.node.http;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+import com.codahale.metrics.MetricRegistry;
+import org.fuchsiawinch.core.Reason;
+import org.fuchsiawinch.document.Document;
+import org.fuchsiawinch.document.Section;
+import org.fuchsiawinch.model.JobId;
+import org.fuchsiawinch.model.NodeId;
+import org.fuchsiawinch.model.WorkspaceId;
+import org.fuchsiawinch.model.WorkspacePolicy;
+import org.fuchsiawinch.node.loop.NodeLoop;
+import org.fuchsiawinch.protocol.fold.DocumentBook;
+import org.fuchsiawinch.protocol.fold.JobEntry;
+import org.fuchsiawinch.protocol.fold.JobStatus;
+import org.fuchsiawinch.protocol.node.NodeInput;
+import org.fuchsiawinch.protocol.node.NodeMachine;
+import org.fuchsiawinch.protocol.node.NodeReply;
+import org.fuchsiawinch.protocol.record.LogRecord;
+import org.fuchsiawinch.runtime.MetricsText;
+import org.fuchsiawinch.wire.PlatformMessages;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.http.server.HttpServerRoutes;
+
+/** The operators' API: document, workspaces, jobs, explanations, drain and metrics. Thread-safe. */
+final class OperatorRoutes {
+
+    private final NodeLoop loop;
+    private final OpenRequests open;
+    private final Doors doors;
+    private final Responder responder;
+    private final Supplier<Optional<Document>> document;
+    private final MetricRegistry metrics;
+    private final NodeStatus status;
+    private final Supplier<List<PlatformMessages.ListedWorker>> workerList;
+
+    OperatorRoutes(
+            NodeLoop loop,
+            OpenRequests open,
+            Doors doors,
+            Responder responder,
+            Supplier<Optional<Document>> document,
+            MetricRegistry metrics,
+            NodeStatus status,
+            Supplier<List<PlatformMessages.ListedWorker>> workerList) {
+        this.loop = loop;
+        this.open = open;
+        this.doors = doors;
+        this.responder = responder;
+        this.document = document;
+        this.metrics = metrics;
+        this.status = status;
+        this.workerList = workerList;
+    }
+
+    void register(HttpServerRoutes routes) {
+        routes.get("/v1/document", (request, response) -> asOperator(request, response, this::currentDocument))
+                .post("/v1/document", this::found)
+                .get("/v1/document/history", (request, response) -> asOperator(request, response, this::history))
+                .post("/v1/document/proposals", this::propose)
+                .get("/v1/workspaces", (request, response) -> asOperator(request, response, this::workspaces))
+                .get("/v1/jobs", this::jobs)
+                .get("/v1/jobs/{id}/explain", this::explain)
+                .get("/v1/workers", (request, response) -> asOperator(request, response, this::workers))
+                .get("/v1/nodes", (request, response) -> asOperator(request, response, this::nodes))
+                .post("/v1/drain", (request, response) -> asOperator(request, response, this::drain))
+                .get("/metrics", (request, response) -> responder.text(response, 200, MetricsText.render(metrics)))
+                .get("/health", this::health);
+    }
+
+    private Mono<Answer> currentDocument() {
+        return Mono.just(document.get()
+                .map(inForce -> Answer.ok(new Views.DocumentView(inForce.version(), inForce.digest(), inForce.text())))
+                .orElse(Answer.error(404, "NO_DOCUMENT", "no document is in force")));
+    }
+
+    private Mono<Answer> history() {
+        return loop.ask((machine, nowMs) -> Answer.ok(machine.fold().document().history().stream()
+                .map(version -> new Views.HistoryView(
+                        version.version(),
+                        version.section().map(Section::key).orElse(""),
+                        version.team(),
+                        version.digest()))
+                .toList()));
+    }
+
+    private Mono<Void> found(HttpServerRequest request, HttpServerResponse response) {
+        if (!doors.mayFound(request)) {
+            return responder.send(response, Mono.just(unknownToken()));
+        }
+        return responder.withText(request, response, text -> change(new LogRecord.DocumentFounded(text)));
+    }
+
+    private Mono<Void> propose(HttpServerRequest request, HttpServerResponse response) {
+        if (doors.operator(request).isEmpty()) {
+            return responder.send(response, Mono.just(unknownToken()));
+        }
+        return responder.withBody(request, response, Views.ProposalRequest.class, body -> {
+            require("team", body.team());
+            require("section", body.section());
+            require("text", body.text());
+            require("signature", body.signature());
+            require("baseVersion", body.baseVersion());
+            return change(new LogRecord.DocumentProposed(
+                    body.team(), body.section(), body.baseVersion(), body.text(), body.signature()));
+        });
+    }
+
+    private Mono<Answer> change(LogRecord record) {
+        return open.submit(loop, id -> new NodeInput.DocumentChange(id, record)).map(this::judged);
+    }
+
+    private Answer judged(NodeReply reply) {
+        if (!(reply instanceof NodeReply.DocumentJudged judged)) {
+            return Answer.of(reply);
+        }
+        if (judged.refusal().isEmpty()) {
+            return Answer.ok(new Views.AcceptedView("accepted", judged.version()));
+        }
+        DocumentBook.Refusal refusal = judged.refusal().get();
+        String text = document.get().map(Document::text).orElse("");
+        return switch (refusal.code()) {
+            case CONFLICT, ALREADY_FOUNDED, NOT_FOUNDED, NOT_IN_FORCE ->
+                new Answer(
+                        409, new Views.ConflictView(refusal.code().name(), refusal.detail(), judged.version(), text));
+            case NOT_OWNER, BAD_SIGNATURE -> Answer.error(403, refusal.code().name(), refusal.detail());
+            case INVALID -> Answer.error(422, refusal.code().name(), refusal.detail());
+        };
+    }
+
+    private Mono<Answer> workspaces() {
+        return loop.ask((machine, nowMs) -> Answer.ok(machine.fold().document().inForce().stream()
+                .flatMap(inForce -> inForce.policy().workspaces().entrySet().stream())
+                .map(entry -> workspace(entry.getKey(), entry.getValue(), machine))
+                .sorted((a, b) -> a.workspace().compareTo(b.workspace()))
+                .toList()));
+    }
+
+    private static Views.WorkspaceView workspace(WorkspaceId id, WorkspacePolicy policy, NodeMachine machine) {
+        int guaranteed = policy.guarantees().stream()
+                .mapToInt(guarantee -> guarantee.count() * guarantee.shape().accelerators())
+                .sum();
+        return new Views.WorkspaceView(
+                id.value(),
+                guaranteed,
+                policy.acceleratorQuota(),
+                count(machine, id, JobStatus.WAITING),
+                count(machine, id, JobStatus.PLACED) + count(machine, id, JobStatus.RELEASED),
+                count(machine, id, JobStatus.FINISHED));
+    }
+
+    private static long count(NodeMachine machine, WorkspaceId workspace, JobStatus wanted) {
+        return machine.fold().jobs().stream()
+                .filter(job -> job.spec().workspace().equals(workspace) && job.status() == wanted)
+                .count();
+    }
+
+    private Mono<Void> jobs(HttpServerRequest request, HttpServerResponse response) {
+        boolean operator = doors.operator(request).isPresent();
+        Optional<WorkspaceId> workspace = doors.workspace(request);
+        if (!operator && workspace.isEmpty()) {
+            return responder.send(response, Mono.just(unknownToken()));
+        }
+        return responder.send(
+                response,
+                loop.ask((machine, nowMs) -> Answer.ok(machine.fold().jobs().stream()
+                        .filter(job ->
+                                operator || workspace.get().equals(job.spec().workspace()))
+                        .map(Views.JobView::of)
+                        .toList())));
+    }
+
+    private Mono<Answer> workers() {
+        return Mono.fromSupplier(() -> Answer.ok(workerList.get().stream()
+                .map(worker -> Views.WorkerView.of(worker.worker(), worker.leaving()))
+                .toList()));
+    }
+
+    private Mono<Void> explain(HttpServerRequest request, HttpServerResponse response) {
+        String id = request.param("id");
+        if (doors.operator(request).isPresent()) {
+            return responder.send(response, Mono.defer(() -> explained(new JobId(id))));
+        }
+        return responder.send(
+                response,
+                doors.workspace(request)
+                        .map(workspace -> Mono.defer(() -> explained(Views.jobId(workspace, id))))
+                        .orElse(Mono.just(unknownToken())));
+    }
+
+    private Mono<Answer> explained(JobId id) {
+        return loop.ask((machine, nowMs) -> machine.fold()
+                .job(id)
+                .map(job -> Answer.ok(explanation(machine, job, nowMs)))
+                .orElse(Answer.error(404, "UNKNOWN_JOB", "no such job")));
+    }
+
+    private Views.ExplainView explanation(NodeMachine machine, JobEntry job, long nowMs) {
+        Optional<Reason> reason = machine.waitReason(job.spec().id(), nowMs)
+                .or(() -> machine.lastReason(job.spec().id()));
+        Optional<NodeId> owner = machine.fold().cell(job.cell()).owner();
+        return new Views.ExplainView(
+                job.spec().id().value(),
+                job.status().name(),
+                reason.map(known -> known.code().name())
+                        .or(() -> Views.JobView.of(job).reason()),
+                reason.map(Reason::priceMicros).orElse(0L),
+                reason.map(Reason::estimatedRunMs).orElse(0L),
+                reason.map(Reason::correctionFactor).orElse(1.0),
+                reason.flatMap(Reason::alternative)
+                        .map(other -> other.code() + " at " + other.priceMicros() + " micros after " + other.delayMs()
+                                + " ms"),
+                job.placements().stream()
+                        .map(placement -> placement.worker().value())
+                        .toList(),
+                owner.map(NodeId::value));
+    }
+
+    private Mono<Answer> nodes() {
+        return loop.ask((machine, nowMs) -> Answer.ok(List.of(status.view(machine))));
+    }
+
+    private Mono<Answer> drain() {
+        return Mono.fromSupplier(() -> {
+            status.requestDrain();
+            return new Answer(202, new Views.AcceptedView("draining", 0));
+        });
+    }
+
+    private Mono<Void> health(HttpServerRequest request, HttpServerResponse response) {
+        return status.draining() ? responder.text(response, 503, "draining\n") : responder.text(response, 200, "ok\n");
+    }
+
+    private Mono<Void> asOperator(
+            HttpServerRequest request, HttpServerResponse response, Supplier<Mono<Answer>> handler) {
+        if (doors.operator(request).isEmpty()) {
+            return responder.send(response, Mono.just(unknownToken()));
+        }
+        return responder.send(response, Mono.defer(handler));
+    }
+
+    private static void require(String field, Object value) {
+        if (value == null) {
+            throw new InvalidFieldException(field);
+        }
+    }
+
+    private static Answer unknownToken() {
+        return Answer.error(401, "UNKNOWN_TOKEN", "the bearer token is not an operator's");
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsiawinch/node/http/Responder.java
@@ -0,0 +1,110 @@
+package org.fuchsiawinch.node.http;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.OptionalLong;
+import java.util.function.Function;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import org.fuchsiawinch.model.FuchsiawinchException;
+import org.fuchsiawinch.node.loop.LoopFullException;
+import org.fuchsiawinch.wire.JsonCodec;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** Reads bounded bodies, encodes answers, and counts them by status. Thread-safe. */
+final class Responder {
+
+    private final JsonCodec json = new JsonCodec();
+    private final MetricRegistry metrics;
+    private final int bodyLimitBytes;
+
+    Responder(MetricRegistry metrics, int bodyLimitBytes) {
+        this.metrics = metrics;
+        this.bodyLimitBytes = bodyLimitBytes;
+    }
+
+    <T> Mono<Void> withBody(
+            HttpServerRequest request, HttpServerResponse response, Class<T> type, Function<T, Mono<Answer>> handler) {
+        Mono<Answer> answer = body(request).flatMap(bytes -> handler.apply(json.decode(bytes, type)));
+        return send(response, answer);
+    }
+
+    Mono<Void> withText(
+            HttpServerRequest request, HttpServerResponse response, Function<String, Mono<Answer>> handler) {
+        return send(response, body(request).flatMap(bytes -> handler.apply(new String(bytes, StandardCharsets.UTF_8))));
+    }
+
+    Mono<Void> send(HttpServerResponse response, Mono<Answer> answer) {
+        return answer.onErrorResume(FuchsiawinchException.class, error -> Mono.just(failure(error)))
+                .flatMap(known -> write(response, known));
+    }
+
+    Mono<Void> text(HttpServerResponse response, int status, String text) {
+        metrics.counter("http.status." + status).inc();
+        return response.status(status).sendString(Mono.just(text)).then();
+    }
+
+    static long waitMs(HttpServerRequest request, long limitMs) {
+        String text = new QueryStringDecoder(request.uri())
+                .parameters()
+                .getOrDefault("waitMs", List.of("0"))
+                .get(0);
+        try {
+            return Math.max(0, Math.min(limitMs, Long.parseLong(text)));
+        } catch (NumberFormatException e) {
+            throw new InvalidFieldException("waitMs");
+        }
+    }
+
+    private Mono<byte[]> body(HttpServerRequest request) {
+        return request.receive()
+                .scanWith(() -> new Body(new byte[0]), this::append)
+                .last()
+                .map(Body::bytes);
+    }
+
+    private Body append(Body soFar, ByteBuf part) {
+        int length = soFar.bytes().length + part.readableBytes();
+        if (length > bodyLimitBytes) {
+            throw new BodyTooLargeException(bodyLimitBytes);
+        }
+        byte[] joined = Arrays.copyOf(soFar.bytes(), length);
+        part.getBytes(part.readerIndex(), joined, soFar.bytes().length, part.readableBytes());
+        return new Body(joined);
+    }
+
+    private Mono<Void> write(HttpServerResponse response, Answer answer) {
+        metrics.counter("http.status." + answer.status()).inc();
+        if (answer.body() instanceof Views.ErrorView error
+                && error.retryAfterMs().isPresent()) {
+            long seconds = Math.max(1, (error.retryAfterMs().getAsLong() + 999) / 1000);
+            response.header("Retry-After", Long.toString(seconds));
+        }
+        return response.status(answer.status())
+                .header("Content-Type", "application/json")
+                .sendByteArray(Mono.just(json.encode(answer.body())))
+                .then();
+    }
+
+    private static Answer failure(FuchsiawinchException error) {
+        if (error instanceof LoopFullException) {
+            return new Answer(429, new Views.ErrorView("OVERLOADED", "the work did not run", OptionalLong.of(1000)));
+        }
+        int status = error instanceof BodyTooLargeException ? 413 : 400;
+        String code = error.getClass().getSimpleName().replace("Exception", "").replaceAll("([a-z])([A-Z])", "$1_$2");
+        return Answer.error(status, code.toUpperCase(Locale.ROOT), error.getMessage());
+    }
+
+    /**
+     * Bytes of a body received so far.
+     *
+     * @param bytes the bytes
+     */
+    private record Body(byte[] bytes) {}
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsiawinch/node/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The HTTP front of callers and operators.
+ */
+package org.fuchsiawinch.node.http;
--- /dev/null
+++ b/node/src/main/java/org/fuchsiawinch/node/loop/EffectHandler.java
@@ -0,0 +1,15 @@
+package org.fuchsiawinch.node.loop;
+
+import org.fuchsiawinch.protocol.node.NodeEffect;
+
+/** Carries out effects; called on the loop's thread and must not block. */
+@FunctionalInterface
+public interface EffectHandler {
+
+    /**
+     * Carries out one effect.
+     *
+     * @param effect the effect
+     */
+    void handle(NodeEffect effect);
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsiawinch/node/loop/NodeLoop.java
@@ -0,0 +1,134 @@
+package org.fuchsiawinch.node.loop;
+
+import java.util.function.BiFunction;
+import java.util.function.LongSupplier;
+
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+import com.lmax.disruptor.BlockingWaitStrategy;
+import com.lmax.disruptor.RingBuffer;
+import com.lmax.disruptor.dsl.Disruptor;
+import com.lmax.disruptor.dsl.ProducerType;
+import org.fuchsiawinch.protocol.node.NodeInput;
+import org.fuchsiawinch.protocol.node.NodeMachine;
+import org.fuchsiawinch.runtime.EventLog;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.MonoSink;
+
+/**
+ * The one thread that owns the node state machine, behind a bounded ring. Publishing is safe from any thread. Runs from
+ * {@link #start} to {@link #stop}.
+ */
+public final class NodeLoop {
+
+    private static final EventLog LOG = new EventLog(NodeLoop.class);
+
+    private final NodeMachine machine;
+    private final EffectHandler effects;
+    private final LongSupplier clock;
+    private final Disruptor<Slot> disruptor;
+    private final RingBuffer<Slot> ring;
+    private final Timer handled;
+
+    /**
+     * Creates a loop that does not run yet.
+     *
+     * @param machine the state machine; from now on owned by the loop
+     * @param effects carries out effects
+     * @param clock present time in ms since the epoch
+     * @param ringSize inputs that may wait, a power of two
+     * @param metrics takes the loop's measurements
+     */
+    public NodeLoop(
+            NodeMachine machine, EffectHandler effects, LongSupplier clock, int ringSize, MetricRegistry metrics) {
+        this.machine = machine;
+        this.effects = effects;
+        this.clock = clock;
+        this.disruptor = new Disruptor<>(
+                Slot::new,
+                ringSize,
+                runnable -> new Thread(runnable, "node-loop"),
+                ProducerType.MULTI,
+                new BlockingWaitStrategy());
+        disruptor.handleEventsWith(this::run);
+        this.ring = disruptor.getRingBuffer();
+        this.handled = metrics.timer("loop.handled");
+        metrics.gauge("loop.waiting", () -> () -> ring.getBufferSize() - ring.remainingCapacity());
+    }
+
+    /** Starts the thread. */
+    public void start() {
+        disruptor.start();
+    }
+
+    /** Runs what waits, then ends the thread. */
+    public void stop() {
+        disruptor.shutdown();
+    }
+
+    /**
+     * Hands an input over, waiting while the ring is full.
+     *
+     * @param input the input
+     */
+    public void publish(NodeInput input) {
+        ring.publishEvent((slot, sequence) -> slot.task = feed(input));
+    }
+
+    /**
+     * Hands an input over unless the ring is full.
+     *
+     * @param input the input
+     * @return false if the ring is full and the input was dropped
+     */
+    public boolean tryPublish(NodeInput input) {
+        return ring.tryPublishEvent((slot, sequence) -> slot.task = feed(input));
+    }
+
+    /**
+     * Asks the state machine on its own thread.
+     *
+     * @param question reads the machine, without changing it, at the present time in ms since the epoch
+     * @param <T> type of the answer
+     * @return the answer; an error if the ring is full
+     */
+    public <T> Mono<T> ask(BiFunction<NodeMachine, Long, T> question) {
+        return Mono.create(sink -> {
+            Task task = (owned, nowMs) -> answer(sink, question, owned, nowMs);
+            if (!ring.tryPublishEvent((slot, sequence) -> slot.task = task)) {
+                sink.error(new LoopFullException());
+            }
+        });
+    }
+
+    private static <T> void answer(
+            MonoSink<T> sink, BiFunction<NodeMachine, Long, T> question, NodeMachine owned, long nowMs) {
+        try {
+            sink.success(question.apply(owned, nowMs));
+        } catch (RuntimeException e) {
+            sink.error(e);
+        }
+    }
+
+    private Task feed(NodeInput input) {
+        return (owned, nowMs) -> owned.handle(input, nowMs).forEach(effects::handle);
+    }
+
+    private void run(Slot slot, long sequence, boolean endOfBatch) {
+        Task task = slot.task;
+        slot.task = null;
+        Timer.Context timing = handled.time();
+        try {
+            task.run(machine, clock.getAsLong());
+        } catch (RuntimeException e) {
+            LOG.warn("input_failed", "error", e);
+        } finally {
+            timing.stop();
+        }
+    }
+
+    /** One place in the ring. */
+    private static final class Slot {
+        private Task task;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsiawinch/node/loop/Task.java
@@ -0,0 +1,16 @@
+package org.fuchsiawinch.node.loop;
+
+import org.fuchsiawinch.protocol.node.NodeMachine;
+
+/** Work for the thread that owns the node state machine. */
+@FunctionalInterface
+interface Task {
+
+    /**
+     * Runs the work.
+     *
+     * @param machine the state machine
+     * @param nowMs present time in ms since the epoch
+     */
+    void run(NodeMachine machine, long nowMs);
+}
--- a/node/src/main/java/org/fuchsiawinch/node/package-info.java
+++ b/node/src/main/java/org/fuchsiawinch/node/package-info.java
@@ -1,4 +1,4 @@
 /**
- * The node process.
+ * The node process: settings, wiring and main.
  */
 package org.fuchsiawinch.node;
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/fold/DocumentBook.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/fold/DocumentBook.java
@@ -1,7 +1,9 @@
 package org.fuchsiawinch.protocol.fold;
 
+import java.util.List;
 import java.util.Optional;
 
+import org.fuchsiawinch.document.ledger.VersionEntry;
 import org.fuchsiawinch.model.Policy;
 import org.fuchsiawinch.protocol.record.LogRecord;
 
@@ -23,6 +25,15 @@
      */
     Optional<InForce> inForce();
 
+    /**
+     * Lists the versions that this reader saw being made.
+     *
+     * @return the versions, oldest first; empty if the book keeps none
+     */
+    default List<VersionEntry> history() {
+        return List.of();
+    }
+
     /**
      * The document in force.
      *
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/fold/LedgerBook.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/fold/LedgerBook.java
@@ -1,5 +1,6 @@
 package org.fuchsiawinch.protocol.fold;
 
+import java.util.List;
 import java.util.Optional;
 
 import org.fuchsiawinch.document.Document;
@@ -8,6 +9,7 @@
 import org.fuchsiawinch.document.ledger.LedgerOutcome;
 import org.fuchsiawinch.document.ledger.LedgerRecord;
 import org.fuchsiawinch.document.ledger.LedgerStep;
+import org.fuchsiawinch.document.ledger.VersionEntry;
 import org.fuchsiawinch.protocol.record.LogRecord;
 
 /** Folds the document's records with the document module's ledger. Not thread-safe. */
@@ -49,17 +51,13 @@
         return ledger.current();
     }
 
-    /**
-     * Gives the ledger, for its history.
-     *
-     * @return the present ledger; immutable
-     */
-    public DocumentLedger ledger() {
-        return ledger;
+    @Override
+    public List<VersionEntry> history() {
+        return ledger.history();
     }
 
     private Optional<Refusal> propose(LogRecord.DocumentProposed proposed) {
-        Optional<Section> section = sectionOf(proposed.section());
+        Optional<Section> section = Section.ofKey(proposed.section());
         if (section.isEmpty()) {
             return Optional.of(new Refusal(Refusal.Code.INVALID, "unknown section " + proposed.section()));
         }
@@ -67,15 +65,6 @@
                 proposed.team(), section.get(), proposed.baseVersion(), proposed.text(), proposed.signature()));
     }
 
-    private static Optional<Section> sectionOf(String name) {
-        for (Section section : Section.values()) {
-            if (section.key().equals(name)) {
-                return Optional.of(section);
-            }
-        }
-        return Optional.empty();
-    }
-
     private Optional<Refusal> compare(LogRecord.DocumentRepublished copy) {
         boolean same = ledger.current()
                 .filter(document -> document.version() == copy.version())
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeMachine.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeMachine.java
@@ -20,6 +20,7 @@
 import org.fuchsiawinch.protocol.fold.VoidCode;
 import org.fuchsiawinch.protocol.node.internal.Appender;
 import org.fuchsiawinch.protocol.node.internal.CellOwner;
+import org.fuchsiawinch.protocol.node.internal.CommandPacer;
 import org.fuchsiawinch.protocol.node.internal.Outlet;
 import org.fuchsiawinch.protocol.node.internal.RequestDesk;
 import org.fuchsiawinch.protocol.record.Envelope;
@@ -40,11 +41,13 @@
     private final NodeSettings settings;
     private final LogFold fold;
     private final Appender appender;
+    private final CommandPacer pacer;
     private final RequestDesk desk = new RequestDesk();
     private final CellOwner owner;
     private final Set<JobId> submitting = new HashSet<>();
     private final Set<RecordId> documentChanges = new HashSet<>();
     private List<NodeEffect> effects = new ArrayList<>();
+    private long inputMs;
     private long endReachedMs = Long.MIN_VALUE / 2;
     private long ownerHeardMs;
     private long ownerHeardOffset = -2;
@@ -68,6 +71,7 @@
         this.settings = settings;
         this.fold = new LogFold(document);
         this.appender = new Appender(settings.node(), settings.appendLimit());
+        this.pacer = new CommandPacer(settings.renewEveryMs() / 2);
         this.owner = new CellOwner(settings, schedulers, fold, new MachineOutlet());
     }
 
@@ -80,6 +84,7 @@
      */
     public List<NodeEffect> handle(NodeInput input, long nowMs) {
         effects = new ArrayList<>();
+        inputMs = nowMs;
         dispatch(input, nowMs);
         appender.next(nowMs).ifPresent(effects::add);
         return effects;
@@ -114,6 +119,16 @@
         return owner.waitReason(job, nowMs);
     }
 
+    /**
+     * Gives the reason of the last decision on a job, if this node took it.
+     *
+     * @param job the job
+     * @return the reason, or empty
+     */
+    public Optional<Reason> lastReason(JobId job) {
+        return owner.lastReason(job);
+    }
+
     private void dispatch(NodeInput input, long nowMs) {
         if (input instanceof NodeInput.RecordRead read) {
             recordRead(read.offset(), read.envelope(), nowMs);
@@ -446,6 +461,9 @@
 
         @Override
         public void emit(NodeEffect effect) {
+            if (effect instanceof NodeEffect.Command command && !pacer.admit(command, inputMs)) {
+                return;
+            }
             effects.add(effect);
         }
     }
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/CellOwner.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/CellOwner.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -35,6 +36,7 @@
 public final class CellOwner {
 
     private static final long SCHEDULER_TICK_MS = 1000;
+    private static final int MAX_REASONS = 10_000;
 
     private enum Phase {
         IDLE,
@@ -48,6 +50,7 @@
     private final Outlet outlet;
     private final Map<WorkerId, WorkerView> workers = new TreeMap<>();
     private final AttemptDriver attempts;
+    private final Map<JobId, Reason> reasons = new LinkedHashMap<>();
     private List<WorkerSpec> listed = List.of();
     private Set<WorkerId> listedLeaving = Set.of();
     private Phase phase = Phase.IDLE;
@@ -102,6 +105,7 @@
         phase = Phase.IDLE;
         workers.clear();
         attempts.clear();
+        reasons.clear();
         scheduler = null;
     }
 
@@ -246,6 +250,16 @@
         return scheduler == null ? Optional.empty() : scheduler.waitReason(job, nowMs);
     }
 
+    /**
+     * Gives the reason of the last decision on a job in this ownership.
+     *
+     * @param job the job
+     * @return the reason, or empty
+     */
+    public Optional<Reason> lastReason(JobId job) {
+        return Optional.ofNullable(reasons.get(job));
+    }
+
     private void addWorker(WorkerSpec spec, long nowMs) {
         workers.put(spec.id(), new WorkerView(spec, nowMs, nowMs + settings.leaseMs()));
     }
@@ -383,12 +397,23 @@
         }
     }
 
+    private void noteReason(JobId job, Reason reason) {
+        reasons.remove(job);
+        reasons.put(job, reason);
+        if (reasons.size() > MAX_REASONS) {
+            reasons.remove(reasons.keySet().iterator().next());
+        }
+    }
+
     private void carryOut(Decision decision, long nowMs) {
         if (decision instanceof Decision.StartGang start) {
+            noteReason(start.attempt().job(), start.reason());
             startGang(start, nowMs);
         } else if (decision instanceof Decision.StopGang stop) {
+            noteReason(stop.attempt().job(), stop.reason());
             attempts.stop(stop.attempt(), stop.mode(), nowMs);
         } else if (decision instanceof Decision.EndJob end) {
+            noteReason(end.job(), end.reason());
             String code = end.reason().code().name();
             boolean released =
                     fold.job(end.job()).filter(JobEntry::everReleased).isPresent();
--- /dev/null
+++ b/quickstart/src/main/java/org/fuchsiawinch/quickstart/NodeClient.java
@@ -0,0 +1,89 @@
+package org.fuchsiawinch.quickstart;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.netty.buffer.Unpooled;
+import org.fuchsiawinch.wire.JsonCodec;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+import reactor.util.retry.Retry;
+
+/** Sends requests to the nodes in turn; a failed one goes to the next node with the same key. Thread-safe. */
+final class NodeClient {
+
+    private static final Duration RETRY_PAUSE = Duration.ofMillis(200);
+    private static final long MAX_TRIES = 600;
+    private static final Duration ATTEMPT_TIMEOUT = Duration.ofSeconds(8);
+    private static final int WAIT_MS = 5000;
+    private static final int CONFLICT = 409;
+
+    private final List<String> nodes;
+    private final HttpClient client = HttpClient.create().responseTimeout(ATTEMPT_TIMEOUT);
+    private final JsonCodec json = new JsonCodec();
+    private final AtomicInteger turn = new AtomicInteger();
+    private final AtomicInteger retries = new AtomicInteger();
+
+    NodeClient(List<String> nodes) {
+        this.nodes = List.copyOf(nodes);
+    }
+
+    /** Founds the document, unless one is in force already. */
+    Mono<Integer> found(String text, String token) {
+        return post("/v1/document", text.getBytes(StandardCharsets.UTF_8), token)
+                .filter(response -> response.status() == 200 || response.status() == CONFLICT)
+                .switchIfEmpty(Mono.error(NotYetException::new))
+                .map(Response::status)
+                .retryWhen(again());
+    }
+
+    /** Submits a job and asks for it until it is finished. */
+    Mono<JobResult> run(SampleJob job, String token) {
+        byte[] body = json.encode(job);
+        return Mono.defer(() -> post("/v1/jobs?waitMs=" + WAIT_MS, body, token))
+                .flatMap(response -> response.status() == 200
+                        ? Mono.just(json.decode(response.body(), JobResult.class))
+                        : Mono.error(new NotYetException()))
+                .retryWhen(again());
+    }
+
+    int retries() {
+        return retries.get();
+    }
+
+    private Retry again() {
+        return Retry.fixedDelay(MAX_TRIES, RETRY_PAUSE).doBeforeRetry(signal -> retries.incrementAndGet());
+    }
+
+    private Mono<Response> post(String path, byte[] body, String token) {
+        String node = nodes.get(Math.floorMod(turn.getAndIncrement(), nodes.size()));
+        return client.headers(headers ->
+                        headers.set("Authorization", "Bearer " + token).set("Content-Type", "application/json"))
+                .post()
+                .uri(node + path)
+                .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(body)))
+                .responseSingle((response, content) -> content.asByteArray()
+                        .defaultIfEmpty(new byte[0])
+                        .map(bytes -> new Response(response.status().code(), bytes)));
+    }
+
+    /**
+     * An HTTP response.
+     *
+     * @param status its status
+     * @param body its body
+     */
+    private record Response(int status, byte[] body) {}
+
+    /** The job is not finished, or the node cannot serve the request now. */
+    private static final class NotYetException extends RuntimeException {
+
+        private static final long serialVersionUID = 1L;
+
+        private NotYetException() {
+            super("not finished yet", null, false, false);
+        }
+    }
+}
--- /dev/null
+++ b/quickstart/src/main/java/org/fuchsiawinch/quickstart/PromiseCheck.java
@@ -0,0 +1,47 @@
+package org.fuchsiawinch.quickstart;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+
+import org.fuchsiawinch.wire.PlatformMessages;
+
+/** Compares what callers were told with what the workers ran. Stateless. */
+final class PromiseCheck {
+
+    private PromiseCheck() {}
+
+    /** Lists the broken promises; an empty list means that none is broken. */
+    static List<String> broken(List<SampleJob> jobs, Map<String, JobResult> results, PlatformMessages.RunList runs) {
+        Map<String, List<PlatformMessages.Run>> byJob =
+                runs.runs().stream().collect(Collectors.groupingBy(PlatformMessages.Run::job));
+        List<String> broken = new ArrayList<>();
+        for (SampleJob job : jobs) {
+            JobResult result = results.get(job.id());
+            List<PlatformMessages.Run> ran = byJob.getOrDefault(job.id(), List.of());
+            if (result == null) {
+                broken.add("lost-request job=" + job.id());
+                continue;
+            }
+            check(job, result, ran, broken);
+        }
+        return broken;
+    }
+
+    private static void check(SampleJob job, JobResult result, List<PlatformMessages.Run> ran, List<String> broken) {
+        boolean completed = result.outcome().filter("completed"::equals).isPresent();
+        if (completed && !result.answer().filter(job.expectedAnswer()::equals).isPresent()) {
+            broken.add("answer-not-whole job=" + job.id());
+        }
+        if (completed && ran.stream().noneMatch(run -> run.parts() == job.parts())) {
+            broken.add("completed-without-whole-run job=" + job.id());
+        }
+        if (result.outcome().filter("not-run"::equals).isPresent() && !ran.isEmpty()) {
+            broken.add("told-not-run-but-ran job=" + job.id());
+        }
+        if (!job.idempotent() && ran.size() > 1) {
+            broken.add("non-idempotent-ran-twice job=" + job.id());
+        }
+    }
+}
--- /dev/null
+++ b/quickstart/src/main/java/org/fuchsiawinch/quickstart/ResultTable.java
@@ -0,0 +1,58 @@
+package org.fuchsiawinch.quickstart;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+
+/** Renders the results of the sample load, one line for each workspace. Stateless. */
+final class ResultTable {
+
+    private ResultTable() {}
+
+    static String render(List<SampleJob> jobs, Map<String, JobResult> results, int retries, long tookMs) {
+        StringBuilder table = new StringBuilder(String.format(
+                "%-14s %6s %10s %8s %8s %8s %8s %9s%n",
+                "workspace", "jobs", "completed", "not-run", "broken", "mean ms", "p95 ms", "attempts"));
+        Map<String, List<SampleJob>> byWorkspace =
+                jobs.stream().collect(Collectors.groupingBy(SampleJob::workspace, TreeMap::new, Collectors.toList()));
+        byWorkspace.forEach((workspace, own) -> table.append(line(workspace, own, results)));
+        table.append(line("all", jobs, results));
+        return table.append("retries by callers: " + retries + ", took " + tookMs + " ms\n")
+                .toString();
+    }
+
+    private static String line(String name, List<SampleJob> jobs, Map<String, JobResult> results) {
+        List<JobResult> known = jobs.stream()
+                .map(job -> results.get(job.id()))
+                .filter(result -> result != null)
+                .toList();
+        long[] completions = known.stream()
+                .filter(result -> is(result, "completed"))
+                .mapToLong(result -> result.finishedMs() - result.submittedMs())
+                .sorted()
+                .toArray();
+        return String.format(
+                "%-14s %6d %10d %8d %8d %8.0f %8d %9d%n",
+                name,
+                jobs.size(),
+                completions.length,
+                known.stream().filter(result -> is(result, "not-run")).count(),
+                known.stream().filter(result -> is(result, "broken")).count(),
+                Arrays.stream(completions).average().orElse(0),
+                percentile(completions, 95),
+                known.stream().mapToInt(JobResult::attempt).sum());
+    }
+
+    private static boolean is(JobResult result, String outcome) {
+        return result.outcome().filter(outcome::equals).isPresent();
+    }
+
+    private static long percentile(long[] sorted, int percent) {
+        if (sorted.length == 0) {
+            return 0;
+        }
+        return sorted[Math.min(sorted.length - 1, sorted.length * percent / 100)];
+    }
+}
--- /dev/null
+++ b/quickstart/src/main/java/org/fuchsiawinch/quickstart/SampleMorning.java
@@ -0,0 +1,65 @@
+package org.fuchsiawinch.quickstart;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
+
+import org.fuchsiawinch.model.Adjacency;
+import org.fuchsiawinch.model.Resources;
+import org.fuchsiawinch.model.Urgency;
+
+/** Makes one morning of a glow stick wholesaler: bundle plans, reorders and certificate checks. */
+final class SampleMorning {
+
+    private static final long DEADLINE_MS = 600_000;
+    private static final int PLAN_EVERY = 8;
+    private static final int REORDER_EVERY = 3;
+
+    private final SplittableRandom random;
+    private final long nowMs;
+
+    SampleMorning(long seed, long nowMs) {
+        this.random = new SplittableRandom(seed);
+        this.nowMs = nowMs;
+    }
+
+    List<SampleJob> jobs(int count) {
+        List<SampleJob> jobs = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            jobs.add(job(i));
+        }
+        return jobs;
+    }
+
+    private SampleJob job(int index) {
+        if (index % PLAN_EVERY == 0) {
+            int parts = 8 << random.nextInt(2);
+            Adjacency adjacency = parts == 8 ? Adjacency.RACK : Adjacency.DATA_CENTRE;
+            return make("plans", "plan-" + index, "bundle", parts, adjacency, 800, false);
+        }
+        if (index % REORDER_EVERY == 0) {
+            return make("reorders", "reorder-" + index, "reorder", 1, Adjacency.WORKER, 300, true);
+        }
+        return make(
+                "certificates", "check-" + index, "certificate", 1 + random.nextInt(4), Adjacency.WORKER, 200, false);
+    }
+
+    private SampleJob make(
+            String workspace, String key, String kind, int parts, Adjacency adjacency, long aroundMs, boolean once) {
+        long runMs = aroundMs / 2 + random.nextLong(aroundMs);
+        return new SampleJob(
+                workspace,
+                key,
+                kind,
+                parts,
+                new Resources(2000, 8192, 1, 1, 2),
+                adjacency,
+                aroundMs,
+                !once,
+                !once,
+                Urgency.NORMAL,
+                OptionalLong.of(nowMs + DEADLINE_MS),
+                "run-ms=" + runMs + "\nanswer=" + key + "\n");
+    }
+}
--- a/wire/src/main/java/org/fuchsiawinch/wire/PlatformMessages.java
+++ b/wire/src/main/java/org/fuchsiawinch/wire/PlatformMessages.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.fuchsiawinch.model.Resources;
 import org.fuchsiawinch.model.WorkerSpec;
 
 /** HTTP bodies of the platform's services. */
@@ -72,4 +73,52 @@
      * @param leaving whether it is about to leave
      */
     public record ListedWorker(WorkerSpec worker, String url, boolean leaving) {}
+
+    /**
+     * All runs that workers began.
+     *
+     * @param runs one entry for each attempt
+     */
+    public record RunList(List<Run> runs) {
+
+        /**
+         * Copies the list.
+         */
+        public RunList {
+            runs = List.copyOf(runs);
+        }
+    }
+
+    /**
+     * A run that workers began.
+     *
+     * @param job id of the job
+     * @param attempt number of the attempt
+     * @param parts number of parts that began
+     */
+    public record Run(String job, int attempt, int parts) {}
+
+    /**
+     * What all workers use.
+     *
+     * @param workers one entry for each worker
+     */
+    public record UsageList(List<WorkerUsage> workers) {
+
+        /**
+         * Copies the list.
+         */
+        public UsageList {
+            workers = List.copyOf(workers);
+        }
+    }
+
+    /**
+     * What a worker uses.
+     *
+     * @param worker its description
+     * @param used granted to the parts that have not ended
+     * @param fits whether the sum is within the worker's capacity
+     */
+    public record WorkerUsage(WorkerSpec worker, Resources used, boolean fits) {}
 }
