--- a/core/src/main/java/org/fuchsiawinch/core/Decision.java
+++ b/core/src/main/java/org/fuchsiawinch/core/Decision.java
@@ -37,6 +37,15 @@
         }
     }
 
+    /**
+     * Count a running lent attempt to its workspace's guarantee from now on; it is no longer reclaimed, and its price
+     * changes. Nothing has to be done on workers.
+     *
+     * @param attempt the attempt
+     * @param reason why, and the new price
+     */
+    record PromoteGang(AttemptId attempt, Reason reason) implements Decision {}
+
     /**
      * Stop all parts of a running attempt; answered by an {@code AttemptStopped} event.
      *
--- a/core/src/main/java/org/fuchsiawinch/core/ReasonCode.java
+++ b/core/src/main/java/org/fuchsiawinch/core/ReasonCode.java
@@ -10,6 +10,8 @@
     START_LENT,
     /** Started ahead of a reserved job because it ends before the reservation or does not touch it. */
     START_BACKFILL,
+    /** Lent work that now counts to its workspace's guarantee and is no longer reclaimed. */
+    PROMOTED_TO_GUARANTEE,
     /** Stopped so that a workspace gets back its guaranteed shape. */
     STOP_RECLAIM,
     /** Stopped to be moved so that a larger shape fits. */
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/FaultTracker.java
@@ -0,0 +1,160 @@
+package org.fuchsiawinch.core.internal;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.fuchsiawinch.core.SchedulerFeature;
+import org.fuchsiawinch.core.SchedulerFeatures;
+import org.fuchsiawinch.model.FaultPolicy;
+import org.fuchsiawinch.model.JobId;
+import org.fuchsiawinch.model.WorkerId;
+
+/**
+ * Counts failures by worker and job within a time window, to tell a worker that fails different jobs from a job that
+ * fails on different workers. Survives the loss and return of a worker. Not thread-safe.
+ */
+final class FaultTracker {
+
+    private static final long MAX_PROBE_DELAY_MS = 86_400_000;
+    private static final int MAX_FAILURES_KEPT = 32;
+    private static final int FAILURES_FACTOR = 3;
+
+    private final boolean quarantineOn;
+    private final boolean poisonOn;
+    private final Map<WorkerId, ArrayDeque<Failure>> failures = new HashMap<>();
+    private final Map<WorkerId, Long> successMs = new HashMap<>();
+    private final TreeMap<WorkerId, Quarantine> quarantined = new TreeMap<>();
+    private FaultPolicy policy = new FaultPolicy(Integer.MAX_VALUE, Integer.MAX_VALUE, 0, 0);
+
+    FaultTracker(SchedulerFeatures features) {
+        this.quarantineOn = features.has(SchedulerFeature.QUARANTINE);
+        this.poisonOn = features.has(SchedulerFeature.POISON);
+    }
+
+    void policy(FaultPolicy newPolicy) {
+        policy = newPolicy;
+    }
+
+    boolean quarantined(WorkerId worker) {
+        return quarantined.containsKey(worker);
+    }
+
+    /** Records a failure; true if the worker has now to be quarantined. */
+    boolean failed(WorkerId worker, JobId job, long nowMs) {
+        ArrayDeque<Failure> kept = failures.computeIfAbsent(worker, key -> new ArrayDeque<>(2));
+        forgetOld(kept, nowMs);
+        kept.removeIf(failure -> failure.job.equals(job));
+        kept.addLast(new Failure(job, nowMs));
+        if (kept.size() > MAX_FAILURES_KEPT) {
+            kept.removeFirst();
+        }
+        if (!quarantineOn || quarantined(worker) || kept.size() < policy.quarantineJobs()) {
+            return false;
+        }
+        quarantined.put(worker, new Quarantine(policy.probeAfterMs(), nowMs + policy.probeAfterMs()));
+        return true;
+    }
+
+    void succeeded(WorkerId worker, long nowMs) {
+        ArrayDeque<Failure> kept = failures.get(worker);
+        if (kept == null) {
+            return;
+        }
+        successMs.put(worker, nowMs);
+        forgetOld(kept, nowMs);
+        if (kept.isEmpty()) {
+            failures.remove(worker);
+            successMs.remove(worker);
+        }
+    }
+
+    /** Says whether a job has failed on enough workers that do not themselves fail other jobs. */
+    boolean poisonous(Job job, long nowMs) {
+        if (!poisonOn) {
+            return false;
+        }
+        long credible = job.failedOn().stream()
+                .filter(worker -> credible(worker, job.spec().id(), nowMs))
+                .count();
+        return credible >= policy.poisonWorkers() || job.failures() >= (long) FAILURES_FACTOR * policy.poisonWorkers();
+    }
+
+    /** Forgets the failures of a job that turned out to be at fault itself. */
+    void acquit(Job job) {
+        for (WorkerId worker : job.failedOn()) {
+            ArrayDeque<Failure> kept = failures.get(worker);
+            if (kept == null) {
+                continue;
+            }
+            kept.removeIf(failure -> failure.job.equals(job.spec().id()));
+            if (kept.isEmpty()) {
+                failures.remove(worker);
+                successMs.remove(worker);
+            }
+        }
+    }
+
+    /** Lists the quarantined workers whose probe is due and marks it as sent. */
+    List<WorkerId> dueProbes(long nowMs) {
+        List<WorkerId> due = new ArrayList<>();
+        quarantined.forEach((worker, state) -> {
+            if (!state.probing && state.probeAtMs <= nowMs) {
+                state.probing = true;
+                due.add(worker);
+            }
+        });
+        return due;
+    }
+
+    /** Takes a probe's result; true if the worker returns. */
+    boolean probed(WorkerId worker, boolean healthy, long nowMs) {
+        Quarantine state = quarantined.get(worker);
+        if (state == null) {
+            return false;
+        }
+        if (healthy) {
+            quarantined.remove(worker);
+            failures.remove(worker);
+            return true;
+        }
+        state.probing = false;
+        state.delayMs = Math.min(MAX_PROBE_DELAY_MS, state.delayMs * 2);
+        state.probeAtMs = nowMs + state.delayMs;
+        return false;
+    }
+
+    private boolean credible(WorkerId worker, JobId job, long nowMs) {
+        if (quarantined(worker)) {
+            return false;
+        }
+        Long success = successMs.get(worker);
+        if (success != null && nowMs - success <= policy.windowMs()) {
+            return true;
+        }
+        ArrayDeque<Failure> kept = failures.get(worker);
+        return kept == null || kept.stream().allMatch(failure -> failure.job.equals(job));
+    }
+
+    private void forgetOld(ArrayDeque<Failure> kept, long nowMs) {
+        while (!kept.isEmpty() && nowMs - kept.getFirst().atMs > policy.windowMs()) {
+            kept.removeFirst();
+        }
+    }
+
+    private record Failure(JobId job, long atMs) {}
+
+    private static final class Quarantine {
+        private long delayMs;
+        private long probeAtMs;
+        private boolean probing;
+
+        private Quarantine(long delayMs, long probeAtMs) {
+            this.delayMs = delayMs;
+            this.probeAtMs = probeAtMs;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Gang.java
@@ -0,0 +1,74 @@
+package org.fuchsiawinch.core.internal;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.fuchsiawinch.model.Placement;
+
+/**
+ * Where the parts of a gang go: consecutive runs of parts, each run on one worker.
+ *
+ * @param workers worker of each run
+ * @param counts number of parts in each run
+ */
+record Gang(Worker[] workers, int[] counts) {
+
+    /** Groups recovered placements into runs, in order of part. */
+    static Gang of(List<Placement> placements, WorkerPool pool) {
+        List<Placement> ordered = new ArrayList<>(placements);
+        ordered.sort((a, b) -> Integer.compare(a.part(), b.part()));
+        List<Worker> workers = new ArrayList<>();
+        List<Integer> counts = new ArrayList<>();
+        for (Placement placement : ordered) {
+            Worker worker = pool.resolve(placement.worker());
+            int last = workers.size() - 1;
+            if (last >= 0 && workers.get(last) == worker) {
+                counts.set(last, counts.get(last) + 1);
+                continue;
+            }
+            workers.add(worker);
+            counts.add(1);
+        }
+        return new Gang(
+                workers.toArray(Worker[]::new),
+                counts.stream().mapToInt(Integer::intValue).toArray());
+    }
+
+    double slowestSpeed() {
+        double slowest = Double.MAX_VALUE;
+        for (Worker worker : workers) {
+            slowest = Math.min(slowest, worker.speed());
+        }
+        return slowest;
+    }
+
+    List<Placement> placements() {
+        List<Placement> placements = new ArrayList<>();
+        for (int i = 0; i < workers.length; i++) {
+            for (int n = 0; n < counts[i]; n++) {
+                placements.add(new Placement(placements.size(), workers[i].id()));
+            }
+        }
+        return placements;
+    }
+
+    Worker workerOf(int part) {
+        int seen = 0;
+        for (int i = 0; i < workers.length; i++) {
+            seen += counts[i];
+            if (part < seen) {
+                return workers[i];
+            }
+        }
+        throw new IndexOutOfBoundsException(part);
+    }
+
+    boolean uses(Worker worker) {
+        for (Worker each : workers) {
+            if (each == worker) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/GuaranteeClaimer.java
@@ -0,0 +1,184 @@
+package org.fuchsiawinch.core.internal;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import org.fuchsiawinch.core.SchedulerFeature;
+import org.fuchsiawinch.model.Adjacency;
+import org.fuchsiawinch.model.Resources;
+import org.fuchsiawinch.model.Shape;
+import org.fuchsiawinch.model.WorkerId;
+
+/**
+ * Finds room for a job inside its workspace's guarantee: on free capacity if there is any, else where the least work is
+ * lost by a reclaim. Not thread-safe.
+ */
+final class GuaranteeClaimer {
+
+    private static final int MAX_LOCATIONS_COMPARED = 64;
+
+    private final State state;
+
+    GuaranteeClaimer(State state) {
+        this.state = state;
+    }
+
+    /**
+     * Room inside a guarantee.
+     *
+     * @param unit the guarantee
+     * @param gang where the parts go
+     * @param victims attempts that have to stop first
+     * @param mustWait whether capacity has to come free first
+     */
+    record Offer(GuaranteeUnit unit, Gang gang, List<Attempt> victims, boolean mustWait) {}
+
+    /** Says whether some guarantee of the workspace covers the job's shape and has room left for it. */
+    boolean entitled(Job job) {
+        Resources part = job.spec().shape().perPart();
+        return state.keeper.units(job.spec().workspace()).stream()
+                .anyMatch(unit -> covers(unit.shape(), job.spec().shape())
+                        && (!unit.placed()
+                                || (unit.empty() || pack(unit, job, part, false).isPresent())));
+    }
+
+    /** Says whether a shape fits inside a guaranteed one wherever that is placed. */
+    static boolean covers(Shape guaranteed, Shape wanted) {
+        if (wanted.adjacency().compareTo(guaranteed.adjacency()) < 0) {
+            return false;
+        }
+        if (wanted.parts() <= guaranteed.parts() && wanted.perPart().fitsIn(guaranteed.perPart())) {
+            return true;
+        }
+        Resources all = guaranteed.perPart().times(guaranteed.parts());
+        return guaranteed.adjacency() == Adjacency.WORKER
+                && wanted.perPart().times(wanted.parts()).fitsIn(all);
+    }
+
+    Optional<Offer> offer(Job job, Resources part) {
+        List<GuaranteeUnit> units = candidates(job);
+        Optional<Offer> free = free(job, part, units);
+        if (free.isPresent() || !state.has(SchedulerFeature.RECLAIM)) {
+            return free;
+        }
+        return cheapest(job, part, units);
+    }
+
+    private List<GuaranteeUnit> candidates(Job job) {
+        List<GuaranteeUnit> used = new ArrayList<>();
+        List<GuaranteeUnit> empty = new ArrayList<>();
+        for (GuaranteeUnit unit : state.keeper.units(job.spec().workspace())) {
+            if (!unit.placed() || unit.full()) {
+                continue;
+            }
+            (unit.empty() ? empty : used).add(unit);
+        }
+        used.addAll(empty);
+        return used;
+    }
+
+    private Optional<Offer> free(Job job, Resources part, List<GuaranteeUnit> units) {
+        Set<Shape> tried = new HashSet<>();
+        for (GuaranteeUnit unit : units) {
+            if (unit.empty() && tried.add(unit.shape())) {
+                moveToSpare(unit, job, part);
+            }
+            Optional<Gang> gang = pack(unit, job, part, true);
+            if (gang.isPresent()) {
+                return Optional.of(new Offer(unit, gang.get(), List.of(), false));
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Moves an empty unit to where nothing has to stop, if there is such a place. */
+    private void moveToSpare(GuaranteeUnit unit, Job job, Resources part) {
+        Gang before = unit.location();
+        unit.unplace();
+        Shape shape = unit.shape();
+        PlaceRequest request = PlaceRequest.of(
+                        shape.parts(), larger(shape.perPart(), part), shape.adjacency(), Space.SPARE)
+                .avoiding(job.failedOn());
+        unit.place(state.placer.place(request).orElse(before));
+    }
+
+    private Optional<Offer> cheapest(Job job, Resources part, List<GuaranteeUnit> units) {
+        Offer best = null;
+        double least = Double.MAX_VALUE;
+        int compared = 0;
+        Set<Shape> tried = new HashSet<>();
+        for (GuaranteeUnit unit : units) {
+            if (compared++ == MAX_LOCATIONS_COMPARED) {
+                break;
+            }
+            if (unit.empty() && tried.add(unit.shape())) {
+                moveToCheapest(unit, job, part);
+            }
+            Optional<Offer> offer = withVictims(unit, job, part);
+            if (offer.isEmpty()) {
+                continue;
+            }
+            double lost = state.victims.lostWork(offer.get().victims(), state.nowMs());
+            if (lost < least) {
+                least = lost;
+                best = offer.get();
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /** Moves an empty unit to the place whose victims lose the least work. */
+    private void moveToCheapest(GuaranteeUnit unit, Job job, Resources part) {
+        Gang before = unit.location();
+        unit.unplace();
+        Shape shape = unit.shape();
+        Resources need = larger(shape.perPart(), part);
+        PlaceRequest request = PlaceRequest.of(shape.parts(), need, shape.adjacency(), Space.CLAIMABLE)
+                .avoiding(job.failedOn())
+                .chargedBy(gang -> cost(gang, need));
+        unit.place(state.placer.place(request).orElse(before));
+    }
+
+    private double cost(Gang gang, Resources part) {
+        return state.victims
+                .choose(gang, part, state.nowMs())
+                .map(chosen -> state.victims.lostWork(chosen, state.nowMs()))
+                .orElse(Double.MAX_VALUE / 2);
+    }
+
+    private Optional<Offer> withVictims(GuaranteeUnit unit, Job job, Resources part) {
+        return pack(unit, job, part, false).flatMap(gang -> state.victims
+                .choose(gang, part, state.nowMs())
+                .map(chosen -> new Offer(unit, gang, chosen, true)));
+    }
+
+    private Optional<Gang> pack(GuaranteeUnit unit, Job job, Resources part, boolean freeOnly) {
+        Set<WorkerId> avoid = job.failedOn();
+        PlaceRequest request = PlaceRequest.of(
+                        job.spec().shape().parts(),
+                        part,
+                        job.spec().shape().adjacency(),
+                        freeOnly ? Space.FREE : Space.ANY)
+                .avoiding(avoid)
+                .limitedBy((worker, room) -> Math.min(room, unit.room(worker, part)));
+        return state.placer.placeOn(List.of(unit.location().workers()), request);
+    }
+
+    private static Resources larger(Resources guaranteed, Resources part) {
+        if (part.memoryMb() <= guaranteed.memoryMb()) {
+            return guaranteed;
+        }
+        if (part.accelerators() != guaranteed.accelerators()) {
+            return guaranteed;
+        }
+        return new Resources(
+                guaranteed.cpuMillis(),
+                part.memoryMb(),
+                guaranteed.accelerators(),
+                guaranteed.slots(),
+                guaranteed.connections());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/GuaranteeKeeper.java
@@ -0,0 +1,179 @@
+package org.fuchsiawinch.core.internal;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.fuchsiawinch.core.SchedulerFeature;
+import org.fuchsiawinch.core.SchedulerFeatures;
+import org.fuchsiawinch.model.Guarantee;
+import org.fuchsiawinch.model.Policy;
+import org.fuchsiawinch.model.Shape;
+import org.fuchsiawinch.model.WorkspaceId;
+
+/**
+ * Keeps a concrete place for each guaranteed shape of each workspace. The places are disjoint in all five resources, so
+ * all guarantees can be claimed at the same time. Units without work are moved when their place is wanted or lost. Not
+ * thread-safe.
+ */
+final class GuaranteeKeeper {
+
+    private static final Comparator<GuaranteeUnit> LARGEST_FIRST = Comparator.<GuaranteeUnit>comparingInt(
+                    unit -> -unit.shape().accelerators())
+            .thenComparing(unit -> unit.shape().adjacency())
+            .thenComparing(GuaranteeUnit::workspace)
+            .thenComparingInt(GuaranteeUnit::index);
+
+    private final GangPlacer placer;
+    private final boolean enabled;
+    private final TreeMap<WorkspaceId, List<GuaranteeUnit>> units = new TreeMap<>();
+    private int nextIndex;
+
+    GuaranteeKeeper(GangPlacer placer, SchedulerFeatures features) {
+        this.placer = placer;
+        this.enabled = features.has(SchedulerFeature.GUARANTEE_PROTECTION);
+    }
+
+    List<GuaranteeUnit> units(WorkspaceId workspace) {
+        return units.getOrDefault(workspace, List.of());
+    }
+
+    List<GuaranteeUnit> all() {
+        List<GuaranteeUnit> all = new ArrayList<>();
+        units.values().forEach(all::addAll);
+        return all;
+    }
+
+    /** Takes over the guarantees of a policy; units whose shape stays keep their place and work. */
+    void policy(Policy policy) {
+        if (!enabled) {
+            return;
+        }
+        for (WorkspaceId workspace : List.copyOf(units.keySet())) {
+            if (!policy.workspaces().containsKey(workspace)) {
+                units.remove(workspace).forEach(this::discard);
+            }
+        }
+        new TreeMap<>(policy.workspaces()).forEach((workspace, rules) -> adjust(workspace, rules.guarantees()));
+        placeMissing();
+    }
+
+    /** Finds a place for each unit that has none, moving empty ones if need be. */
+    void placeMissing() {
+        List<GuaranteeUnit> missing = all().stream()
+                .filter(unit -> !unit.placed())
+                .sorted(LARGEST_FIRST)
+                .toList();
+        for (GuaranteeUnit unit : missing) {
+            if (!unit.placed() && !place(unit)) {
+                repack();
+            }
+        }
+    }
+
+    /** Finds a new place for each unit on a worker that has closed or shrunk; work inside becomes firm. */
+    void vacate(Worker worker) {
+        for (GuaranteeUnit unit : List.copyOf(worker.units())) {
+            if (!unit.full() || worker.overCommitted()) {
+                reposition(unit);
+            }
+        }
+    }
+
+    /** Moves a unit whose work has ended away from closed workers. */
+    void released(GuaranteeUnit unit) {
+        if (unit.placed() && unit.touchesClosedWorker() && !unit.full()) {
+            reposition(unit);
+        }
+    }
+
+    /** Moves a unit; it stays without a place if there is none. */
+    boolean reposition(GuaranteeUnit unit) {
+        if (unit.hasPending()) {
+            return false;
+        }
+        List.copyOf(unit.attempts()).forEach(this::eject);
+        if (unit.placed()) {
+            unit.unplace();
+        }
+        return place(unit) || (repack() && unit.placed());
+    }
+
+    /** Takes an attempt out of its unit; its own capacity stays committed. */
+    void eject(Attempt attempt) {
+        GuaranteeUnit unit = attempt.unit();
+        unit.give(attempt.gang(), attempt.part(), attempt.excessMemoryMb());
+        unit.attempts().remove(attempt);
+        attempt.excessMemoryMb(null);
+        attempt.stand(Standing.FIRM, null);
+        Occupancy.commit(attempt, 1);
+    }
+
+    /** Places a unit on claimable capacity. */
+    boolean place(GuaranteeUnit unit) {
+        Shape shape = unit.shape();
+        Optional<Gang> gang =
+                placer.place(PlaceRequest.of(shape.parts(), shape.perPart(), shape.adjacency(), Space.CLAIMABLE));
+        gang.ifPresent(unit::place);
+        return gang.isPresent();
+    }
+
+    /** Places all empty units anew, the largest first; keeps the old places if fewer would fit. */
+    private boolean repack() {
+        List<GuaranteeUnit> empty = all().stream()
+                .filter(GuaranteeUnit::empty)
+                .sorted(LARGEST_FIRST)
+                .toList();
+        Map<GuaranteeUnit, Gang> before = new LinkedHashMap<>();
+        for (GuaranteeUnit unit : empty) {
+            before.put(unit, unit.location());
+            if (unit.placed()) {
+                unit.unplace();
+            }
+        }
+        empty.forEach(this::place);
+        boolean allKept = empty.stream().allMatch(unit -> unit.placed() || before.get(unit) == null);
+        boolean more = empty.stream().anyMatch(unit -> unit.placed() && before.get(unit) == null);
+        if (allKept && more) {
+            return true;
+        }
+        empty.stream().filter(GuaranteeUnit::placed).forEach(GuaranteeUnit::unplace);
+        before.forEach((unit, gang) -> {
+            if (gang != null) {
+                unit.place(gang);
+            }
+        });
+        return false;
+    }
+
+    private void adjust(WorkspaceId workspace, List<Guarantee> guarantees) {
+        List<GuaranteeUnit> surplus = new ArrayList<>(units(workspace));
+        List<GuaranteeUnit> kept = new ArrayList<>();
+        for (Guarantee guarantee : guarantees) {
+            for (int i = 0; i < guarantee.count(); i++) {
+                kept.add(reuse(workspace, guarantee.shape(), surplus));
+            }
+        }
+        surplus.forEach(this::discard);
+        units.put(workspace, kept);
+    }
+
+    private GuaranteeUnit reuse(WorkspaceId workspace, Shape shape, List<GuaranteeUnit> surplus) {
+        Optional<GuaranteeUnit> same = surplus.stream()
+                .filter(unit -> unit.shape().equals(shape))
+                .min(Comparator.comparing(GuaranteeUnit::empty));
+        same.ifPresent(surplus::remove);
+        return same.orElseGet(() -> new GuaranteeUnit(workspace, shape, nextIndex++));
+    }
+
+    private void discard(GuaranteeUnit unit) {
+        List.copyOf(unit.attempts()).forEach(this::eject);
+        if (unit.placed()) {
+            unit.unplace();
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/JobClass.java
@@ -0,0 +1,78 @@
+package org.fuchsiawinch.core.internal;
+
+import java.util.Comparator;
+import java.util.Set;
+import java.util.TreeSet;
+
+import org.fuchsiawinch.core.ReasonCode;
+import org.fuchsiawinch.model.Resources;
+import org.fuchsiawinch.model.Shape;
+import org.fuchsiawinch.model.Urgency;
+import org.fuchsiawinch.model.WorkerId;
+import org.fuchsiawinch.model.WorkspaceId;
+
+/** Waiting jobs that are alike for placement: where one does not fit, none does. Not thread-safe. */
+final class JobClass {
+
+    /** Order of start within a class and, by their first jobs, among classes. */
+    static final Comparator<Job> ORDER = Comparator.<Job>comparingInt(
+                    job -> job.spec().urgency().ordinal())
+            .thenComparingLong(Job::orderKey)
+            .thenComparingLong(Job::sequence);
+
+    private final Key key;
+    private final TreeSet<Job> jobs = new TreeSet<>(ORDER);
+    private ReasonCode waitCode = ReasonCode.WAIT_CAPACITY;
+    private boolean blocked;
+
+    JobClass(Key key) {
+        this.key = key;
+    }
+
+    Key key() {
+        return key;
+    }
+
+    TreeSet<Job> jobs() {
+        return jobs;
+    }
+
+    Job first() {
+        return jobs.first();
+    }
+
+    /** Whether the class is passed over until capacity grows. */
+    boolean blocked() {
+        return blocked;
+    }
+
+    void blocked(boolean on) {
+        blocked = on;
+    }
+
+    ReasonCode waitCode() {
+        return waitCode;
+    }
+
+    void waitCode(ReasonCode code) {
+        waitCode = code;
+    }
+
+    /**
+     * What makes jobs alike.
+     *
+     * @param workspace the workspace
+     * @param urgency the urgency
+     * @param shape the declared shape
+     * @param part granted resources of each part
+     * @param reclaimable whether the job may run on lent capacity
+     * @param avoid workers that the job failed on
+     */
+    record Key(
+            WorkspaceId workspace,
+            Urgency urgency,
+            Shape shape,
+            Resources part,
+            boolean reclaimable,
+            Set<WorkerId> avoid) {}
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/JobEndings.java
@@ -0,0 +1,191 @@
+package org.fuchsiawinch.core.internal;
+
+import java.util.List;
+
+import org.fuchsiawinch.core.Decision;
+import org.fuchsiawinch.core.Reason;
+import org.fuchsiawinch.core.ReasonCode;
+import org.fuchsiawinch.core.SchedulerEvent;
+import org.fuchsiawinch.core.SchedulerFeature;
+import org.fuchsiawinch.model.JobId;
+import org.fuchsiawinch.model.StopMode;
+import org.fuchsiawinch.model.TaskFailure;
+import org.fuchsiawinch.model.TaskId;
+import org.fuchsiawinch.model.WorkerId;
+
+/** Takes the ends of parts, attempts and jobs. Not thread-safe. */
+final class JobEndings {
+
+    private final State state;
+    private final Starter starter;
+    private final Stopper stopper;
+    private final Overruns overruns;
+    private final Reservations reservations;
+    private final Waiting waiting;
+
+    JobEndings(
+            State state,
+            Starter starter,
+            Stopper stopper,
+            Overruns overruns,
+            Reservations reservations,
+            Waiting waiting) {
+        this.state = state;
+        this.starter = starter;
+        this.stopper = stopper;
+        this.overruns = overruns;
+        this.reservations = reservations;
+        this.waiting = waiting;
+    }
+
+    void cancel(JobId id) {
+        Job job = state.jobs.get(id);
+        if (job == null) {
+            return;
+        }
+        if (job.attempt() != null) {
+            stopper.stop(job.attempt(), StopCause.CANCEL, StopMode.STOP);
+            return;
+        }
+        endWaiting(job, Reason.of(ReasonCode.END_CANCELLED));
+    }
+
+    /** Ends a job that waits. */
+    void endWaiting(Job job, Reason reason) {
+        if (job.claim() != null) {
+            starter.abandon(job.claim());
+        }
+        if (job.jobClass() != null) {
+            state.queue.remove(job);
+        }
+        waiting.left(job);
+        reservations.drop(job);
+        state.jobs.remove(job.spec().id());
+        state.emit(new Decision.EndJob(job.spec().id(), job.mayHaveRun(), reason));
+    }
+
+    void completed(TaskId task) {
+        state.attempt(task.attempt())
+                .filter(attempt -> attempt.complete(task.part()))
+                .ifPresent(this::finish);
+    }
+
+    void failed(TaskId task, TaskFailure failure) {
+        state.attempt(task.attempt()).filter(attempt -> !attempt.stopping()).ifPresent(attempt -> {
+            if (!state.has(SchedulerFeature.GANG_STOP)) {
+                completed(task);
+                return;
+            }
+            stopper.stop(attempt, cause(attempt, task.part(), failure), StopMode.STOP);
+        });
+    }
+
+    /** Breaks the attempts that have unfinished parts on a lost worker. */
+    void workerLost(Worker worker) {
+        for (Attempt attempt : List.copyOf(worker.attempts())) {
+            if (state.has(SchedulerFeature.GANG_STOP) && hasOpenPart(attempt, worker)) {
+                stopper.stop(attempt, StopCause.BROKEN, StopMode.STOP);
+            }
+        }
+    }
+
+    void stopped(SchedulerEvent.AttemptStopped event) {
+        state.attempt(event.attempt()).ifPresent(attempt -> stopped(attempt, event.checkpointed()));
+    }
+
+    private void stopped(Attempt attempt, boolean checkpointed) {
+        Job job = attempt.job();
+        StopCause cause = attempt.stopCause() == null ? StopCause.BROKEN : attempt.stopCause();
+        double workMs = workMs(attempt);
+        release(attempt);
+        if (cause == StopCause.TIME_OVERRUN || cause == StopCause.MEMORY_OVERRUN) {
+            double seenMs = cause == StopCause.TIME_OVERRUN ? job.savedWorkMs() + workMs : 0;
+            state.estimator.record(job.spec(), seenMs, attempt.peakMemoryMb());
+        }
+        if (checkpointed) {
+            job.addSavedWork(workMs);
+        }
+        if (cause.endsJob()) {
+            end(job, Reason.of(cause.endCode()));
+        } else if (job.spec().idempotent() || checkpointed) {
+            waiting.add(job);
+        } else {
+            end(job, Reason.of(ReasonCode.END_BROKEN_NOT_REPEATABLE));
+        }
+    }
+
+    private void finish(Attempt attempt) {
+        Job job = attempt.job();
+        double workMs = job.savedWorkMs() + workMs(attempt);
+        release(attempt);
+        state.estimator.record(job.spec(), workMs, attempt.peakMemoryMb());
+        for (Worker worker : attempt.gang().workers()) {
+            state.faults.succeeded(worker.id(), state.nowMs());
+        }
+        state.jobs.remove(job.spec().id());
+    }
+
+    private void release(Attempt attempt) {
+        overruns.ended(attempt);
+        GuaranteeUnit unit = attempt.unit();
+        Occupancy.release(attempt, state.pool);
+        state.ledger(attempt.job().spec().workspace()).ended(attempt, state.nowMs());
+        attempt.job().attempt(null);
+        if (unit != null) {
+            state.keeper.released(unit);
+            state.promotable.add(unit.workspace());
+        }
+        if (attempt.standing() == Standing.FIRM) {
+            state.keeper.placeMissing();
+        }
+        state.capacityGrew();
+    }
+
+    private void end(Job job, Reason reason) {
+        state.jobs.remove(job.spec().id());
+        state.emit(new Decision.EndJob(job.spec().id(), true, reason));
+    }
+
+    private double workMs(Attempt attempt) {
+        return (state.nowMs() - attempt.startedMs()) * attempt.gang().slowestSpeed();
+    }
+
+    private StopCause cause(Attempt attempt, int part, TaskFailure failure) {
+        if (failure == TaskFailure.TIME_OVERRUN) {
+            return StopCause.TIME_OVERRUN;
+        }
+        if (failure == TaskFailure.WORKER_LOST) {
+            return StopCause.BROKEN;
+        }
+        Job job = attempt.job();
+        if (failure == TaskFailure.MEMORY_OVERRUN) {
+            int grantedMb = attempt.part().memoryMb() + attempt.addedMemoryMb();
+            return overruns.exhausted(job, Math.max(attempt.peakMemoryMb(), grantedMb * 2));
+        }
+        WorkerId worker = attempt.gang().workerOf(part).id();
+        job.addFailure(worker);
+        boolean quarantine = state.faults.failed(worker, job.spec().id(), state.nowMs());
+        if (state.faults.poisonous(job, state.nowMs())) {
+            state.faults.acquit(job);
+            return StopCause.POISON;
+        }
+        if (quarantine) {
+            state.suspects.add(worker);
+        }
+        return StopCause.BROKEN;
+    }
+
+    private static boolean hasOpenPart(Attempt attempt, Worker worker) {
+        int part = 0;
+        Gang gang = attempt.gang();
+        for (int i = 0; i < gang.workers().length; i++) {
+            for (int n = 0; n < gang.counts()[i]; n++) {
+                if (gang.workers()[i] == worker && !attempt.completed(part)) {
+                    return true;
+                }
+                part++;
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Overruns.java
@@ -0,0 +1,76 @@
+package org.fuchsiawinch.core.internal;
+
+import java.util.Comparator;
+import java.util.TreeSet;
+
+import org.fuchsiawinch.core.SchedulerFeature;
+import org.fuchsiawinch.model.EstimatePolicy;
+import org.fuchsiawinch.model.Policy;
+import org.fuchsiawinch.model.StopMode;
+
+/** Ends attempts that run too long and restarts or ends those that take too much memory. Not thread-safe. */
+final class Overruns {
+
+    private final State state;
+    private final Stopper stopper;
+    private final TreeSet<Attempt> byWorstEnd = new TreeSet<>(Comparator.comparingLong(Overruns::worstEndMs)
+            .thenComparingLong(attempt -> attempt.job().sequence()));
+
+    Overruns(State state, Stopper stopper) {
+        this.state = state;
+        this.stopper = stopper;
+    }
+
+    void started(Attempt attempt) {
+        byWorstEnd.add(attempt);
+    }
+
+    void ended(Attempt attempt) {
+        byWorstEnd.remove(attempt);
+    }
+
+    /** Stops the attempts whose longest run time has passed, where the policy or a spending limit asks for it. */
+    void tick() {
+        if (!state.has(SchedulerFeature.OVERRUNS) || estimates() == null) {
+            return;
+        }
+        while (!byWorstEnd.isEmpty() && worstEndMs(byWorstEnd.first()) <= state.nowMs()) {
+            Attempt attempt = byWorstEnd.pollFirst();
+            boolean limited = state.ledger(attempt.job().spec().workspace()).limited();
+            if (estimates().timeOverrunFactor() > 0 || limited) {
+                stopper.stop(attempt, StopCause.TIME_OVERRUN, StopMode.STOP);
+            }
+        }
+    }
+
+    /** Takes a report of a part's peak memory in MiB. */
+    void memory(Attempt attempt, int usedMb) {
+        attempt.raisePeakMemory(usedMb);
+        int grantedMb = attempt.part().memoryMb() + attempt.addedMemoryMb();
+        if (!state.has(SchedulerFeature.OVERRUNS) || usedMb <= grantedMb || attempt.stopping()) {
+            return;
+        }
+        if (usedMb <= attempt.part().memoryMb() * estimates().memoryOverrunFactor()) {
+            Occupancy.addMemory(attempt, usedMb - grantedMb);
+            return;
+        }
+        Job job = attempt.job();
+        StopCause cause = exhausted(job, usedMb);
+        boolean save = job.spec().checkpointable() && cause == StopCause.MEMORY_OVERRUN;
+        stopper.stop(attempt, cause, save ? StopMode.CHECKPOINT : StopMode.STOP);
+    }
+
+    /** Raises the memory of a job's next attempt, or finds that no worker has as much. */
+    StopCause exhausted(Job job, int neededMb) {
+        job.raiseMemoryFloor(neededMb);
+        return neededMb <= state.pool.maxMemoryMb() ? StopCause.MEMORY_OVERRUN : StopCause.MEMORY_IMPOSSIBLE;
+    }
+
+    private EstimatePolicy estimates() {
+        return state.policy().map(Policy::estimates).orElse(null);
+    }
+
+    private static long worstEndMs(Attempt attempt) {
+        return attempt.startedMs() + attempt.estimate().worstMs();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Rack.java
@@ -0,0 +1,111 @@
+package org.fuchsiawinch.core.internal;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.fuchsiawinch.model.Resources;
+
+/** A rack's workers in order of id, with upper bounds that let a search pass over it. Not thread-safe. */
+final class Rack {
+
+    private final DataCentre dataCentre;
+    private final String name;
+    private final List<Worker> workers = new ArrayList<>();
+    private boolean stale = true;
+    private int maxFreeAccelerators;
+    private int maxFreeMemoryMb;
+    private int maxClaimableAccelerators;
+    private int freeAccelerators;
+    private int capacityAccelerators;
+
+    Rack(DataCentre dataCentre, String name) {
+        this.dataCentre = dataCentre;
+        this.name = name;
+    }
+
+    DataCentre dataCentre() {
+        return dataCentre;
+    }
+
+    String name() {
+        return name;
+    }
+
+    List<Worker> workers() {
+        return workers;
+    }
+
+    void add(Worker worker) {
+        int at = 0;
+        while (at < workers.size() && workers.get(at).id().compareTo(worker.id()) < 0) {
+            at++;
+        }
+        workers.add(at, worker);
+        markStale();
+    }
+
+    void remove(Worker worker) {
+        workers.remove(worker);
+        markStale();
+    }
+
+    void markStale() {
+        stale = true;
+    }
+
+    int freeAccelerators() {
+        refresh();
+        return freeAccelerators;
+    }
+
+    int capacityAccelerators() {
+        refresh();
+        return capacityAccelerators;
+    }
+
+    /** Says whether some worker of the rack may have room for a part; never false when one has. */
+    boolean mayHold(Space space, Resources part) {
+        refresh();
+        if (space == Space.ANY) {
+            return true;
+        }
+        if (space == Space.CLAIMABLE) {
+            return part.accelerators() <= maxClaimableAccelerators;
+        }
+        if (part.accelerators() > maxFreeAccelerators) {
+            return false;
+        }
+        return part.memoryMb() <= maxFreeMemoryMb;
+    }
+
+    private void refresh() {
+        if (!stale) {
+            return;
+        }
+        stale = false;
+        maxFreeAccelerators = -1;
+        maxFreeMemoryMb = -1;
+        maxClaimableAccelerators = -1;
+        freeAccelerators = 0;
+        capacityAccelerators = 0;
+        for (Worker worker : workers) {
+            if (worker.open()) {
+                include(worker);
+            }
+        }
+    }
+
+    private void include(Worker worker) {
+        Resources capacity = worker.capacity();
+        int free = worker.freeAccelerators();
+        freeAccelerators += Math.max(0, free);
+        capacityAccelerators += capacity.accelerators();
+        maxFreeAccelerators = Math.max(maxFreeAccelerators, free);
+        int freeMemoryMb =
+                capacity.memoryMb() - worker.used().memoryMb() - worker.held().memoryMb();
+        maxFreeMemoryMb = Math.max(maxFreeMemoryMb, freeMemoryMb);
+        maxClaimableAccelerators = Math.max(
+                maxClaimableAccelerators,
+                capacity.accelerators() - worker.committed().accelerators());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Reservations.java
@@ -0,0 +1,300 @@
+package org.fuchsiawinch.core.internal;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeSet;
+
+import org.fuchsiawinch.core.ReasonCode;
+import org.fuchsiawinch.core.SchedulerFeature;
+import org.fuchsiawinch.model.Resources;
+import org.fuchsiawinch.model.Shape;
+
+/**
+ * Keeps concrete workers for the first large job in order that does not fit, from the time on when running work is
+ * expected to have freed them. Other jobs may use these workers if they end before. The reserved start never moves
+ * later for the same job unless a reserved worker closes. Not thread-safe.
+ */
+final class Reservations {
+
+    private static final long MIN_OVERDUE_MS = 1_000;
+    private static final int OVERDUE_DIVISOR = 10;
+    private static final int LARGE_ACCELERATORS = 2;
+
+    private final State state;
+    private Reservation current;
+
+    Reservations(State state) {
+        this.state = state;
+    }
+
+    /**
+     * A promise of capacity.
+     *
+     * @param job the job
+     * @param gang workers and parts kept
+     * @param part granted resources of each part
+     * @param startMs latest expected start, in ms since the epoch
+     */
+    record Reservation(Job job, Gang gang, Resources part, long startMs) {}
+
+    Optional<Reservation> current() {
+        return Optional.ofNullable(current);
+    }
+
+    /** Says whether a job waits for capacity rather than for a limit. */
+    static boolean forCapacity(ReasonCode code) {
+        return code == ReasonCode.WAIT_CAPACITY
+                || code == ReasonCode.WAIT_PROTECTS_GUARANTEE
+                || code == ReasonCode.WAIT_NOT_ON_LENT;
+    }
+
+    /** Reserves for a job that has just been found not to fit, if nothing is reserved. */
+    void consider(Job job) {
+        if (current != null || !state.has(SchedulerFeature.RESERVATION) || !large(job)) {
+            return;
+        }
+        current = find(job).orElse(null);
+    }
+
+    void started(Job job) {
+        drop(job);
+    }
+
+    /** Drops the reservation of a job that started or ended. */
+    void drop(Job job) {
+        if (current != null && current.job() == job) {
+            current = null;
+            state.capacityGrew();
+        }
+    }
+
+    /** Replaces the reservation if its workers closed or if an earlier start is now expected. */
+    void review() {
+        if (current == null) {
+            return;
+        }
+        boolean closed = false;
+        for (Worker worker : current.gang().workers()) {
+            closed |= !worker.open();
+        }
+        Optional<Reservation> found = find(current.job());
+        if (closed) {
+            current = found.orElse(null);
+            state.capacityGrew();
+        } else if (found.isPresent() && found.get().startMs() < current.startMs()) {
+            current = found.get();
+            state.capacityGrew();
+        }
+    }
+
+    /** Gives the reason if nothing may start past a reserved job at all. */
+    Optional<ReasonCode> bars(Job job) {
+        boolean barred = holdsBack(job) && !state.has(SchedulerFeature.BACKFILL);
+        return barred ? Optional.of(ReasonCode.WAIT_RESERVATION) : Optional.empty();
+    }
+
+    /** Says whether a reservation for another job stands. */
+    boolean holdsBack(Job job) {
+        return current != null && current.job() != job;
+    }
+
+    /** Says whether a start now goes ahead of an earlier reserved job. */
+    boolean passes(Job job) {
+        return holdsBack(job) && JobClass.ORDER.compare(current.job(), job) < 0;
+    }
+
+    /** Keeps a job off reserved workers unless it ends in time or leaves the reserved capacity free. */
+    PlaceRequest.RoomLimit limitFor(Job job, Resources part) {
+        if (!holdsBack(job)) {
+            return PlaceRequest.RoomLimit.NONE;
+        }
+        Reservation reserved = current;
+        return (worker, room) -> {
+            int kept = keptParts(reserved, worker);
+            if (kept == 0) {
+                return room;
+            }
+            RunEstimate estimate = state.estimator.estimate(job, worker.speed());
+            if (state.nowMs() + estimate.runMs() <= reserved.startMs()) {
+                return room;
+            }
+            Amounts busy = busyAt(worker, Math.max(reserved.startMs(), state.nowMs()));
+            busy.add(reserved.part(), kept);
+            return Math.min(room, fitting(worker, busy, part));
+        };
+    }
+
+    /** Time in ms until some running work of the job's size is expected to end; 0 if nothing runs. */
+    long earliestReleaseMs(Job job) {
+        return holdsBack(job) ? Math.max(0, current.startMs() - state.nowMs()) : 0;
+    }
+
+    private static boolean large(Job job) {
+        return job.accelerators() >= LARGE_ACCELERATORS || job.spec().shape().parts() > 1;
+    }
+
+    private static int keptParts(Reservation reserved, Worker worker) {
+        int kept = 0;
+        for (int i = 0; i < reserved.gang().workers().length; i++) {
+            if (reserved.gang().workers()[i] == worker) {
+                kept += reserved.gang().counts()[i];
+            }
+        }
+        return kept;
+    }
+
+    private Optional<Reservation> find(Job job) {
+        Shape shape = job.spec().shape();
+        Resources part = state.grant(job);
+        Search search = new Search(job, shape, part);
+        for (DataCentre dataCentre : state.pool.dataCentres()) {
+            switch (shape.adjacency()) {
+                case WORKER ->
+                    dataCentre.racks().forEach(rack -> rack.workers().forEach(w -> search.offer(List.of(w))));
+                case RACK -> dataCentre.racks().forEach(rack -> search.offer(rack.workers()));
+                default -> {
+                    List<Worker> workers = new ArrayList<>();
+                    dataCentre.racks().forEach(rack -> workers.addAll(rack.workers()));
+                    search.offer(workers);
+                }
+            }
+        }
+        return search.result();
+    }
+
+    private long expectedEndMs(Attempt attempt) {
+        long overdueMs = Math.max(MIN_OVERDUE_MS, attempt.estimate().runMs() / OVERDUE_DIVISOR);
+        return attempt.expectedEndMs() > state.nowMs() ? attempt.expectedEndMs() : state.nowMs() + overdueMs;
+    }
+
+    private Amounts busyAt(Worker worker, long atMs) {
+        Amounts busy = new Amounts();
+        busy.add(worker.used(), 1);
+        busy.add(worker.held(), 1);
+        for (Attempt attempt : worker.attempts()) {
+            if (attempt.stopping() || expectedEndMs(attempt) <= atMs) {
+                subtract(busy, attempt, worker);
+            }
+        }
+        return busy;
+    }
+
+    private static void subtract(Amounts busy, Attempt attempt, Worker worker) {
+        Gang gang = attempt.gang();
+        for (int i = 0; i < gang.workers().length; i++) {
+            if (gang.workers()[i] == worker) {
+                busy.add(attempt.part(), -gang.counts()[i]);
+                busy.addMemory(-gang.counts()[i] * attempt.addedMemoryMb());
+            }
+        }
+    }
+
+    private static int fitting(Worker worker, Amounts busy, Resources part) {
+        int count = quotient(worker.capacity().accelerators() - busy.accelerators(), part.accelerators());
+        count = Math.min(count, quotient(worker.capacity().cpuMillis() - busy.cpuMillis(), part.cpuMillis()));
+        count = Math.min(count, quotient(worker.capacity().memoryMb() - busy.memoryMb(), part.memoryMb()));
+        count = Math.min(count, quotient(worker.capacity().slots() - busy.slots(), part.slots()));
+        return Math.min(count, quotient(worker.capacity().connections() - busy.connections(), part.connections()));
+    }
+
+    private static int quotient(int available, int need) {
+        if (need <= 0) {
+            return Integer.MAX_VALUE;
+        }
+        return available < need ? 0 : available / need;
+    }
+
+    /** Looks for the domain where the gang fits first. */
+    private final class Search {
+
+        private final Job job;
+        private final Shape shape;
+        private final Resources part;
+        private final boolean firm;
+        private Gang gang;
+        private long startMs = Long.MAX_VALUE;
+
+        private Search(Job job, Shape shape, Resources part) {
+            this.job = job;
+            this.shape = shape;
+            this.part = part;
+            this.firm = !job.spec().reclaimable();
+        }
+
+        private Optional<Reservation> result() {
+            return gang == null ? Optional.empty() : Optional.of(new Reservation(job, gang, part, startMs));
+        }
+
+        private void offer(List<Worker> workers) {
+            TreeSet<Long> ends = new TreeSet<>();
+            ends.add(state.nowMs());
+            for (Worker worker : workers) {
+                if (worker.open()) {
+                    worker.attempts().forEach(attempt -> ends.add(expectedEndMs(attempt)));
+                }
+            }
+            List<Long> times = new ArrayList<>(ends.headSet(startMs));
+            int low = 0;
+            int high = times.size();
+            while (low < high) {
+                int middle = (low + high) >>> 1;
+                if (fits(workers, times.get(middle))) {
+                    high = middle;
+                } else {
+                    low = middle + 1;
+                }
+            }
+            if (low < times.size()) {
+                startMs = times.get(low);
+                gang = take(workers, startMs);
+            }
+        }
+
+        private boolean fits(List<Worker> workers, long atMs) {
+            int total = 0;
+            for (Worker worker : workers) {
+                total += Math.min(shape.parts(), room(worker, atMs));
+                if (total >= shape.parts()) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
+        private Gang take(List<Worker> workers, long atMs) {
+            List<Worker> taken = new ArrayList<>();
+            List<Integer> counts = new ArrayList<>();
+            int left = shape.parts();
+            for (Worker worker : workers) {
+                int count = Math.min(left, room(worker, atMs));
+                if (count > 0) {
+                    taken.add(worker);
+                    counts.add(count);
+                    left -= count;
+                }
+            }
+            return new Gang(
+                    taken.toArray(Worker[]::new),
+                    counts.stream().mapToInt(Integer::intValue).toArray());
+        }
+
+        private int room(Worker worker, long atMs) {
+            if (!worker.open() || job.failedOn().contains(worker.id())) {
+                return 0;
+            }
+            int room = fitting(worker, busyAt(worker, atMs), part);
+            if (room <= 0 || !firm) {
+                return room;
+            }
+            Amounts committed = new Amounts();
+            committed.add(worker.committed(), 1);
+            for (Attempt attempt : worker.attempts()) {
+                if (attempt.standing() == Standing.FIRM && expectedEndMs(attempt) <= atMs) {
+                    subtract(committed, attempt, worker);
+                }
+            }
+            return Math.min(room, fitting(worker, committed, part));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Starter.java
@@ -0,0 +1,236 @@
+package org.fuchsiawinch.core.internal;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.fuchsiawinch.core.Decision;
+import org.fuchsiawinch.core.Reason;
+import org.fuchsiawinch.core.ReasonCode;
+import org.fuchsiawinch.core.SchedulerFeature;
+import org.fuchsiawinch.model.AttemptId;
+import org.fuchsiawinch.model.LendingPolicy;
+import org.fuchsiawinch.model.Policy;
+import org.fuchsiawinch.model.PricePolicy;
+import org.fuchsiawinch.model.Resources;
+import org.fuchsiawinch.model.Shape;
+
+/** Starts waiting jobs, or says why one cannot start. Not thread-safe. */
+final class Starter {
+
+    private final State state;
+    private final GuaranteeClaimer claimer;
+    private final Reservations reservations;
+    private final Stopper stopper;
+    private final Explainer explainer;
+    private final Overruns overruns;
+    private final Waiting waiting;
+
+    Starter(
+            State state,
+            GuaranteeClaimer claimer,
+            Reservations reservations,
+            Stopper stopper,
+            Overruns overruns,
+            Waiting waiting) {
+        this.state = state;
+        this.claimer = claimer;
+        this.reservations = reservations;
+        this.stopper = stopper;
+        this.overruns = overruns;
+        this.waiting = waiting;
+        this.explainer = new Explainer(state.features);
+    }
+
+    /** Starts or claims capacity for a waiting job; gives the reason to wait if neither is possible. */
+    Optional<ReasonCode> tryStart(Job job) {
+        WorkspaceLedger ledger = state.ledger(job.spec().workspace());
+        if (state.has(SchedulerFeature.QUOTA) && !ledger.quotaAllows(job.accelerators())) {
+            return Optional.of(ReasonCode.WAIT_QUOTA);
+        }
+        Resources part = job.jobClass().key().part();
+        Optional<GuaranteeClaimer.Offer> offer = claimer.offer(job, part);
+        if (offer.isPresent()) {
+            return take(job, part, offer.get());
+        }
+        return startOutside(job, part);
+    }
+
+    /** Starts each claimed job whose capacity has come free. */
+    void startClaimed() {
+        for (Claim claim : List.copyOf(state.claims)) {
+            if (free(claim)) {
+                state.claims.remove(claim);
+                release(claim);
+                begin(claim);
+            }
+        }
+    }
+
+    /** Gives up a claim; the job is no longer waiting for it. */
+    void abandon(Claim claim) {
+        state.claims.remove(claim);
+        release(claim);
+        state.capacityGrew();
+    }
+
+    private Optional<ReasonCode> take(Job job, Resources part, GuaranteeClaimer.Offer offer) {
+        if (!limitAllows(job, offer.gang(), prices().acceleratorHourMicros())) {
+            return Optional.of(ReasonCode.WAIT_SPEND_LIMIT);
+        }
+        if (!offer.mustWait()) {
+            state.queue.remove(job);
+            start(job, offer.gang(), part, Standing.GUARANTEED, offer.unit(), ReasonCode.START_GUARANTEED);
+            return Optional.empty();
+        }
+        int[] excess = offer.unit().take(offer.gang(), part);
+        offer.unit().addPending(1);
+        claim(
+                new Claim(job, offer.unit(), offer.gang(), part, excess, offer.victims(), state.nowMs()),
+                StopCause.RECLAIM);
+        return Optional.empty();
+    }
+
+    /** Holds capacity for a waiting job and stops what is in the way. */
+    void claim(Claim claim, StopCause cause) {
+        state.queue.remove(claim.job());
+        state.claims.add(claim);
+        claim.job().claim(claim);
+        Occupancy.hold(claim.gang(), claim.part(), 1);
+        state.ledger(claim.job().spec().workspace()).hold(claim.job().accelerators());
+        for (Attempt victim : claim.victims()) {
+            stopper.stop(victim, cause, state.victims.mode(victim));
+        }
+    }
+
+    private void release(Claim claim) {
+        Occupancy.hold(claim.gang(), claim.part(), -1);
+        if (claim.unit() != null) {
+            claim.unit().addPending(-1);
+            claim.unit().give(claim.gang(), claim.part(), claim.excessMemoryMb());
+        }
+        claim.job().claim(null);
+        state.ledger(claim.job().spec().workspace()).hold(-claim.job().accelerators());
+    }
+
+    private static boolean free(Claim claim) {
+        Gang gang = claim.gang();
+        for (int i = 0; i < gang.workers().length; i++) {
+            if (!gang.workers()[i].bears(claim.part(), gang.counts()[i])) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void begin(Claim claim) {
+        Standing standing = Standing.GUARANTEED;
+        ReasonCode code = ReasonCode.START_GUARANTEED;
+        if (claim.unit() == null) {
+            standing = lendable(claim.job()) ? Standing.LENT : Standing.FIRM;
+            code = ReasonCode.START_SPARE;
+        }
+        start(claim.job(), claim.gang(), claim.part(), standing, claim.unit(), code);
+    }
+
+    private Optional<ReasonCode> startOutside(Job job, Resources part) {
+        boolean lent = lendable(job);
+        Optional<ReasonCode> reserved = reservations.bars(job);
+        if (reserved.isPresent()) {
+            return reserved;
+        }
+        Shape shape = job.spec().shape();
+        PlaceRequest request = PlaceRequest.of(shape.parts(), part, shape.adjacency(), Space.SPARE)
+                .avoiding(job.failedOn())
+                .limitedBy(reservations.limitFor(job, part));
+        Optional<Gang> spare = state.placer.place(request);
+        if (spare.isPresent()) {
+            return startAt(job, part, spare.get(), lent, ReasonCode.START_SPARE);
+        }
+        Optional<Gang> free = state.placer.place(request.within(Space.FREE));
+        if (free.isPresent() && lent) {
+            return startAt(job, part, free.get(), true, ReasonCode.START_LENT);
+        }
+        if (free.isPresent()) {
+            return Optional.of(
+                    job.spec().reclaimable() ? ReasonCode.WAIT_PROTECTS_GUARANTEE : ReasonCode.WAIT_NOT_ON_LENT);
+        }
+        boolean heldBack = reservations.holdsBack(job)
+                && state.placer
+                        .place(request.within(lent ? Space.FREE : Space.SPARE).limitedBy(PlaceRequest.RoomLimit.NONE))
+                        .isPresent();
+        return Optional.of(heldBack ? ReasonCode.WAIT_RESERVATION : ReasonCode.WAIT_CAPACITY);
+    }
+
+    private Optional<ReasonCode> startAt(Job job, Resources part, Gang gang, boolean lent, ReasonCode code) {
+        if (!limitAllows(job, gang, rate(lent))) {
+            return Optional.of(ReasonCode.WAIT_SPEND_LIMIT);
+        }
+        ReasonCode start = reservations.passes(job) ? ReasonCode.START_BACKFILL : code;
+        state.queue.remove(job);
+        start(job, gang, part, lent ? Standing.LENT : Standing.FIRM, null, start);
+        return Optional.empty();
+    }
+
+    /** Says whether a job may run on lent capacity: it can be stopped within the bound and run again. */
+    boolean lendable(Job job) {
+        LendingPolicy lending = state.policy().map(Policy::lending).orElse(new LendingPolicy(false, 0, 0));
+        boolean checkpointInTime = lending.checkpointMs() <= lending.reclaimBoundMs();
+        boolean repeatable = job.spec().idempotent() || (job.spec().checkpointable() && checkpointInTime);
+        return lending.enabled() && repeatable;
+    }
+
+    private boolean limitAllows(Job job, Gang gang, long rateMicrosPerHour) {
+        if (!state.has(SchedulerFeature.SPEND_LIMIT)) {
+            return true;
+        }
+        WorkspaceLedger ledger = state.ledger(job.spec().workspace());
+        RunEstimate estimate = state.estimator.estimate(job, gang.slowestSpeed());
+        return ledger.limitAllows(
+                ledger.worst(rateMicrosPerHour * job.accelerators(), estimate.worstMs()), state.nowMs());
+    }
+
+    private void start(Job job, Gang gang, Resources part, Standing standing, GuaranteeUnit unit, ReasonCode code) {
+        job.attempts(job.attempts() + 1);
+        RunEstimate estimate = state.estimator.estimate(job, gang.slowestSpeed());
+        AttemptId id = new AttemptId(job.spec().id(), job.attempts());
+        Attempt attempt = new Attempt(id, job, gang, part, estimate, state.nowMs());
+        attempt.stand(standing, unit);
+        boolean lent = standing == Standing.LENT;
+        attempt.rate(rate(lent) * job.accelerators(), state.nowMs());
+        begin(attempt);
+        waiting.left(job);
+        reservations.started(job);
+        long worst = state.ledger(job.spec().workspace()).worst(attempt.rateMicrosPerHour(), estimate.worstMs());
+        Reason reason = explainer.of(code, worst, estimate, alternative(job, standing, estimate));
+        state.emit(new Decision.StartGang(id, gang.placements(), lent, reason));
+    }
+
+    /** Books an attempt as running. */
+    void begin(Attempt attempt) {
+        attempt.job().attempt(attempt);
+        Occupancy.occupy(attempt);
+        state.ledger(attempt.job().spec().workspace()).started(attempt);
+        overruns.started(attempt);
+    }
+
+    /** Price for an accelerator and an hour. */
+    long rate(boolean lent) {
+        return lent ? prices().lentAcceleratorHourMicros() : prices().acceleratorHourMicros();
+    }
+
+    private Optional<Reason.Alternative> alternative(Job job, Standing standing, RunEstimate estimate) {
+        boolean other = standing == Standing.GUARANTEED;
+        if (other && !lendable(job)) {
+            return Optional.empty();
+        }
+        ReasonCode code = other ? ReasonCode.START_LENT : ReasonCode.WAIT_CAPACITY;
+        long rate = rate(other) * job.accelerators();
+        long price = Prices.of(rate, estimate.worstMs());
+        long delayMs = other ? 0 : reservations.earliestReleaseMs(job);
+        return Optional.of(new Reason.Alternative(code, price, delayMs));
+    }
+
+    private PricePolicy prices() {
+        return state.policy().map(Policy::prices).orElse(new PricePolicy(0, 0, 0));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/State.java
@@ -0,0 +1,135 @@
+package org.fuchsiawinch.core.internal;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import org.fuchsiawinch.core.Decision;
+import org.fuchsiawinch.core.SchedulerFeature;
+import org.fuchsiawinch.core.SchedulerFeatures;
+import org.fuchsiawinch.model.AttemptId;
+import org.fuchsiawinch.model.JobId;
+import org.fuchsiawinch.model.Policy;
+import org.fuchsiawinch.model.Resources;
+import org.fuchsiawinch.model.WorkerId;
+import org.fuchsiawinch.model.WorkspaceId;
+import org.fuchsiawinch.model.WorkspacePolicy;
+
+/** What the parts of the engine share. Not thread-safe. */
+final class State {
+
+    final SchedulerFeatures features;
+    final WorkerPool pool = new WorkerPool();
+    final JobQueue queue = new JobQueue();
+    final GangPlacer placer;
+    final GuaranteeKeeper keeper;
+    final VictimChooser victims;
+    final Estimator estimator;
+    final FaultTracker faults;
+    final Map<JobId, Job> jobs = new HashMap<>();
+    final List<Claim> claims = new ArrayList<>();
+    final TreeSet<WorkerId> suspects = new TreeSet<>();
+    final TreeSet<WorkspaceId> promotable = new TreeSet<>();
+    private final TreeMap<WorkspaceId, WorkspaceLedger> ledgers = new TreeMap<>();
+    private Optional<Policy> policy = Optional.empty();
+    private List<Decision> decisions = new ArrayList<>();
+    private long nowMs;
+    private long sequence;
+    private boolean capacityGrew;
+
+    State(SchedulerFeatures features) {
+        this.features = features;
+        this.placer = new GangPlacer(pool, features);
+        this.keeper = new GuaranteeKeeper(placer, features);
+        this.victims = new VictimChooser(features);
+        this.estimator = new Estimator(features);
+        this.faults = new FaultTracker(features);
+    }
+
+    boolean has(SchedulerFeature feature) {
+        return features.has(feature);
+    }
+
+    void begin(long presentMs) {
+        nowMs = Math.max(nowMs, presentMs);
+        decisions = new ArrayList<>();
+    }
+
+    List<Decision> decisions() {
+        return decisions;
+    }
+
+    void emit(Decision decision) {
+        decisions.add(decision);
+    }
+
+    long nowMs() {
+        return nowMs;
+    }
+
+    long nextSequence() {
+        return sequence++;
+    }
+
+    Optional<Policy> policy() {
+        return policy;
+    }
+
+    void policy(Policy accepted) {
+        policy = Optional.of(accepted);
+    }
+
+    /** Rules of a workspace, or empty if the document does not have it. */
+    Optional<WorkspacePolicy> rules(WorkspaceId workspace) {
+        return policy.map(accepted -> accepted.workspaces().get(workspace));
+    }
+
+    WorkspaceLedger ledger(WorkspaceId workspace) {
+        return ledgers.computeIfAbsent(workspace, key -> new WorkspaceLedger());
+    }
+
+    Optional<Attempt> attempt(AttemptId id) {
+        Job job = jobs.get(id.job());
+        if (job == null || job.attempt() == null) {
+            return Optional.empty();
+        }
+        return Optional.of(job.attempt()).filter(attempt -> attempt.id().equals(id));
+    }
+
+    /** Granted resources of each part of a job: the declared ones with the corrected memory. */
+    Resources grant(Job job) {
+        int declared = job.spec().shape().perPart().memoryMb();
+        int corrected = Math.max(estimatedMemoryMb(job), job.memoryFloorMb());
+        return job.partWithMemory(Math.max(declared, corrected));
+    }
+
+    private int estimatedMemoryMb(Job job) {
+        int corrected = estimator.memoryMb(job.spec());
+        return pool.maxMemoryMb() < corrected ? job.spec().shape().perPart().memoryMb() : corrected;
+    }
+
+    JobClass.Key classKey(Job job) {
+        return new JobClass.Key(
+                job.spec().workspace(),
+                job.spec().urgency(),
+                job.spec().shape(),
+                grant(job),
+                job.spec().reclaimable(),
+                job.failedOn().isEmpty() ? job.failedOn() : new TreeSet<>(job.failedOn()));
+    }
+
+    /** Notes that some job may fit which did not before. */
+    void capacityGrew() {
+        capacityGrew = true;
+    }
+
+    boolean takeCapacityGrew() {
+        boolean grew = capacityGrew;
+        capacityGrew = false;
+        return grew;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/VictimChooser.java
@@ -0,0 +1,154 @@
+package org.fuchsiawinch.core.internal;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+
+import org.fuchsiawinch.core.SchedulerFeature;
+import org.fuchsiawinch.core.SchedulerFeatures;
+import org.fuchsiawinch.model.LendingPolicy;
+import org.fuchsiawinch.model.Resources;
+import org.fuchsiawinch.model.StopMode;
+
+/**
+ * Chooses the lent attempts to stop so that a gang fits, with the least lost work. Capacity that is already coming free
+ * counts as free, and capacity held for other starts does not. Not thread-safe.
+ */
+final class VictimChooser {
+
+    private final boolean cheapest;
+    private LendingPolicy lending = new LendingPolicy(false, 0, 0);
+
+    VictimChooser(SchedulerFeatures features) {
+        this.cheapest = features.has(SchedulerFeature.CHEAPEST_VICTIMS);
+    }
+
+    void lending(LendingPolicy policy) {
+        lending = policy;
+    }
+
+    /** Says how an attempt is stopped for a reclaim: by checkpoint where that ends within the bound. */
+    StopMode mode(Attempt attempt) {
+        boolean inTime = lending.checkpointMs() <= lending.reclaimBoundMs();
+        return attempt.job().spec().checkpointable() && inTime ? StopMode.CHECKPOINT : StopMode.STOP;
+    }
+
+    /** Work lost by stopping an attempt, in ms times accelerators. */
+    double lostWork(Attempt attempt, long nowMs) {
+        long elapsedMs = Math.max(0, nowMs - attempt.startedMs());
+        long lostMs = mode(attempt) == StopMode.CHECKPOINT ? Math.min(elapsedMs, lending.checkpointMs()) : elapsedMs;
+        return (double) lostMs * Math.max(1, attempt.accelerators());
+    }
+
+    /** Sums up the work lost by stopping attempts, in ms times accelerators. */
+    double lostWork(List<Attempt> attempts, long nowMs) {
+        return attempts.stream()
+                .mapToDouble(attempt -> lostWork(attempt, nowMs))
+                .sum();
+    }
+
+    /**
+     * Chooses victims for a gang.
+     *
+     * @return the attempts to stop, none if all is free or coming free; empty if stopping all lent work is not enough
+     */
+    Optional<List<Attempt>> choose(Gang gang, Resources part, long nowMs) {
+        List<Shortage> shortages = shortages(gang, part);
+        if (shortages.isEmpty()) {
+            return Optional.of(List.of());
+        }
+        List<Attempt> candidates = candidates(shortages, nowMs);
+        List<Attempt> chosen = new ArrayList<>();
+        for (Attempt candidate : candidates) {
+            if (shortages.stream().allMatch(Shortage::met)) {
+                break;
+            }
+            if (shortages.stream()
+                    .anyMatch(shortage -> !shortage.met() && candidate.gang().uses(shortage.worker))) {
+                shortages.forEach(shortage -> shortage.count(candidate, 1));
+                chosen.add(candidate);
+            }
+        }
+        if (!shortages.stream().allMatch(Shortage::met)) {
+            return Optional.empty();
+        }
+        prune(chosen, shortages);
+        return Optional.of(chosen);
+    }
+
+    private List<Attempt> candidates(List<Shortage> shortages, long nowMs) {
+        LinkedHashSet<Attempt> found = new LinkedHashSet<>();
+        for (Shortage shortage : shortages) {
+            for (Attempt attempt : shortage.worker.attempts()) {
+                if (attempt.standing() == Standing.LENT && !attempt.stopping()) {
+                    found.add(attempt);
+                }
+            }
+        }
+        List<Attempt> candidates = new ArrayList<>(found);
+        Comparator<Attempt> order = Comparator.comparingDouble(attempt -> lostWork(attempt, nowMs));
+        candidates.sort(cheapest ? order : order.reversed());
+        return candidates;
+    }
+
+    /** Drops victims that turn out not to be needed, the dearest first. */
+    private static void prune(List<Attempt> chosen, List<Shortage> shortages) {
+        for (int i = chosen.size() - 1; i >= 0; i--) {
+            Attempt attempt = chosen.get(i);
+            shortages.forEach(shortage -> shortage.count(attempt, -1));
+            if (shortages.stream().allMatch(Shortage::met)) {
+                chosen.remove(i);
+            } else {
+                shortages.forEach(shortage -> shortage.count(attempt, 1));
+            }
+        }
+    }
+
+    private static List<Shortage> shortages(Gang gang, Resources part) {
+        List<Shortage> shortages = new ArrayList<>();
+        for (int i = 0; i < gang.workers().length; i++) {
+            Shortage shortage = new Shortage(gang.workers()[i], part, gang.counts()[i]);
+            if (!shortage.met()) {
+                shortages.add(shortage);
+            }
+        }
+        return shortages;
+    }
+
+    /** What a worker lacks once all that was told to stop has stopped. */
+    private static final class Shortage {
+
+        private final Worker worker;
+        private final Amounts missing = new Amounts();
+
+        private Shortage(Worker worker, Resources part, int count) {
+            this.worker = worker;
+            missing.add(part, count);
+            missing.add(worker.used(), 1);
+            missing.add(worker.held(), 1);
+            missing.add(worker.stopping(), -1);
+            missing.add(worker.capacity(), -1);
+        }
+
+        private boolean met() {
+            return missing.cpuMillis() <= 0
+                    && missing.memoryMb() <= 0
+                    && missing.accelerators() <= 0
+                    && missing.slots() <= 0
+                    && missing.connections() <= 0;
+        }
+
+        private void count(Attempt attempt, int sign) {
+            Worker[] workers = attempt.gang().workers();
+            for (int i = 0; i < workers.length; i++) {
+                if (workers[i] == worker) {
+                    missing.add(attempt.part(), -sign * attempt.gang().counts()[i]);
+                    missing.addMemory(
+                            -sign * attempt.addedMemoryMb() * attempt.gang().counts()[i]);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Waiting.java
@@ -0,0 +1,75 @@
+package org.fuchsiawinch.core.internal;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.TreeSet;
+
+import org.fuchsiawinch.core.SchedulerFeature;
+import org.fuchsiawinch.model.Objective;
+import org.fuchsiawinch.model.Policy;
+
+/** Puts jobs into the queue in the order that the objective asks for, and watches their deadlines. Not thread-safe. */
+final class Waiting {
+
+    private static final double RUN_TIMES_OF_DELAY = 4.0;
+
+    private final State state;
+    private final TreeSet<Job> byDeadline =
+            new TreeSet<>(Comparator.comparingLong(Waiting::deadlineMs).thenComparingLong(Job::sequence));
+
+    Waiting(State state) {
+        this.state = state;
+    }
+
+    /** Queues a job; one that ran before keeps its place. */
+    void add(Job job) {
+        if (!job.mayHaveRun()) {
+            job.orderKey(orderKey(job));
+        }
+        if (job.spec().deadlineMs().isPresent()) {
+            byDeadline.add(job);
+        }
+        state.queue.add(job, state.classKey(job));
+    }
+
+    /** Notes that a job no longer waits. */
+    void left(Job job) {
+        if (job.spec().deadlineMs().isPresent()) {
+            byDeadline.remove(job);
+        }
+    }
+
+    /** Lists the waiting jobs whose deadline has passed. */
+    List<Job> expired() {
+        List<Job> expired = new ArrayList<>();
+        for (Job job : byDeadline) {
+            if (deadlineMs(job) > state.nowMs()) {
+                break;
+            }
+            expired.add(job);
+        }
+        return expired;
+    }
+
+    /**
+     * Time of submit plus some run times: short jobs pass long ones that came before them, but none passes a job that
+     * came earlier by more than the difference.
+     */
+    private long orderKey(Job job) {
+        if (!state.has(SchedulerFeature.OBJECTIVE)) {
+            return job.submittedMs();
+        }
+        double completionShare = 1
+                - state.policy()
+                        .map(Policy::objective)
+                        .orElse(new Objective(0, 1))
+                        .fragmentationShare();
+        long runMs = state.estimator.estimate(job, 1.0).runMs();
+        return job.submittedMs() + (long) (RUN_TIMES_OF_DELAY * completionShare * runMs);
+    }
+
+    private static long deadlineMs(Job job) {
+        return job.spec().deadlineMs().orElse(Long.MAX_VALUE);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Worker.java
@@ -0,0 +1,208 @@
+package org.fuchsiawinch.core.internal;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.fuchsiawinch.model.Resources;
+import org.fuchsiawinch.model.WorkerId;
+import org.fuchsiawinch.model.WorkerSpec;
+
+/**
+ * A worker's capacity and what counts against it. {@code used} holds all running work; {@code stopping} the part of it
+ * that was told to stop; {@code held} what is kept for pending starts; {@code committed} what guarantees and firm work
+ * need. A guarantee can be reclaimed as long as {@code committed} is within the capacity. Not thread-safe.
+ */
+final class Worker {
+
+    private final WorkerId id;
+    private final List<Attempt> attempts = new ArrayList<>(4);
+    private final List<GuaranteeUnit> units = new ArrayList<>(2);
+    private final Amounts used = new Amounts();
+    private final Amounts stopping = new Amounts();
+    private final Amounts held = new Amounts();
+    private final Amounts committed = new Amounts();
+    private Resources capacity = Resources.NONE;
+    private WorkerSpec spec;
+    private Rack rack;
+    private boolean leaving;
+    private boolean inDoubt;
+    private boolean quarantined;
+
+    Worker(WorkerId id) {
+        this.id = id;
+    }
+
+    WorkerId id() {
+        return id;
+    }
+
+    WorkerSpec spec() {
+        return spec;
+    }
+
+    Rack rack() {
+        return rack;
+    }
+
+    double speed() {
+        return spec == null ? 1.0 : spec.speed();
+    }
+
+    Resources capacity() {
+        return capacity;
+    }
+
+    List<Attempt> attempts() {
+        return attempts;
+    }
+
+    List<GuaranteeUnit> units() {
+        return units;
+    }
+
+    Amounts used() {
+        return used;
+    }
+
+    Amounts stopping() {
+        return stopping;
+    }
+
+    Amounts held() {
+        return held;
+    }
+
+    Amounts committed() {
+        return committed;
+    }
+
+    boolean joined() {
+        return spec != null;
+    }
+
+    boolean open() {
+        return spec != null && !leaving && !inDoubt && !quarantined;
+    }
+
+    void join(WorkerSpec newSpec, Rack newRack) {
+        spec = newSpec;
+        rack = newRack;
+        capacity = newSpec.capacity();
+        leaving = false;
+        inDoubt = false;
+        changed();
+    }
+
+    void lose() {
+        changed();
+        spec = null;
+        rack = null;
+        capacity = Resources.NONE;
+    }
+
+    void leave() {
+        leaving = true;
+        changed();
+    }
+
+    void doubt() {
+        inDoubt = true;
+        changed();
+    }
+
+    void quarantine(boolean on) {
+        quarantined = on;
+        changed();
+    }
+
+    /** Tells the rack that its bounds are stale. */
+    void changed() {
+        if (rack != null) {
+            rack.markStale();
+        }
+    }
+
+    /** Accelerators that nothing uses and that are held for nothing. */
+    int freeAccelerators() {
+        return capacity.accelerators() - used.accelerators() - held.accelerators();
+    }
+
+    /** Counts the parts that fit into the given space of this worker, whatever its state. */
+    int room(Space space, Resources part, boolean acceleratorsOnly) {
+        if (space == Space.ANY) {
+            return Integer.MAX_VALUE;
+        }
+        if (space == Space.FREE) {
+            return fitting(used, held, part, acceleratorsOnly);
+        }
+        int claimable = fitting(committed, null, part, acceleratorsOnly);
+        if (space == Space.CLAIMABLE || claimable <= 0) {
+            return claimable;
+        }
+        return Math.min(claimable, fitting(used, held, part, acceleratorsOnly));
+    }
+
+    /** Says whether used and the given extra amount are within the capacity. */
+    boolean bears(Resources part, int count) {
+        return within(used.cpuMillis() + part.cpuMillis() * count, capacity.cpuMillis())
+                && within(used.memoryMb() + part.memoryMb() * count, capacity.memoryMb())
+                && within(used.accelerators() + part.accelerators() * count, capacity.accelerators())
+                && within(used.slots() + part.slots() * count, capacity.slots())
+                && within(used.connections() + part.connections() * count, capacity.connections());
+    }
+
+    /** Says whether what guarantees and firm work need is more than the worker has. */
+    boolean overCommitted() {
+        return committed.cpuMillis() > capacity.cpuMillis()
+                || committed.memoryMb() > capacity.memoryMb()
+                || committed.accelerators() > capacity.accelerators()
+                || committed.slots() > capacity.slots()
+                || committed.connections() > capacity.connections();
+    }
+
+    /** Counts the parts that fit into a whole capacity. */
+    static int fitting(Resources capacity, Resources part) {
+        int count = quotient(capacity.accelerators(), part.accelerators());
+        count = Math.min(count, quotient(capacity.cpuMillis(), part.cpuMillis()));
+        count = Math.min(count, quotient(capacity.memoryMb(), part.memoryMb()));
+        count = Math.min(count, quotient(capacity.slots(), part.slots()));
+        return Math.min(count, quotient(capacity.connections(), part.connections()));
+    }
+
+    private static boolean within(int need, int available) {
+        return need <= available;
+    }
+
+    private int fitting(Amounts taken, Amounts more, Resources part, boolean acceleratorsOnly) {
+        int count = quotient(
+                capacity.accelerators() - taken.accelerators() - (more == null ? 0 : more.accelerators()),
+                part.accelerators());
+        if (count <= 0 || acceleratorsOnly) {
+            return count;
+        }
+        count = Math.min(
+                count,
+                quotient(
+                        capacity.cpuMillis() - taken.cpuMillis() - (more == null ? 0 : more.cpuMillis()),
+                        part.cpuMillis()));
+        count = Math.min(
+                count,
+                quotient(
+                        capacity.memoryMb() - taken.memoryMb() - (more == null ? 0 : more.memoryMb()),
+                        part.memoryMb()));
+        count = Math.min(
+                count, quotient(capacity.slots() - taken.slots() - (more == null ? 0 : more.slots()), part.slots()));
+        return Math.min(
+                count,
+                quotient(
+                        capacity.connections() - taken.connections() - (more == null ? 0 : more.connections()),
+                        part.connections()));
+    }
+
+    private static int quotient(int available, int need) {
+        if (need <= 0) {
+            return Integer.MAX_VALUE;
+        }
+        return available < need ? 0 : available / need;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/WorkerPool.java
@@ -0,0 +1,183 @@
+package org.fuchsiawinch.core.internal;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.fuchsiawinch.model.Shape;
+import org.fuchsiawinch.model.WorkerId;
+import org.fuchsiawinch.model.WorkerSpec;
+
+/** All workers by id and by place. Iterates in order of data centre, rack and id. Not thread-safe. */
+final class WorkerPool {
+
+    private static final int MAX_DEPARTED_KEPT = 2048;
+    private static final int MAX_SHAPES_KEPT = 1024;
+
+    private final Map<WorkerId, Worker> workers = new HashMap<>();
+    private final TreeMap<String, DataCentre> dataCentres = new TreeMap<>();
+    private final Map<WorkerId, WorkerSpec> departed = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<WorkerId, WorkerSpec> eldest) {
+            return size() > MAX_DEPARTED_KEPT;
+        }
+    };
+    private final Map<Shape, Boolean> possible = new HashMap<>();
+    private int possibleVersion;
+    private double minSpeed = Double.MAX_VALUE;
+    private double maxSpeed;
+    private int maxMemoryMb;
+    private boolean boundsStale;
+    private int joinedCount;
+    private int shapeVersion;
+
+    Collection<DataCentre> dataCentres() {
+        return dataCentres.values();
+    }
+
+    int joinedCount() {
+        return joinedCount;
+    }
+
+    /** Changes whenever the set of capacities changes. */
+    int shapeVersion() {
+        return shapeVersion;
+    }
+
+    Optional<Worker> find(WorkerId id) {
+        return Optional.ofNullable(workers.get(id));
+    }
+
+    /** Finds a worker, or makes a closed one for work that was recovered before its worker joined. */
+    Worker resolve(WorkerId id) {
+        return workers.computeIfAbsent(id, Worker::new);
+    }
+
+    Worker join(WorkerSpec spec) {
+        Worker worker = resolve(spec.id());
+        departed.remove(spec.id());
+        Rack rack =
+                dataCentres.computeIfAbsent(spec.dataCentre(), DataCentre::new).rack(spec.rack());
+        if (worker.joined()) {
+            boundsStale = true;
+        } else {
+            joinedCount++;
+        }
+        if (worker.rack() != rack) {
+            detach(worker);
+            rack.add(worker);
+        }
+        worker.join(spec, rack);
+        include(worker);
+        shapeVersion++;
+        return worker;
+    }
+
+    /** Takes a lost worker out; it stays resolvable until its last attempt is released. */
+    void lose(Worker worker) {
+        if (worker.joined()) {
+            joinedCount--;
+            departed.put(worker.id(), worker.spec());
+        }
+        detach(worker);
+        worker.lose();
+        boundsStale = true;
+        shapeVersion++;
+        forgetIfIdle(worker);
+    }
+
+    /** Says whether the workers that are or were here could ever hold a shape, if nothing else ran. */
+    boolean couldHold(Shape shape) {
+        if (joinedCount == 0) {
+            return true;
+        }
+        if (possibleVersion != shapeVersion || possible.size() > MAX_SHAPES_KEPT) {
+            possible.clear();
+            possibleVersion = shapeVersion;
+        }
+        return possible.computeIfAbsent(shape, this::computePossible);
+    }
+
+    private boolean computePossible(Shape shape) {
+        Map<String, Long> rooms = new HashMap<>();
+        List<WorkerSpec> known = new ArrayList<>(departed.values());
+        joinedWorkers().forEach(worker -> known.add(worker.spec()));
+        for (WorkerSpec spec : known) {
+            String domain =
+                    switch (shape.adjacency()) {
+                        case WORKER -> spec.id().value();
+                        case RACK -> spec.dataCentre() + ' ' + spec.rack();
+                        default -> spec.dataCentre();
+                    };
+            long room = Worker.fitting(spec.capacity(), shape.perPart());
+            if (rooms.merge(domain, room, Long::sum) >= shape.parts()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    void forgetIfIdle(Worker worker) {
+        if (!worker.joined() && worker.attempts().isEmpty()) {
+            workers.remove(worker.id());
+        }
+    }
+
+    /** Run time on this worker against the fastest, scaled so that 0 is the fastest and 1 the slowest. */
+    double slowness(double speed) {
+        refreshBounds();
+        if (maxSpeed <= minSpeed) {
+            return 0;
+        }
+        return (maxSpeed / speed - 1) / (maxSpeed / minSpeed - 1);
+    }
+
+    /** Memory in MiB of the largest worker; 0 without workers. */
+    int maxMemoryMb() {
+        refreshBounds();
+        return maxMemoryMb;
+    }
+
+    double maxSpeed() {
+        refreshBounds();
+        return maxSpeed;
+    }
+
+    List<Worker> joinedWorkers() {
+        List<Worker> all = new ArrayList<>(joinedCount);
+        dataCentres.values().forEach(dc -> dc.racks().forEach(rack -> all.addAll(rack.workers())));
+        return all;
+    }
+
+    private static void detach(Worker worker) {
+        if (worker.rack() != null) {
+            worker.rack().remove(worker);
+        }
+    }
+
+    private void refreshBounds() {
+        if (!boundsStale) {
+            return;
+        }
+        boundsStale = false;
+        minSpeed = Double.MAX_VALUE;
+        maxSpeed = 0;
+        maxMemoryMb = 0;
+        for (Worker worker : joinedWorkers()) {
+            include(worker);
+        }
+    }
+
+    private void include(Worker worker) {
+        minSpeed = Math.min(minSpeed, worker.speed());
+        maxSpeed = Math.max(maxSpeed, worker.speed());
+        maxMemoryMb = Math.max(maxMemoryMb, worker.capacity().memoryMb());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Parts of the guarantee scheduler; no API.
+ */
+package org.fuchsiawinch.core.internal;
