Hold the scheduler against invariants over random events

Cause: unit tests do not reach combinations of losses, reclaims and failures; a lost guarantee whose work ended on a leaving worker raised no alarm, and a lent start could be reclaimed in the same decision.

Change: a seeded property test judges decisions with a checker of its own. Jobs start inside guarantees before others take capacity, and each unit that finds no new place raises its alarm.

--- a/core/src/main/java/org/fuchsiawinch/core/internal/Engine.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Engine.java
@@ -138,7 +138,7 @@
                 .forEach((workspace, rules) -> state.ledger(workspace).rules(rules, state.nowMs()));
         state.keeper.policy(policy);
         state.promotable.addAll(policy.workspaces().keySet());
-        workers.raiseAlarms(GuaranteeUnit::lost);
+        workers.raiseAlarms(unit -> unit.lost() || state.pool.joinedCount() > 0);
         for (Job job : state.queue.jobs()) {
             if (!policy.workspaces().containsKey(job.spec().workspace())) {
                 endings.endWaiting(job, Reason.of(ReasonCode.END_UNKNOWN_WORKSPACE));
@@ -169,23 +169,31 @@
 
     private void settle() {
         workers.quarantineSuspects();
+        workers.raiseLossAlarms();
         promoter.run();
         starter.startClaimed();
-        boolean retryReserved = true;
-        while (true) {
+        boolean grew = true;
+        while (grew) {
             if (state.takeCapacityGrew()) {
                 state.queue.capacityGrew();
-                retryReserved = true;
             }
-            if (retryReserved) {
-                retryReserved = false;
-                startReserved();
+            startGuaranteed();
+            startReserved();
+            startOthers();
+            grew = state.capacityHasGrown();
+        }
+    }
+
+    /** Starts what fits into guarantees before anything else takes the capacity. */
+    private void startGuaranteed() {
+        for (JobClass group : state.queue.ready()) {
+            if (!claimer.hasRoom(group.key().workspace())) {
+                continue;
             }
-            Optional<Job> next = state.queue.next();
-            if (next.isEmpty()) {
-                return;
+            boolean started = true;
+            while (started && !group.jobs().isEmpty()) {
+                started = starter.tryGuaranteed(group.first());
             }
-            startOrBlock(next.get());
         }
     }
 
@@ -198,6 +206,16 @@
                 .ifPresent(this::startOrBlock);
     }
 
+    private void startOthers() {
+        while (!state.capacityHasGrown()) {
+            Optional<Job> next = state.queue.next();
+            if (next.isEmpty()) {
+                return;
+            }
+            startOrBlock(next.get());
+        }
+    }
+
     private void startOrBlock(Job job) {
         JobClass group = job.jobClass();
         Optional<ReasonCode> wait = starter.tryStart(job);
--- a/core/src/main/java/org/fuchsiawinch/core/internal/GuaranteeClaimer.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/GuaranteeClaimer.java
@@ -11,6 +11,7 @@
 import org.fuchsiawinch.model.Resources;
 import org.fuchsiawinch.model.Shape;
 import org.fuchsiawinch.model.WorkerId;
+import org.fuchsiawinch.model.WorkspaceId;
 
 /**
  * Finds room for a job inside its workspace's guarantee: on free capacity if there is any, else where the least work is
@@ -45,6 +46,11 @@
                                 || (unit.empty() || pack(unit, job, part, false).isPresent())));
     }
 
+    /** Says whether some guarantee of a workspace has a place and is not in full use. */
+    boolean hasRoom(WorkspaceId workspace) {
+        return state.keeper.units(workspace).stream().anyMatch(unit -> unit.placed() && !unit.full());
+    }
+
     /** Says whether a shape fits inside a guaranteed one wherever that is placed. */
     static boolean covers(Shape guaranteed, Shape wanted) {
         if (wanted.adjacency().compareTo(guaranteed.adjacency()) < 0) {
--- a/core/src/main/java/org/fuchsiawinch/core/internal/GuaranteeKeeper.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/GuaranteeKeeper.java
@@ -32,6 +32,7 @@
     private final boolean enabled;
     private final TreeMap<WorkspaceId, List<GuaranteeUnit>> units = new TreeMap<>();
     private int nextIndex;
+    private boolean unplacedSinceAlarm;
 
     GuaranteeKeeper(GangPlacer placer, SchedulerFeatures features) {
         this.placer = placer;
@@ -48,6 +49,13 @@
         return all;
     }
 
+    /** Says, once, whether a unit could not be moved to a new place. */
+    boolean takeUnplaced() {
+        boolean any = unplacedSinceAlarm;
+        unplacedSinceAlarm = false;
+        return any;
+    }
+
     /** Takes over the guarantees of a policy; units whose shape stays keep their place and work. */
     void policy(Policy policy) {
         if (!enabled) {
@@ -100,7 +108,9 @@
         if (unit.placed()) {
             unit.unplace();
         }
-        return place(unit) || (repack() && unit.placed());
+        boolean placed = place(unit) || (repack() && unit.placed());
+        unplacedSinceAlarm |= !placed;
+        return placed;
     }
 
     /** Takes an attempt out of its unit; its own capacity stays committed. */
--- a/core/src/main/java/org/fuchsiawinch/core/internal/JobQueue.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/JobQueue.java
@@ -64,6 +64,11 @@
         return ready.isEmpty() ? Optional.empty() : Optional.of(ready.first().first());
     }
 
+    /** Lists the classes that may fit, in order of their first jobs. */
+    List<JobClass> ready() {
+        return List.copyOf(ready);
+    }
+
     /** Passes over a class until capacity grows. */
     void block(JobClass group, ReasonCode code) {
         ready.remove(group);
--- a/core/src/main/java/org/fuchsiawinch/core/internal/Starter.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Starter.java
@@ -41,18 +41,29 @@
         this.explainer = new Explainer(state.features);
     }
 
-    /** Starts or claims capacity for a waiting job; gives the reason to wait if neither is possible. */
+    /** Starts a waiting job outside its guarantees; gives the reason to wait if that is not possible. */
     Optional<ReasonCode> tryStart(Job job) {
-        WorkspaceLedger ledger = state.ledger(job.spec().workspace());
-        if (state.has(SchedulerFeature.QUOTA) && !ledger.quotaAllows(job.accelerators())) {
+        if (quotaBars(job)) {
             return Optional.of(ReasonCode.WAIT_QUOTA);
         }
-        Resources part = job.jobClass().key().part();
-        Optional<GuaranteeClaimer.Offer> offer = claimer.offer(job, part);
-        if (offer.isPresent()) {
-            return take(job, part, offer.get());
+        return startOutside(job, job.jobClass().key().part());
+    }
+
+    /** Starts a waiting job inside its workspace's guarantees or claims capacity there; says whether it did. */
+    boolean tryGuaranteed(Job job) {
+        if (quotaBars(job)) {
+            return false;
         }
-        return startOutside(job, part);
+        Resources part = job.jobClass().key().part();
+        return claimer.offer(job, part)
+                .filter(offer -> limitAllows(job, offer.gang(), rate(false)))
+                .map(offer -> take(job, part, offer))
+                .isPresent();
+    }
+
+    private boolean quotaBars(Job job) {
+        return state.has(SchedulerFeature.QUOTA)
+                && !state.ledger(job.spec().workspace()).quotaAllows(job.accelerators());
     }
 
     /** Starts each claimed job whose capacity has come free. */
@@ -73,21 +84,17 @@
         state.capacityGrew();
     }
 
-    private Optional<ReasonCode> take(Job job, Resources part, GuaranteeClaimer.Offer offer) {
-        if (!limitAllows(job, offer.gang(), prices().acceleratorHourMicros())) {
-            return Optional.of(ReasonCode.WAIT_SPEND_LIMIT);
-        }
+    private Job take(Job job, Resources part, GuaranteeClaimer.Offer offer) {
         if (!offer.mustWait()) {
             state.queue.remove(job);
             start(job, offer.gang(), part, Standing.GUARANTEED, offer.unit(), ReasonCode.START_GUARANTEED);
-            return Optional.empty();
+            return job;
         }
         int[] excess = offer.unit().take(offer.gang(), part);
         offer.unit().addPending(1);
-        claim(
-                new Claim(job, offer.unit(), offer.gang(), part, excess, offer.victims(), state.nowMs()),
-                StopCause.RECLAIM);
-        return Optional.empty();
+        List<Attempt> victims = offer.victims();
+        claim(new Claim(job, offer.unit(), offer.gang(), part, excess, victims, state.nowMs()), StopCause.RECLAIM);
+        return job;
     }
 
     /** Holds capacity for a waiting job and stops what is in the way. */
--- a/core/src/main/java/org/fuchsiawinch/core/internal/State.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/State.java
@@ -127,6 +127,10 @@
         capacityGrew = true;
     }
 
+    boolean capacityHasGrown() {
+        return capacityGrew;
+    }
+
     boolean takeCapacityGrew() {
         boolean grew = capacityGrew;
         capacityGrew = false;
--- a/core/src/main/java/org/fuchsiawinch/core/internal/WorkerEvents.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/WorkerEvents.java
@@ -87,6 +87,13 @@
         }
     }
 
+    /** Tells once of each guarantee that lost its place and found no other. */
+    void raiseLossAlarms() {
+        if (state.keeper.takeUnplaced()) {
+            raiseAlarms(GuaranteeUnit::lost);
+        }
+    }
+
     /** Tells once of each guarantee that has no place and matches. */
     void raiseAlarms(Predicate<GuaranteeUnit> matching) {
         TreeSet<WorkspaceId> workspaces = new TreeSet<>();
@@ -115,12 +122,10 @@
             }
         }
         state.keeper.vacate(worker);
-        raiseAlarms(GuaranteeUnit::lost);
     }
 
     /** Takes full guarantees off a lost worker; their work has been told to stop. */
     private void dropUnits(Worker worker) {
         List.copyOf(worker.units()).forEach(state.keeper::reposition);
-        raiseAlarms(GuaranteeUnit::lost);
     }
 }
--- /dev/null
+++ b/core/src/test/java/org/fuchsiawinch/core/InvariantChecker.java
@@ -0,0 +1,171 @@
+package org.fuchsiawinch.core;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.fuchsiawinch.model.Adjacency;
+import org.fuchsiawinch.model.AttemptId;
+import org.fuchsiawinch.model.JobId;
+import org.fuchsiawinch.model.JobSpec;
+import org.fuchsiawinch.model.Placement;
+import org.fuchsiawinch.model.Policy;
+import org.fuchsiawinch.model.Resources;
+import org.fuchsiawinch.model.Shape;
+import org.fuchsiawinch.model.WorkerId;
+import org.fuchsiawinch.model.WorkerSpec;
+
+/**
+ * Judges decisions against the events alone, without a look into the scheduler. Shapes must have equal parts, so that
+ * the feasibility of the guarantees can be decided by search.
+ */
+final class InvariantChecker {
+
+    final TreeMap<WorkerId, WorkerSpec> workers = new TreeMap<>(Comparator.comparing(WorkerId::value));
+    final Set<WorkerId> closed = new HashSet<>();
+    final Set<WorkerId> quarantined = new HashSet<>();
+    final Map<AttemptId, Decision.StartGang> running = new HashMap<>();
+    final Set<AttemptId> promoted = new HashSet<>();
+    final Map<JobId, JobSpec> jobs = new HashMap<>();
+    final Set<JobId> started = new HashSet<>();
+    final Set<JobId> resumable = new HashSet<>();
+    Policy policy;
+    boolean alarmed;
+
+    /** Takes a decision and returns what it breaks; empty text if nothing. */
+    String take(Decision decision) {
+        if (decision instanceof Decision.StartGang start) {
+            return start(start);
+        }
+        if (decision instanceof Decision.PromoteGang promotion) {
+            promoted.add(promotion.attempt());
+        } else if (decision instanceof Decision.GuaranteeLost) {
+            alarmed = true;
+        } else if (decision instanceof Decision.EndJob end && end.ran() != started.contains(end.job())) {
+            return "ran=" + end.ran() + " for " + end.job();
+        }
+        return "";
+    }
+
+    void ended(AttemptId attempt, boolean checkpointed) {
+        running.remove(attempt);
+        promoted.remove(attempt);
+        if (checkpointed) {
+            resumable.add(attempt.job());
+        }
+    }
+
+    /** Returns what is wrong with the present state; empty text if nothing. */
+    String judge() {
+        Map<WorkerId, Resources> all = used(false);
+        for (WorkerSpec worker : workers.values()) {
+            if (!all.getOrDefault(worker.id(), Resources.NONE).fitsIn(worker.capacity())) {
+                return "overcommitted " + worker.id();
+            }
+        }
+        return alarmed || satisfiable() ? "" : "guarantees not satisfiable and no alarm";
+    }
+
+    private String start(Decision.StartGang start) {
+        JobSpec job = jobs.get(start.attempt().job());
+        boolean first = started.add(job.id());
+        if (!first && !job.idempotent() && !resumable.remove(job.id())) {
+            return "ran again " + job.id();
+        }
+        if (running.keySet().stream().anyMatch(id -> id.job().equals(job.id()))) {
+            return "runs twice at once " + job.id();
+        }
+        if (start.lent() && !job.reclaimable()) {
+            return "not repeatable on lent capacity " + job.id();
+        }
+        Set<String> domains = new HashSet<>();
+        for (Placement placement : start.placements()) {
+            WorkerSpec worker = workers.get(placement.worker());
+            if (worker == null || !open(placement.worker())) {
+                return "started on closed " + placement.worker();
+            }
+            domains.add(domain(worker, job.shape().adjacency()));
+        }
+        running.put(start.attempt(), start);
+        boolean whole = start.placements().size() == job.shape().parts() && domains.size() == 1;
+        return whole ? "" : "gang not whole or not adjacent " + job.id();
+    }
+
+    private boolean open(WorkerId worker) {
+        return !closed.contains(worker) && !quarantined.contains(worker);
+    }
+
+    private static String domain(WorkerSpec worker, Adjacency adjacency) {
+        return switch (adjacency) {
+            case WORKER -> worker.id().value();
+            case RACK -> worker.rack();
+            default -> worker.dataCentre();
+        };
+    }
+
+    private Map<WorkerId, Resources> used(boolean firmOnly) {
+        Map<WorkerId, Resources> used = new HashMap<>();
+        running.forEach((id, start) -> {
+            if (firmOnly && start.lent() && !promoted.contains(id)) {
+                return;
+            }
+            Resources part = jobs.get(id.job()).shape().perPart();
+            start.placements().forEach(placement -> used.merge(placement.worker(), part, Resources::plus));
+        });
+        return used;
+    }
+
+    /** Searches for disjoint places of all unused guarantees on capacity that no firm work holds. */
+    private boolean satisfiable() {
+        Map<WorkerId, Resources> firm = used(true);
+        TreeMap<WorkerId, Integer> rooms = new TreeMap<>(Comparator.comparing(WorkerId::value));
+        workers.values().stream()
+                .filter(worker -> open(worker.id()))
+                .forEach(worker -> rooms.put(
+                        worker.id(),
+                        worker.capacity()
+                                .minus(firm.getOrDefault(worker.id(), Resources.NONE))
+                                .accelerators()));
+        List<Shape> unused = new ArrayList<>();
+        policy.workspaces().forEach((workspace, rules) -> rules.guarantees().forEach(guarantee -> {
+            long inUse = running.entrySet().stream()
+                    .filter(entry -> !entry.getValue().lent() || promoted.contains(entry.getKey()))
+                    .filter(entry -> jobs.get(entry.getKey().job()).workspace().equals(workspace))
+                    .count();
+            for (long i = inUse; i < guarantee.count(); i++) {
+                unused.add(guarantee.shape());
+            }
+        }));
+        unused.sort(Comparator.comparing(Shape::adjacency).thenComparing(shape -> -shape.parts()));
+        return place(unused, 0, rooms);
+    }
+
+    private boolean place(List<Shape> shapes, int index, TreeMap<WorkerId, Integer> rooms) {
+        if (index == shapes.size()) {
+            return true;
+        }
+        Shape shape = shapes.get(index);
+        Set<String> domains = new HashSet<>();
+        rooms.keySet().forEach(id -> domains.add(domain(workers.get(id), shape.adjacency())));
+        for (String domain : domains.stream().sorted().toList()) {
+            TreeMap<WorkerId, Integer> left = new TreeMap<>(rooms);
+            int missing = shape.parts();
+            for (WorkerId id : rooms.keySet()) {
+                if (domain(workers.get(id), shape.adjacency()).equals(domain)) {
+                    int taken = Math.min(missing, Math.max(0, rooms.get(id)));
+                    left.merge(id, -taken, Integer::sum);
+                    missing -= taken;
+                }
+            }
+            if (missing == 0 && place(shapes, index + 1, left)) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
