--- a/core/src/main/java/org/fuchsiawinch/core/internal/Amounts.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Amounts.java
@@ -27,6 +27,23 @@
         connections += other.connections * times;
     }
 
+    /** Counts the parts that fit into what this amount leaves of a capacity. */
+    int room(Resources capacity, Resources part) {
+        int count = quotient(capacity.accelerators() - accelerators, part.accelerators());
+        count = Math.min(count, quotient(capacity.cpuMillis() - cpuMillis, part.cpuMillis()));
+        count = Math.min(count, quotient(capacity.memoryMb() - memoryMb, part.memoryMb()));
+        count = Math.min(count, quotient(capacity.slots() - slots, part.slots()));
+        return Math.min(count, quotient(capacity.connections() - connections, part.connections()));
+    }
+
+    /** Counts how often a need fits into an available amount; a need of nothing fits without bound. */
+    static int quotient(int available, int need) {
+        if (need <= 0) {
+            return Integer.MAX_VALUE;
+        }
+        return available < need ? 0 : available / need;
+    }
+
     void addMemory(int megabytes) {
         memoryMb += megabytes;
     }
--- a/core/src/main/java/org/fuchsiawinch/core/internal/Attempt.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Attempt.java
@@ -18,6 +18,7 @@
     private GuaranteeUnit unit;
     private int[] excessMemoryMb;
     private StopCause stopCause;
+    private boolean stoppedOutright;
     private BitSet completed;
     private int peakMemoryMb;
     private int addedMemoryMb;
@@ -99,6 +100,15 @@
         stopCause = cause;
     }
 
+    /** Whether it was told to stop without a checkpoint after it was told to save one. */
+    boolean stoppedOutright() {
+        return stoppedOutright;
+    }
+
+    void markStoppedOutright() {
+        stoppedOutright = true;
+    }
+
     /** Marks a part as completed and says whether all are. */
     boolean complete(int completedPart) {
         if (completed == null) {
--- a/core/src/main/java/org/fuchsiawinch/core/internal/Engine.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Engine.java
@@ -32,6 +32,8 @@
     private final Admission admission;
     private final Recovery recovery;
     private final Explainer explainer;
+    private final Defragmenter defragmenter;
+    private final Escalation escalation;
 
     /**
      * Creates an engine without workers, jobs or policy.
@@ -52,6 +54,8 @@
         admission = new Admission(state, claimer, waiting);
         recovery = new Recovery(state, starter, promoter, waiting, reservations);
         explainer = new Explainer(features);
+        defragmenter = new Defragmenter(state, starter, reservations);
+        escalation = new Escalation(state);
     }
 
     /**
@@ -163,6 +167,9 @@
         overruns.tick();
         workers.sendDueProbes();
         workers.raiseAlarms(unit -> true);
+        escalation.tick();
+        defragmenter.tick();
+        state.faults.forgetStale(state.nowMs());
         reservations.review();
         state.capacityGrew();
     }
@@ -180,6 +187,7 @@
             startGuaranteed();
             startReserved();
             startOthers();
+            defragmenter.run();
             grew = state.capacityHasGrown();
         }
     }
@@ -225,6 +233,8 @@
         state.queue.block(group, wait.get());
         if (Reservations.forCapacity(wait.get())) {
             reservations.consider(job);
+        } else if (wait.get() != ReasonCode.WAIT_RESERVATION) {
+            reservations.drop(job);
         }
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Escalation.java
@@ -0,0 +1,39 @@
+package org.fuchsiawinch.core.internal;
+
+import org.fuchsiawinch.core.Decision;
+import org.fuchsiawinch.core.Reason;
+import org.fuchsiawinch.core.ReasonCode;
+import org.fuchsiawinch.model.LendingPolicy;
+import org.fuchsiawinch.model.Policy;
+import org.fuchsiawinch.model.StopMode;
+
+/** Stops outright what has not ended its checkpoint in time for a reclaim to keep its bound. Not thread-safe. */
+final class Escalation {
+
+    private final State state;
+
+    Escalation(State state) {
+        this.state = state;
+    }
+
+    /** Stops overdue victims whose work may be run again. */
+    void tick() {
+        LendingPolicy lending = state.policy().map(Policy::lending).orElse(new LendingPolicy(false, 0, 0));
+        long graceMs = (lending.checkpointMs() + lending.reclaimBoundMs()) / 2;
+        for (Claim claim : state.claims) {
+            if (state.nowMs() - claim.sinceMs() >= graceMs) {
+                claim.victims().forEach(this::stopNow);
+            }
+        }
+    }
+
+    private void stopNow(Attempt victim) {
+        boolean overdue = victim.job().attempt() == victim
+                && victim.stopCause() == StopCause.RECLAIM
+                && state.victims.mode(victim) == StopMode.CHECKPOINT;
+        if (overdue && victim.job().spec().idempotent() && !victim.stoppedOutright()) {
+            victim.markStoppedOutright();
+            state.emit(new Decision.StopGang(victim.id(), StopMode.STOP, Reason.of(ReasonCode.STOP_RECLAIM)));
+        }
+    }
+}
--- a/core/src/main/java/org/fuchsiawinch/core/internal/FaultTracker.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/FaultTracker.java
@@ -98,6 +98,15 @@
         }
     }
 
+    /** Drops failures that are older than the window. */
+    void forgetStale(long nowMs) {
+        failures.values().removeIf(kept -> {
+            forgetOld(kept, nowMs);
+            return kept.isEmpty();
+        });
+        successMs.keySet().retainAll(failures.keySet());
+    }
+
     /** Lists the quarantined workers whose probe is due and marks it as sent. */
     List<WorkerId> dueProbes(long nowMs) {
         List<WorkerId> due = new ArrayList<>();
--- a/core/src/main/java/org/fuchsiawinch/core/internal/GangPlacer.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/GangPlacer.java
@@ -86,7 +86,7 @@
     private void placeOnWorkers(PlaceRequest request, Best best) {
         for (DataCentre dataCentre : pool.dataCentres()) {
             for (Rack rack : dataCentre.racks()) {
-                if (!rack.mayHold(request.space(), request.part())) {
+                if (!rack.mayHold(request.space(), request.part(), acceleratorsOnly)) {
                     continue;
                 }
                 for (Worker worker : rack.workers()) {
@@ -101,7 +101,7 @@
     private void placeInRacks(PlaceRequest request, Best best) {
         for (DataCentre dataCentre : pool.dataCentres()) {
             for (Rack rack : dataCentre.racks()) {
-                if (rack.mayHold(request.space(), request.part())) {
+                if (rack.mayHold(request.space(), request.part(), acceleratorsOnly)) {
                     best.offer(fill(rack.workers(), request));
                 }
             }
@@ -112,7 +112,7 @@
         for (DataCentre dataCentre : pool.dataCentres()) {
             List<Worker> candidates = new ArrayList<>();
             for (Rack rack : dataCentre.racks()) {
-                if (rack.mayHold(request.space(), request.part())) {
+                if (rack.mayHold(request.space(), request.part(), acceleratorsOnly)) {
                     candidates.addAll(rack.workers());
                 }
             }
--- a/core/src/main/java/org/fuchsiawinch/core/internal/GuaranteeKeeper.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/GuaranteeKeeper.java
@@ -12,6 +12,7 @@
 import org.fuchsiawinch.core.SchedulerFeatures;
 import org.fuchsiawinch.model.Guarantee;
 import org.fuchsiawinch.model.Policy;
+import org.fuchsiawinch.model.Resources;
 import org.fuchsiawinch.model.Shape;
 import org.fuchsiawinch.model.WorkspaceId;
 
@@ -123,6 +124,44 @@
         Occupancy.commit(attempt, 1);
     }
 
+    /** Finds a place for firm work that is free once units without work are moved elsewhere, and moves them. */
+    Optional<Gang> makeWay(PlaceRequest request) {
+        Optional<Gang> found = placer.place(request.limitedBy(
+                (worker, room) -> Math.min(request.limit().apply(worker, room), movableRoom(worker, request.part()))));
+        return found.filter(gang -> moveOff(gang, request.part()));
+    }
+
+    private static int movableRoom(Worker worker, Resources part) {
+        Amounts firm = new Amounts();
+        firm.add(worker.committed(), 1);
+        for (GuaranteeUnit unit : worker.units()) {
+            if (unit.empty()) {
+                firm.add(unit.shape().perPart(), -unit.partsOn(worker));
+            }
+        }
+        return firm.room(worker.capacity(), part);
+    }
+
+    private boolean moveOff(Gang gang, Resources part) {
+        Map<GuaranteeUnit, Gang> before = new LinkedHashMap<>();
+        for (Worker worker : gang.workers()) {
+            worker.units().stream()
+                    .filter(GuaranteeUnit::empty)
+                    .sorted(LARGEST_FIRST)
+                    .forEach(unit -> before.put(unit, unit.location()));
+        }
+        before.keySet().forEach(GuaranteeUnit::unplace);
+        Occupancy.commit(gang, part, 1);
+        before.keySet().forEach(this::place);
+        Occupancy.commit(gang, part, -1);
+        if (before.keySet().stream().allMatch(GuaranteeUnit::placed)) {
+            return true;
+        }
+        before.keySet().stream().filter(GuaranteeUnit::placed).forEach(GuaranteeUnit::unplace);
+        before.forEach(GuaranteeUnit::place);
+        return false;
+    }
+
     /** Places a unit on claimable capacity. */
     boolean place(GuaranteeUnit unit) {
         Shape shape = unit.shape();
--- a/core/src/main/java/org/fuchsiawinch/core/internal/GuaranteeUnit.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/GuaranteeUnit.java
@@ -109,6 +109,11 @@
         inUse = null;
     }
 
+    int partsOn(Worker worker) {
+        int at = indexOf(worker);
+        return at < 0 ? 0 : location.counts()[at];
+    }
+
     boolean touchesClosedWorker() {
         return Arrays.stream(location.workers()).anyMatch(worker -> !worker.open());
     }
@@ -137,11 +142,11 @@
         int spareMemoryMb =
                 Math.max(0, worker.capacity().memoryMb() - worker.committed().memoryMb());
         int memoryMb = part.memoryMb() * count - taken.memoryMb() + spareMemoryMb;
-        int room = quotient(part.accelerators() * count - taken.accelerators(), need.accelerators());
-        room = Math.min(room, quotient(part.cpuMillis() * count - taken.cpuMillis(), need.cpuMillis()));
-        room = Math.min(room, quotient(memoryMb, need.memoryMb()));
-        room = Math.min(room, quotient(part.slots() * count - taken.slots(), need.slots()));
-        return Math.min(room, quotient(part.connections() * count - taken.connections(), need.connections()));
+        int room = Amounts.quotient(part.accelerators() * count - taken.accelerators(), need.accelerators());
+        room = Math.min(room, Amounts.quotient(part.cpuMillis() * count - taken.cpuMillis(), need.cpuMillis()));
+        room = Math.min(room, Amounts.quotient(memoryMb, need.memoryMb()));
+        room = Math.min(room, Amounts.quotient(part.slots() * count - taken.slots(), need.slots()));
+        return Math.min(room, Amounts.quotient(part.connections() * count - taken.connections(), need.connections()));
     }
 
     /** Takes capacity of the unit for a gang; returns the memory in MiB beyond the unit's for each run of parts. */
@@ -185,11 +190,4 @@
         }
         return -1;
     }
-
-    private static int quotient(int available, int need) {
-        if (need <= 0) {
-            return Integer.MAX_VALUE;
-        }
-        return available < need ? 0 : available / need;
-    }
 }
--- a/core/src/main/java/org/fuchsiawinch/core/internal/Occupancy.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Occupancy.java
@@ -55,14 +55,29 @@
 
     /** Commits the capacity of a firm attempt, or gives it back. */
     static void commit(Attempt attempt, int sign) {
-        Gang gang = attempt.gang();
+        commit(attempt.gang(), attempt.part(), sign);
+    }
+
+    /** Commits capacity for a firm gang, or gives it back. */
+    static void commit(Gang gang, Resources part, int sign) {
         for (int i = 0; i < gang.workers().length; i++) {
             Worker worker = gang.workers()[i];
-            worker.committed().add(attempt.part(), sign * gang.counts()[i]);
+            worker.committed().add(part, sign * gang.counts()[i]);
             worker.changed();
         }
     }
 
+    /** Takes what an attempt uses on a worker off an amount. */
+    static void subtract(Amounts amounts, Attempt attempt, Worker worker) {
+        Gang gang = attempt.gang();
+        for (int i = 0; i < gang.workers().length; i++) {
+            if (gang.workers()[i] == worker) {
+                amounts.add(attempt.part(), -gang.counts()[i]);
+                amounts.addMemory(-gang.counts()[i] * attempt.addedMemoryMb());
+            }
+        }
+    }
+
     /** Books more memory for each part of a running attempt. */
     static void addMemory(Attempt attempt, int megabytes) {
         attempt.addedMemoryMb(attempt.addedMemoryMb() + megabytes);
--- a/core/src/main/java/org/fuchsiawinch/core/internal/Rack.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Rack.java
@@ -64,7 +64,7 @@
     }
 
     /** Says whether some worker of the rack may have room for a part; never false when one has. */
-    boolean mayHold(Space space, Resources part) {
+    boolean mayHold(Space space, Resources part, boolean acceleratorsOnly) {
         refresh();
         if (space == Space.ANY) {
             return true;
@@ -75,7 +75,7 @@
         if (part.accelerators() > maxFreeAccelerators) {
             return false;
         }
-        return part.memoryMb() <= maxFreeMemoryMb;
+        return acceleratorsOnly || part.memoryMb() <= maxFreeMemoryMb;
     }
 
     private void refresh() {
--- a/core/src/main/java/org/fuchsiawinch/core/internal/Reservations.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Reservations.java
@@ -121,7 +121,7 @@
             }
             Amounts busy = busyAt(worker, Math.max(reserved.startMs(), state.nowMs()));
             busy.add(reserved.part(), kept);
-            return Math.min(room, fitting(worker, busy, part));
+            return Math.min(room, busy.room(worker.capacity(), part));
         };
     }
 
@@ -174,37 +174,12 @@
         busy.add(worker.held(), 1);
         for (Attempt attempt : worker.attempts()) {
             if (attempt.stopping() || expectedEndMs(attempt) <= atMs) {
-                subtract(busy, attempt, worker);
+                Occupancy.subtract(busy, attempt, worker);
             }
         }
         return busy;
     }
 
-    private static void subtract(Amounts busy, Attempt attempt, Worker worker) {
-        Gang gang = attempt.gang();
-        for (int i = 0; i < gang.workers().length; i++) {
-            if (gang.workers()[i] == worker) {
-                busy.add(attempt.part(), -gang.counts()[i]);
-                busy.addMemory(-gang.counts()[i] * attempt.addedMemoryMb());
-            }
-        }
-    }
-
-    private static int fitting(Worker worker, Amounts busy, Resources part) {
-        int count = quotient(worker.capacity().accelerators() - busy.accelerators(), part.accelerators());
-        count = Math.min(count, quotient(worker.capacity().cpuMillis() - busy.cpuMillis(), part.cpuMillis()));
-        count = Math.min(count, quotient(worker.capacity().memoryMb() - busy.memoryMb(), part.memoryMb()));
-        count = Math.min(count, quotient(worker.capacity().slots() - busy.slots(), part.slots()));
-        return Math.min(count, quotient(worker.capacity().connections() - busy.connections(), part.connections()));
-    }
-
-    private static int quotient(int available, int need) {
-        if (need <= 0) {
-            return Integer.MAX_VALUE;
-        }
-        return available < need ? 0 : available / need;
-    }
-
     /** Looks for the domain where the gang fits first. */
     private final class Search {
 
@@ -283,7 +258,7 @@
             if (!worker.open() || job.failedOn().contains(worker.id())) {
                 return 0;
             }
-            int room = fitting(worker, busyAt(worker, atMs), part);
+            int room = busyAt(worker, atMs).room(worker.capacity(), part);
             if (room <= 0 || !firm) {
                 return room;
             }
@@ -291,10 +266,10 @@
             committed.add(worker.committed(), 1);
             for (Attempt attempt : worker.attempts()) {
                 if (attempt.standing() == Standing.FIRM && expectedEndMs(attempt) <= atMs) {
-                    subtract(committed, attempt, worker);
+                    Occupancy.subtract(committed, attempt, worker);
                 }
             }
-            return Math.min(room, fitting(worker, committed, part));
+            return Math.min(room, committed.room(worker.capacity(), part));
         }
     }
 }
--- a/core/src/main/java/org/fuchsiawinch/core/internal/Starter.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Starter.java
@@ -13,6 +13,7 @@
 import org.fuchsiawinch.model.PricePolicy;
 import org.fuchsiawinch.model.Resources;
 import org.fuchsiawinch.model.Shape;
+import org.fuchsiawinch.model.StopMode;
 
 /** Starts waiting jobs, or says why one cannot start. Not thread-safe. */
 final class Starter {
@@ -104,13 +105,20 @@
         claim.job().claim(claim);
         Occupancy.hold(claim.gang(), claim.part(), 1);
         state.ledger(claim.job().spec().workspace()).hold(claim.job().accelerators());
+        if (firm(claim)) {
+            Occupancy.commit(claim.gang(), claim.part(), 1);
+        }
         for (Attempt victim : claim.victims()) {
-            stopper.stop(victim, cause, state.victims.mode(victim));
+            boolean move = cause == StopCause.DEFRAGMENT;
+            stopper.stop(victim, cause, move ? StopMode.CHECKPOINT : state.victims.mode(victim));
         }
     }
 
     private void release(Claim claim) {
         Occupancy.hold(claim.gang(), claim.part(), -1);
+        if (firm(claim)) {
+            Occupancy.commit(claim.gang(), claim.part(), -1);
+        }
         if (claim.unit() != null) {
             claim.unit().addPending(-1);
             claim.unit().give(claim.gang(), claim.part(), claim.excessMemoryMb());
@@ -119,6 +127,10 @@
         state.ledger(claim.job().spec().workspace()).hold(-claim.job().accelerators());
     }
 
+    private boolean firm(Claim claim) {
+        return claim.unit() == null && !lendable(claim.job());
+    }
+
     private static boolean free(Claim claim) {
         Gang gang = claim.gang();
         for (int i = 0; i < gang.workers().length; i++) {
@@ -133,7 +145,7 @@
         Standing standing = Standing.GUARANTEED;
         ReasonCode code = ReasonCode.START_GUARANTEED;
         if (claim.unit() == null) {
-            standing = lendable(claim.job()) ? Standing.LENT : Standing.FIRM;
+            standing = firm(claim) ? Standing.FIRM : Standing.LENT;
             code = ReasonCode.START_SPARE;
         }
         start(claim.job(), claim.gang(), claim.part(), standing, claim.unit(), code);
@@ -157,6 +169,10 @@
         if (free.isPresent() && lent) {
             return startAt(job, part, free.get(), true, ReasonCode.START_LENT);
         }
+        Optional<Gang> cleared = free.isPresent() ? state.keeper.makeWay(request.within(Space.FREE)) : free;
+        if (cleared.isPresent()) {
+            return startAt(job, part, cleared.get(), false, ReasonCode.START_SPARE);
+        }
         if (free.isPresent()) {
             return Optional.of(
                     job.spec().reclaimable() ? ReasonCode.WAIT_PROTECTS_GUARANTEE : ReasonCode.WAIT_NOT_ON_LENT);
--- a/core/src/main/java/org/fuchsiawinch/core/internal/VictimChooser.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/VictimChooser.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 import org.fuchsiawinch.core.SchedulerFeature;
 import org.fuchsiawinch.core.SchedulerFeatures;
@@ -55,11 +56,16 @@
      * @return the attempts to stop, none if all is free or coming free; empty if stopping all lent work is not enough
      */
     Optional<List<Attempt>> choose(Gang gang, Resources part, long nowMs) {
+        return choose(gang, part, nowMs, attempt -> attempt.standing() == Standing.LENT && !attempt.stopping());
+    }
+
+    /** Chooses victims for a gang among the attempts that match. */
+    Optional<List<Attempt>> choose(Gang gang, Resources part, long nowMs, Predicate<Attempt> eligible) {
         List<Shortage> shortages = shortages(gang, part);
         if (shortages.isEmpty()) {
             return Optional.of(List.of());
         }
-        List<Attempt> candidates = candidates(shortages, nowMs);
+        List<Attempt> candidates = candidates(shortages, nowMs, eligible);
         List<Attempt> chosen = new ArrayList<>();
         for (Attempt candidate : candidates) {
             if (shortages.stream().allMatch(Shortage::met)) {
@@ -78,11 +84,11 @@
         return Optional.of(chosen);
     }
 
-    private List<Attempt> candidates(List<Shortage> shortages, long nowMs) {
+    private List<Attempt> candidates(List<Shortage> shortages, long nowMs, Predicate<Attempt> eligible) {
         LinkedHashSet<Attempt> found = new LinkedHashSet<>();
         for (Shortage shortage : shortages) {
             for (Attempt attempt : shortage.worker.attempts()) {
-                if (attempt.standing() == Standing.LENT && !attempt.stopping()) {
+                if (eligible.test(attempt)) {
                     found.add(attempt);
                 }
             }
--- a/core/src/main/java/org/fuchsiawinch/core/internal/Worker.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Worker.java
@@ -160,21 +160,12 @@
                 || committed.connections() > capacity.connections();
     }
 
-    /** Counts the parts that fit into a whole capacity. */
-    static int fitting(Resources capacity, Resources part) {
-        int count = quotient(capacity.accelerators(), part.accelerators());
-        count = Math.min(count, quotient(capacity.cpuMillis(), part.cpuMillis()));
-        count = Math.min(count, quotient(capacity.memoryMb(), part.memoryMb()));
-        count = Math.min(count, quotient(capacity.slots(), part.slots()));
-        return Math.min(count, quotient(capacity.connections(), part.connections()));
-    }
-
     private static boolean within(int need, int available) {
         return need <= available;
     }
 
     private int fitting(Amounts taken, Amounts more, Resources part, boolean acceleratorsOnly) {
-        int count = quotient(
+        int count = Amounts.quotient(
                 capacity.accelerators() - taken.accelerators() - (more == null ? 0 : more.accelerators()),
                 part.accelerators());
         if (count <= 0 || acceleratorsOnly) {
@@ -182,27 +173,21 @@
         }
         count = Math.min(
                 count,
-                quotient(
+                Amounts.quotient(
                         capacity.cpuMillis() - taken.cpuMillis() - (more == null ? 0 : more.cpuMillis()),
                         part.cpuMillis()));
         count = Math.min(
                 count,
-                quotient(
+                Amounts.quotient(
                         capacity.memoryMb() - taken.memoryMb() - (more == null ? 0 : more.memoryMb()),
                         part.memoryMb()));
         count = Math.min(
-                count, quotient(capacity.slots() - taken.slots() - (more == null ? 0 : more.slots()), part.slots()));
+                count,
+                Amounts.quotient(capacity.slots() - taken.slots() - (more == null ? 0 : more.slots()), part.slots()));
         return Math.min(
                 count,
-                quotient(
+                Amounts.quotient(
                         capacity.connections() - taken.connections() - (more == null ? 0 : more.connections()),
                         part.connections()));
     }
-
-    private static int quotient(int available, int need) {
-        if (need <= 0) {
-            return Integer.MAX_VALUE;
-        }
-        return available < need ? 0 : available / need;
-    }
 }
--- a/core/src/main/java/org/fuchsiawinch/core/internal/WorkerPool.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/WorkerPool.java
@@ -116,7 +116,7 @@
                         case RACK -> spec.dataCentre() + ' ' + spec.rack();
                         default -> spec.dataCentre();
                     };
-            long room = Worker.fitting(spec.capacity(), shape.perPart());
+            long room = new Amounts().room(spec.capacity(), shape.perPart());
             if (rooms.merge(domain, room, Long::sum) >= shape.parts()) {
                 return true;
             }
