--- /dev/null
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Amounts.java
@@ -0,0 +1,70 @@
+package org.fuchsiawinch.core.internal;
+
+import org.fuchsiawinch.model.Resources;
+
+/** A mutable amount of each of the five resources. Not thread-safe. */
+final class Amounts {
+
+    private int cpuMillis;
+    private int memoryMb;
+    private int accelerators;
+    private int slots;
+    private int connections;
+
+    void add(Resources resources, int times) {
+        cpuMillis += resources.cpuMillis() * times;
+        memoryMb += resources.memoryMb() * times;
+        accelerators += resources.accelerators() * times;
+        slots += resources.slots() * times;
+        connections += resources.connections() * times;
+    }
+
+    void add(Amounts other, int times) {
+        cpuMillis += other.cpuMillis * times;
+        memoryMb += other.memoryMb * times;
+        accelerators += other.accelerators * times;
+        slots += other.slots * times;
+        connections += other.connections * times;
+    }
+
+    /** Counts the parts that fit into what this amount leaves of a capacity. */
+    int room(Resources capacity, Resources part) {
+        int count = quotient(capacity.accelerators() - accelerators, part.accelerators());
+        count = Math.min(count, quotient(capacity.cpuMillis() - cpuMillis, part.cpuMillis()));
+        count = Math.min(count, quotient(capacity.memoryMb() - memoryMb, part.memoryMb()));
+        count = Math.min(count, quotient(capacity.slots() - slots, part.slots()));
+        return Math.min(count, quotient(capacity.connections() - connections, part.connections()));
+    }
+
+    /** Counts how often a need fits into an available amount; a need of nothing fits without bound. */
+    static int quotient(int available, int need) {
+        if (need <= 0) {
+            return Integer.MAX_VALUE;
+        }
+        return available < need ? 0 : available / need;
+    }
+
+    void addMemory(int megabytes) {
+        memoryMb += megabytes;
+    }
+
+    int cpuMillis() {
+        return cpuMillis;
+    }
+
+    int memoryMb() {
+        return memoryMb;
+    }
+
+    int accelerators() {
+        return accelerators;
+    }
+
+    int slots() {
+        return slots;
+    }
+
+    int connections() {
+        return connections;
+    }
+}
