Add the trace format, the replay engine and the independent checker

Cause: decisions have to be measured on traces and judged by something that shares no state with the scheduler. Change: JSON Lines reader and writer with located problems; engine on a virtual clock with fake workers, gangs and callers; a checker with one class a promise; the baselines share one queue, and EASY backfill joins them.

--- /dev/null
+++ b/core/src/main/java/org/fuchsiawinch/core/baseline/Fleet.java
@@ -0,0 +1,182 @@
+package org.fuchsiawinch.core.baseline;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.fuchsiawinch.core.Decision;
+import org.fuchsiawinch.core.Reason;
+import org.fuchsiawinch.core.ReasonCode;
+import org.fuchsiawinch.model.AttemptId;
+import org.fuchsiawinch.model.JobId;
+import org.fuchsiawinch.model.JobSpec;
+import org.fuchsiawinch.model.Placement;
+import org.fuchsiawinch.model.Resources;
+import org.fuchsiawinch.model.Shape;
+import org.fuchsiawinch.model.WorkerId;
+import org.fuchsiawinch.model.WorkerSpec;
+
+/** Workers, their free capacity and the attempts that hold the rest. Not thread-safe. */
+final class Fleet {
+
+    private final Map<WorkerId, WorkerSpec> workers = new TreeMap<>();
+    private final Map<WorkerId, WorkerSpec> everSeen = new TreeMap<>();
+    private final Map<WorkerId, Resources> free = new HashMap<>();
+    private final Set<WorkerId> closed = new HashSet<>();
+    private final Map<AttemptId, RunningGang> running = new LinkedHashMap<>();
+    private final Map<JobId, Integer> attempts = new HashMap<>();
+    private final Map<Shape, Boolean> possible = new HashMap<>();
+    private final List<Decision> started = new ArrayList<>();
+
+    void join(WorkerSpec worker) {
+        closed.remove(worker.id());
+        if (!worker.equals(everSeen.put(worker.id(), worker))) {
+            possible.clear();
+        }
+        if (workers.put(worker.id(), worker) == null) {
+            free.put(worker.id(), worker.capacity());
+        }
+    }
+
+    void close(WorkerId worker) {
+        closed.add(worker);
+    }
+
+    void lose(WorkerId worker) {
+        workers.remove(worker);
+        free.remove(worker);
+        closed.remove(worker);
+    }
+
+    List<RunningGang> gangsOn(WorkerId worker) {
+        return running.values().stream().filter(gang -> gang.runsOn(worker)).toList();
+    }
+
+    Optional<RunningGang> gang(AttemptId id) {
+        return Optional.ofNullable(running.get(id));
+    }
+
+    Optional<RunningGang> gangOf(JobId job) {
+        return gang(new AttemptId(job, attempts.getOrDefault(job, 0)));
+    }
+
+    boolean everStarted(JobId job) {
+        return attempts.containsKey(job);
+    }
+
+    List<RunningGang> runningGangs() {
+        return List.copyOf(running.values());
+    }
+
+    void recover(JobSpec job, AttemptId id, List<Placement> placements, long startedMs) {
+        attempts.put(job.id(), id.number());
+        occupy(job, id, placements, startedMs);
+    }
+
+    /** Starts a job; its capacity is taken at once. */
+    void start(JobSpec job, List<Placement> placements, long nowMs) {
+        AttemptId id = new AttemptId(job.id(), attempts.merge(job.id(), 1, Integer::sum));
+        occupy(job, id, placements, nowMs);
+        started.add(new Decision.StartGang(id, placements, false, Reason.of(ReasonCode.START_SPARE)));
+    }
+
+    /** Hands over the starts since the last call. */
+    List<Decision> takeStarted() {
+        List<Decision> taken = List.copyOf(started);
+        started.clear();
+        return taken;
+    }
+
+    void release(RunningGang gang) {
+        running.remove(gang.id);
+        giveBack(gang, free);
+    }
+
+    static void giveBack(RunningGang gang, Map<WorkerId, Resources> amounts) {
+        Resources part = gang.job.shape().perPart();
+        for (Placement placement : gang.placements) {
+            amounts.computeIfPresent(placement.worker(), (id, amount) -> amount.plus(part));
+        }
+    }
+
+    static void take(Shape shape, List<Placement> placements, Map<WorkerId, Resources> amounts) {
+        for (Placement placement : placements) {
+            amounts.computeIfPresent(placement.worker(), (id, amount) -> amount.minus(shape.perPart()));
+        }
+    }
+
+    /** Copies the free capacity of the workers that take new work. */
+    Map<WorkerId, Resources> openCapacity() {
+        Map<WorkerId, Resources> open = new HashMap<>(free);
+        open.keySet().removeAll(closed);
+        return open;
+    }
+
+    /** Finds the first workers that hold the shape now. */
+    Optional<List<Placement>> place(Shape shape) {
+        return place(shape, openCapacity(), workers);
+    }
+
+    /** Finds the first workers that hold the shape in the given amounts. */
+    Optional<List<Placement>> place(Shape shape, Map<WorkerId, Resources> amounts) {
+        return place(shape, amounts, workers);
+    }
+
+    /** Says whether all workers ever seen, empty, could hold the shape. */
+    boolean couldEverHold(Shape shape) {
+        return possible.computeIfAbsent(shape, wanted -> {
+            Map<WorkerId, Resources> empty = new HashMap<>();
+            everSeen.forEach((id, worker) -> empty.put(id, worker.capacity()));
+            return place(wanted, empty, everSeen).isPresent();
+        });
+    }
+
+    /** Gives the declared run time in ms on the slowest of the chosen workers. */
+    long declaredRunMs(JobSpec job, List<Placement> placements) {
+        double speed = placements.stream()
+                .map(placement -> everSeen.get(placement.worker()))
+                .mapToDouble(worker -> worker == null ? 1.0 : worker.speed())
+                .min()
+                .orElse(1.0);
+        return Math.round(job.declaredRunMs() / speed);
+    }
+
+    private void occupy(JobSpec job, AttemptId id, List<Placement> placements, long nowMs) {
+        running.put(id, new RunningGang(id, job, placements, nowMs + declaredRunMs(job, placements)));
+        take(job.shape(), placements, free);
+    }
+
+    private static Optional<List<Placement>> place(
+            Shape shape, Map<WorkerId, Resources> amounts, Map<WorkerId, WorkerSpec> candidates) {
+        Map<String, List<Placement>> byDomain = new HashMap<>();
+        for (WorkerSpec worker : candidates.values()) {
+            Resources left = amounts.get(worker.id());
+            if (left == null || !shape.perPart().fitsIn(left)) {
+                continue;
+            }
+            List<Placement> found = byDomain.computeIfAbsent(domain(worker, shape), name -> new ArrayList<>());
+            while (found.size() < shape.parts() && shape.perPart().fitsIn(left)) {
+                found.add(new Placement(found.size(), worker.id()));
+                left = left.minus(shape.perPart());
+            }
+            if (found.size() == shape.parts()) {
+                return Optional.of(found);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static String domain(WorkerSpec worker, Shape shape) {
+        return switch (shape.adjacency()) {
+            case WORKER -> worker.id().value();
+            case RACK -> worker.dataCentre() + "/" + worker.rack();
+            case DATA_CENTRE -> worker.dataCentre();
+        };
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiawinch/core/baseline/RunningGang.java
@@ -0,0 +1,38 @@
+package org.fuchsiawinch.core.baseline;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.fuchsiawinch.model.AttemptId;
+import org.fuchsiawinch.model.JobSpec;
+import org.fuchsiawinch.model.Placement;
+import org.fuchsiawinch.model.WorkerId;
+
+/** One attempt that holds capacity. Not thread-safe. */
+final class RunningGang {
+
+    final AttemptId id;
+    final JobSpec job;
+    final List<Placement> placements;
+    final long estimatedEndMs;
+    final Set<Integer> done = new HashSet<>();
+    boolean stopping;
+    boolean cancelled;
+
+    RunningGang(AttemptId id, JobSpec job, List<Placement> placements, long estimatedEndMs) {
+        this.id = id;
+        this.job = job;
+        this.placements = List.copyOf(placements);
+        this.estimatedEndMs = estimatedEndMs;
+    }
+
+    boolean complete() {
+        return done.size() == placements.size();
+    }
+
+    boolean runsOn(WorkerId worker) {
+        return placements.stream()
+                .anyMatch(placement -> placement.worker().equals(worker) && !done.contains(placement.part()));
+    }
+}
--- /dev/null
+++ b/replay/src/main/java/org/fuchsiawinch/replay/check/ClosedWorkerCheck.java
@@ -0,0 +1,46 @@
+package org.fuchsiawinch.replay.check;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import org.fuchsiawinch.model.Placement;
+import org.fuchsiawinch.model.WorkerId;
+import org.fuchsiawinch.replay.engine.ProtocolTimes;
+import org.fuchsiawinch.replay.history.HistoryEvent;
+
+/** Finds starts on workers that the scheduler knew, or should have known within seconds, not to be usable. */
+final class ClosedWorkerCheck implements HistoryCheck {
+
+    private final Set<WorkerId> opened = new HashSet<>();
+    private final Map<WorkerId, Long> downSinceMs = new HashMap<>();
+
+    @Override
+    public void see(HistoryEvent event, Consumer<Violation> report) {
+        if (event instanceof HistoryEvent.WorkerOpened open) {
+            opened.add(open.worker().id());
+            downSinceMs.remove(open.worker().id());
+        } else if (event instanceof HistoryEvent.WorkerClosed closed) {
+            opened.remove(closed.worker());
+        } else if (event instanceof HistoryEvent.WorkerDown down) {
+            downSinceMs.putIfAbsent(down.worker(), down.atMs());
+        } else if (event instanceof HistoryEvent.StartDecided start) {
+            start.placements().stream()
+                    .map(Placement::worker)
+                    .distinct()
+                    .filter(worker -> !usable(worker, start.atMs()))
+                    .forEach(worker -> report.accept(Violation.ofWorker(
+                            Promise.NO_WORK_ON_CLOSED_WORKER,
+                            start.atMs(),
+                            start.attempt().job(),
+                            worker)));
+        }
+    }
+
+    private boolean usable(WorkerId worker, long nowMs) {
+        long downMs = nowMs - downSinceMs.getOrDefault(worker, nowMs);
+        return opened.contains(worker) && downMs <= ProtocolTimes.LEAVING_BOUND_MS;
+    }
+}
--- /dev/null
+++ b/replay/src/main/java/org/fuchsiawinch/replay/check/PromiseChecker.java
@@ -0,0 +1,36 @@
+package org.fuchsiawinch.replay.check;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.fuchsiawinch.replay.history.HistoryEvent;
+
+/** Judges whole histories against all promises. Stateless; thread-safe. */
+public final class PromiseChecker {
+
+    /**
+     * Judges one history.
+     *
+     * @param history facts in order of time
+     * @return the verdict
+     */
+    public CheckReport check(List<HistoryEvent> history) {
+        GuaranteeCheck guarantees = new GuaranteeCheck();
+        List<HistoryCheck> checks = List.of(
+                new OvercommitCheck(),
+                new GangCheck(),
+                guarantees,
+                new NotRunCheck(),
+                new AtMostOnceCheck(),
+                new ClosedWorkerCheck(),
+                new AnswerCheck(),
+                new SpendCheck());
+        List<Violation> violations = new ArrayList<>();
+        for (HistoryEvent event : history) {
+            checks.forEach(check -> check.see(event, violations::add));
+        }
+        long endMs = history.isEmpty() ? 0 : history.get(history.size() - 1).atMs();
+        checks.forEach(check -> check.finish(endMs, violations::add));
+        return new CheckReport(violations, guarantees.starts());
+    }
+}
--- /dev/null
+++ b/replay/src/main/java/org/fuchsiawinch/replay/engine/GangAttempt.java
@@ -0,0 +1,88 @@
+package org.fuchsiawinch.replay.engine;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+import org.fuchsiawinch.model.AttemptId;
+import org.fuchsiawinch.model.Placement;
+import org.fuchsiawinch.model.TaskId;
+import org.fuchsiawinch.replay.trace.TraceJob;
+
+/** One attempt as it happens on the workers. Not thread-safe. */
+final class GangAttempt {
+
+    /** Where the attempt stands as a whole. */
+    enum State {
+        /** Decided; no part has been released. */
+        STARTING,
+        /** All parts were released. */
+        RUNNING,
+        /** Saves its progress. */
+        CHECKPOINTING,
+        /** Released parts end as soon as their workers can be told. */
+        STOPPING,
+        /** Nothing is left of it. */
+        CLOSED
+    }
+
+    /** Where one part stands. */
+    enum PartState {
+        /** Not released. */
+        HELD,
+        /** Runs. */
+        RUNNING,
+        /** Ended with its result, which the scheduler doesn't know yet. */
+        UNREPORTED,
+        /** Ended. */
+        ENDED
+    }
+
+    final AttemptId id;
+    final TraceJob job;
+    final List<Placement> placements;
+    final PartState[] parts;
+    State state = State.STARTING;
+    boolean broken;
+    boolean stopRequested;
+    boolean resultDelivered;
+    int reported;
+    int epoch;
+    long startedMs;
+    double speed;
+
+    GangAttempt(AttemptId id, TraceJob job, List<Placement> placements) {
+        this.id = id;
+        this.job = job;
+        this.placements = placements;
+        this.parts = new PartState[placements.size()];
+        Arrays.fill(parts, PartState.HELD);
+    }
+
+    TaskId task(int index) {
+        return new TaskId(id, placements.get(index).part());
+    }
+
+    boolean all(PartState wanted) {
+        for (PartState part : parts) {
+            if (part != wanted) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    List<Integer> indexes(PartState wanted) {
+        List<Integer> found = new ArrayList<>();
+        for (int index = 0; index < parts.length; index++) {
+            if (parts[index] == wanted) {
+                found.add(index);
+            }
+        }
+        return found;
+    }
+
+    double progressMs(long nowMs) {
+        return (nowMs - startedMs) * speed;
+    }
+}
--- /dev/null
+++ b/replay/src/main/java/org/fuchsiawinch/replay/engine/Timeline.java
@@ -0,0 +1,50 @@
+package org.fuchsiawinch.replay.engine;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/**
+ * Virtual clock with the actions that are due; actions of the same time run in the order in which they were added. Not
+ * thread-safe.
+ */
+final class Timeline {
+
+    private final PriorityQueue<Entry> entries =
+            new PriorityQueue<>(Comparator.comparingLong(Entry::atMs).thenComparingLong(Entry::sequence));
+    private long nowMs;
+    private long sequence;
+
+    long nowMs() {
+        return nowMs;
+    }
+
+    /**
+     * Adds an action; a time in the past counts as now.
+     */
+    void at(long atMs, Runnable action) {
+        entries.add(new Entry(Math.max(atMs, nowMs), sequence++, action));
+    }
+
+    void after(long delayMs, Runnable action) {
+        at(nowMs + delayMs, action);
+    }
+
+    /**
+     * Runs the next action.
+     *
+     * @param untilMs latest time in ms of an action that may run
+     * @return false if there is none
+     */
+    boolean step(long untilMs) {
+        Entry next = entries.peek();
+        if (next == null || next.atMs() > untilMs) {
+            return false;
+        }
+        entries.remove();
+        nowMs = next.atMs();
+        next.action().run();
+        return true;
+    }
+
+    private record Entry(long atMs, long sequence, Runnable action) {}
+}
--- /dev/null
+++ b/replay/src/main/java/org/fuchsiawinch/replay/trace/package-info.java
@@ -0,0 +1,2 @@
+/** The trace format: typed events, reader with located problems, writer. */
+package org.fuchsiawinch.replay.trace;
