--- /dev/null
+++ b/replay/src/main/java/org/fuchsiawinch/replay/ReplayRunner.java
@@ -0,0 +1,35 @@
+package org.fuchsiawinch.replay;
+
+import java.util.List;
+
+import org.fuchsiawinch.replay.check.CheckReport;
+import org.fuchsiawinch.replay.check.PromiseChecker;
+import org.fuchsiawinch.replay.engine.ReplayEngine;
+import org.fuchsiawinch.replay.history.HistoryEvent;
+import org.fuchsiawinch.replay.measure.MeasureCalculator;
+
+/** Replays, checks and measures. Stateless; thread-safe. */
+public final class ReplayRunner {
+
+    private final PromiseChecker checker = new PromiseChecker();
+    private final MeasureCalculator calculator = new MeasureCalculator();
+
+    /**
+     * Runs one replay.
+     *
+     * @param input the trace and its documents
+     * @param policy the scheduler to drive
+     * @param seed seed of the protocol delays
+     * @return figures and broken promises; the same for the same arguments
+     */
+    public ReplayResult run(ReplayInput input, SchedulingPolicy policy, long seed) {
+        ReplayEngine engine =
+                new ReplayEngine(input.trace(), input.policy(), input.changes(), policy.newScheduler(), seed);
+        List<HistoryEvent> history = engine.run();
+        CheckReport report = checker.check(history);
+        return new ReplayResult(
+                input.trace().name(),
+                calculator.measure(policy.label(), seed, input.trace(), history, report),
+                report.violations());
+    }
+}
--- /dev/null
+++ b/replay/src/main/java/org/fuchsiawinch/replay/SchedulingPolicy.java
@@ -0,0 +1,69 @@
+package org.fuchsiawinch.replay;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+import org.fuchsiawinch.core.Scheduler;
+import org.fuchsiawinch.core.baseline.BackfillScheduler;
+import org.fuchsiawinch.core.baseline.FirstFitScheduler;
+
+/** Schedulers that a replay can drive. */
+public enum SchedulingPolicy {
+    /** Strict order of arrival. */
+    FIRST_COME_FIRST_SERVED("first-come-first-served", true, () -> new FirstFitScheduler(true)),
+    /** Order of arrival; what doesn't fit is passed over. */
+    FIRST_FIT("first-fit", true, () -> new FirstFitScheduler(false)),
+    /** EASY backfill on declared run times, without guarantees. */
+    BACKFILL("backfill", true, BackfillScheduler::new);
+
+    private final String label;
+    private final boolean baseline;
+    private final Supplier<Scheduler> factory;
+
+    SchedulingPolicy(String label, boolean baseline, Supplier<Scheduler> factory) {
+        this.label = label;
+        this.baseline = baseline;
+        this.factory = factory;
+    }
+
+    /**
+     * Finds a policy.
+     *
+     * @param label its name on the command line
+     * @return the policy, or empty if there is none
+     */
+    public static Optional<SchedulingPolicy> byLabel(String label) {
+        return Arrays.stream(values())
+                .filter(policy -> policy.label.equals(label))
+                .findFirst();
+    }
+
+    /**
+     * Lists the policies that ours is measured against.
+     *
+     * @return the baselines
+     */
+    public static List<SchedulingPolicy> baselines() {
+        return Arrays.stream(values()).filter(policy -> policy.baseline).toList();
+    }
+
+    /**
+     * Gives the name on the command line.
+     *
+     * @return lower-case name
+     */
+    public String label() {
+        return label;
+    }
+
+    /**
+     * Makes a fresh scheduler.
+     *
+     * @return the scheduler
+     */
+    public Scheduler newScheduler() {
+        return factory.get();
+    }
+}
--- /dev/null
+++ b/replay/src/main/java/org/fuchsiawinch/replay/generate/JobFactory.java
@@ -0,0 +1,100 @@
+package org.fuchsiawinch.replay.generate;
+
+import java.util.OptionalLong;
+import java.util.Random;
+
+import org.fuchsiawinch.model.Adjacency;
+import org.fuchsiawinch.model.JobId;
+import org.fuchsiawinch.model.JobSpec;
+import org.fuchsiawinch.model.Resources;
+import org.fuchsiawinch.model.Shape;
+import org.fuchsiawinch.model.WorkspaceId;
+import org.fuchsiawinch.replay.trace.TraceJob;
+
+/** Draws jobs of a kind of work. Not thread-safe. */
+final class JobFactory {
+
+    private static final int CPU_MILLIS_PER_ACCELERATOR = 2_000;
+    private static final double POISON_SHARE = 0.006;
+    private static final double MEMORY_OVERRUN_SHARE = 0.25;
+    private static final long MIN_CHECKPOINT_MS = 2_000;
+    private static final int CHECKPOINT_SPREAD_MS = 12_000;
+
+    private final Random random;
+    private final int memoryPerAcceleratorMb;
+    private final boolean wrongEstimates;
+    private int count;
+
+    JobFactory(Random random, SampleUser user, boolean wrongEstimates) {
+        this.random = random;
+        this.memoryPerAcceleratorMb = user.memoryMb() / 16;
+        this.wrongEstimates = wrongEstimates;
+    }
+
+    TraceJob draw(WorkPlan plan) {
+        return draw(plan, drawSize(plan));
+    }
+
+    TraceJob draw(WorkPlan plan, GangSize size) {
+        count++;
+        long trueRunMs = drawRunMs(plan);
+        long declaredMs = Math.max(1_000, Math.round(trueRunMs * declaredFactor(plan) / 1_000) * 1_000);
+        boolean idempotent = size.parts() > 32 || random.nextDouble() >= plan.nonIdempotentShare();
+        boolean checkpointable = idempotent && random.nextDouble() < plan.checkpointableShare();
+        Resources perPart = new Resources(
+                CPU_MILLIS_PER_ACCELERATOR * size.accelerators(),
+                memoryPerAcceleratorMb * size.accelerators(),
+                size.accelerators(),
+                1,
+                1);
+        Adjacency adjacency = size.parts() == 1 ? Adjacency.WORKER : size.adjacency();
+        JobSpec spec = new JobSpec(
+                new JobId(plan.kind() + "-" + count),
+                new WorkspaceId(plan.workspace()),
+                plan.kind(),
+                new Shape(size.parts(), perPart, adjacency),
+                declaredMs,
+                idempotent,
+                checkpointable,
+                plan.urgency(),
+                OptionalLong.empty());
+        long checkpointMs = checkpointable
+                ? MIN_CHECKPOINT_MS + random.nextInt(CHECKPOINT_SPREAD_MS)
+                : TraceJob.DEFAULT_CHECKPOINT_MS;
+        boolean poison = random.nextDouble() < POISON_SHARE && idempotent;
+        return new TraceJob(spec, trueRunMs, trueMemoryMb(perPart.memoryMb()), checkpointMs, poison);
+    }
+
+    private GangSize drawSize(WorkPlan plan) {
+        int roll = random.nextInt(100);
+        for (GangSize size : plan.sizes()) {
+            roll -= size.weight();
+            if (roll < 0) {
+                return size;
+            }
+        }
+        return plan.sizes().get(0);
+    }
+
+    private long drawRunMs(WorkPlan plan) {
+        double logMin = Math.log(plan.minRunSeconds());
+        double logMax = Math.log(plan.maxRunSeconds());
+        return Math.round(Math.exp(logMin + random.nextDouble() * (logMax - logMin)) * 1_000);
+    }
+
+    private double declaredFactor(WorkPlan plan) {
+        double spread = Math.exp(random.nextGaussian() * (wrongEstimates ? 0.9 : 0.3));
+        if (!wrongEstimates) {
+            return 1.2 * spread;
+        }
+        double bias = plan.minRunSeconds() >= 600 ? 0.3 : 4.0;
+        return bias * spread;
+    }
+
+    private int trueMemoryMb(int declaredMb) {
+        if (!wrongEstimates || random.nextDouble() >= MEMORY_OVERRUN_SHARE) {
+            return declaredMb - declaredMb / 10;
+        }
+        return (int) Math.round(declaredMb * (1.05 + random.nextDouble()));
+    }
+}
--- /dev/null
+++ b/replay/src/main/java/org/fuchsiawinch/replay/generate/TraceGenerator.java
@@ -0,0 +1,181 @@
+package org.fuchsiawinch.replay.generate;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Random;
+
+import org.fuchsiawinch.model.Adjacency;
+import org.fuchsiawinch.model.JobId;
+import org.fuchsiawinch.model.Resources;
+import org.fuchsiawinch.model.WorkerId;
+import org.fuchsiawinch.model.WorkerSpec;
+import org.fuchsiawinch.replay.trace.Trace;
+import org.fuchsiawinch.replay.trace.TraceEvent;
+
+/**
+ * Makes the sample traces; the same kind and seed give the same trace. Stateless; thread-safe.
+ */
+public final class TraceGenerator {
+
+    private static final long MINUTE_MS = 60_000;
+    private static final long HOUR_MS = 60 * MINUTE_MS;
+    private static final long LOAD_MS = 4 * HOUR_MS;
+    private static final long HORIZON_MS = 24 * HOUR_MS;
+    private static final Resources IMPOSSIBLE_EXTRA = new Resources(0, 0, 9, 0, 0);
+
+    /**
+     * Makes a trace.
+     *
+     * @param kind what it shows
+     * @param seed seed of all random choices
+     * @return the trace
+     */
+    public Trace generate(TraceKind kind, long seed) {
+        return new Draft(kind, seed).trace();
+    }
+
+    /** State of one generation. */
+    private static final class Draft {
+
+        private final TraceKind kind;
+        private final SampleUser user;
+        private final Random random;
+        private final JobFactory jobs;
+        private final List<TraceEvent> events = new ArrayList<>();
+        private final List<WorkerId> workers = new ArrayList<>();
+
+        private Draft(TraceKind kind, long seed) {
+            this.kind = kind;
+            this.user = kind.user();
+            this.random = new Random(seed * 31 + kind.name().hashCode());
+            this.jobs = new JobFactory(random, user, kind.scenario() == Scenario.WRONG_ESTIMATES);
+        }
+
+        private Trace trace() {
+            addWorkers();
+            double share = kind.scenario() == Scenario.FLOOD_OVER_GANG ? 0.6 : 1.0;
+            user.work().forEach(plan -> addLoad(plan, 0, LOAD_MS, plan.perHour() * share));
+            addImpossibleJob();
+            addScenario();
+            events.sort(Comparator.comparingLong(TraceEvent::atMs));
+            return new Trace(kind.name(), HORIZON_MS, events);
+        }
+
+        private void addWorkers() {
+            for (RackPlan rack : user.racks()) {
+                for (int number = 1; number <= rack.workers(); number++) {
+                    WorkerId id = new WorkerId(rack.dataCentre() + "-" + rack.rack() + "-" + number);
+                    double speed = Math.round(rack.speed() * (0.9 + 0.2 * random.nextDouble()) * 100) / 100.0;
+                    Resources capacity = new Resources(30_000, user.memoryMb(), 8, 8, 64);
+                    workers.add(id);
+                    events.add(new TraceEvent.WorkerJoins(
+                            0, new WorkerSpec(id, rack.dataCentre(), rack.rack(), capacity, speed)));
+                }
+            }
+        }
+
+        private void addLoad(WorkPlan plan, long fromMs, long untilMs, double perHour) {
+            double atMs = fromMs;
+            while (true) {
+                atMs += -Math.log(1 - random.nextDouble()) * HOUR_MS / perHour;
+                if (atMs >= untilMs) {
+                    return;
+                }
+                events.add(new TraceEvent.Submit(Math.round(atMs), jobs.draw(plan)));
+            }
+        }
+
+        private void addImpossibleJob() {
+            WorkPlan plan = user.work(user.gangKind());
+            GangSize size = new GangSize(100, 1, IMPOSSIBLE_EXTRA.accelerators(), Adjacency.WORKER);
+            events.add(new TraceEvent.Submit(30 * MINUTE_MS, jobs.draw(plan, size)));
+        }
+
+        private void addScenario() {
+            switch (kind.scenario()) {
+                case FESTIVAL_BURST -> addFestival();
+                case FLOOD_OVER_GANG -> addFlood();
+                case CANCEL_WAVE -> addCancelWave();
+                case FLAPPING_WORKERS -> addFlapping();
+                case RACK_LOST -> addRackLoss();
+                default -> events.add(new TraceEvent.UsageLag(0, 20_000));
+            }
+        }
+
+        private void addFestival() {
+            long startMs = HOUR_MS;
+            addLoad(user.work(user.gangKind()), startMs, startMs + 15 * MINUTE_MS, 80);
+            addLoad(user.work(user.quickKind()), startMs, startMs + 40 * MINUTE_MS, 300);
+            addLoad(user.work(user.checkKind()), startMs, startMs + 30 * MINUTE_MS, 200);
+        }
+
+        private void addFlood() {
+            WorkPlan small = user.work(user.checkKind());
+            WorkPlan slow = new WorkPlan(
+                    small.workspace(), small.kind(), small.sizes(), 0, 300, 1_500, 0, 0.5, small.urgency());
+            addLoad(slow, 20 * MINUTE_MS, 3 * HOUR_MS, 220);
+            WorkPlan gangs = user.work(user.gangKind());
+            GangSize largest = gangs.sizes().get(gangs.sizes().size() - 1);
+            for (int count = 0; count < 4; count++) {
+                long atMs = 40 * MINUTE_MS + count * 25 * MINUTE_MS;
+                events.add(new TraceEvent.Submit(atMs, jobs.draw(gangs, largest)));
+            }
+        }
+
+        private void addCancelWave() {
+            addLoad(user.work(user.gangKind()), HOUR_MS, HOUR_MS + 20 * MINUTE_MS, 60);
+            addLoad(user.work(user.checkKind()), HOUR_MS, HOUR_MS + 20 * MINUTE_MS, 400);
+            addLoad(user.work(user.quickKind()), HOUR_MS + 19 * MINUTE_MS, HOUR_MS + 20 * MINUTE_MS, 3_000);
+            long waveMs = HOUR_MS + 20 * MINUTE_MS;
+            for (TraceEvent event : List.copyOf(events)) {
+                if (event instanceof TraceEvent.Submit submit && hitByWave(submit, waveMs)) {
+                    JobId job = submit.job().spec().id();
+                    events.add(new TraceEvent.Cancel(waveMs + random.nextInt(2_000), job));
+                }
+            }
+        }
+
+        private boolean hitByWave(TraceEvent.Submit submit, long waveMs) {
+            boolean recent = submit.atMs() < waveMs && submit.atMs() > waveMs - 20 * MINUTE_MS;
+            return recent && random.nextDouble() < 0.6;
+        }
+
+        private void addFlapping() {
+            for (int index = 0; index < workers.size(); index += 5) {
+                flap(workers.get(index));
+            }
+            events.add(new TraceEvent.WorkerFaulty(50 * MINUTE_MS, workers.get(2), 110 * MINUTE_MS));
+            events.add(new TraceEvent.WorkerFaulty(80 * MINUTE_MS, workers.get(17), 150 * MINUTE_MS));
+            events.add(new TraceEvent.LogOutage(170 * MINUTE_MS, 180 * MINUTE_MS));
+        }
+
+        private void flap(WorkerId worker) {
+            long atMs = 30 * MINUTE_MS + random.nextInt((int) (20 * MINUTE_MS));
+            while (atMs < 3 * HOUR_MS) {
+                boolean silent = random.nextBoolean();
+                events.add(
+                        silent ? new TraceEvent.WorkerSilent(atMs, worker) : new TraceEvent.WorkerLost(atMs, worker));
+                atMs += 1_000 + random.nextInt(silent ? 15_000 : 120_000);
+                events.add(new TraceEvent.WorkerBack(atMs, worker));
+                atMs += 5 * MINUTE_MS + random.nextInt((int) (25 * MINUTE_MS));
+            }
+        }
+
+        private void addRackLoss() {
+            RackPlan rack = user.racks().get(2);
+            String prefix = rack.dataCentre() + "-" + rack.rack() + "-";
+            List<WorkerId> inRack = workers.stream()
+                    .filter(worker -> worker.value().startsWith(prefix))
+                    .toList();
+            inRack.forEach(worker -> events.add(new TraceEvent.WorkerLost(80 * MINUTE_MS, worker)));
+            inRack.forEach(worker -> events.add(new TraceEvent.WorkerBack(130 * MINUTE_MS, worker)));
+            for (int count = 0; count < 3; count++) {
+                WorkerId leaving = workers.get(count * 2);
+                events.add(new TraceEvent.WorkerLeaving(150 * MINUTE_MS + count * MINUTE_MS, leaving));
+                events.add(new TraceEvent.WorkerBack(210 * MINUTE_MS, leaving));
+            }
+            addLoad(user.work(user.gangKind()), 75 * MINUTE_MS, 90 * MINUTE_MS, 40);
+        }
+    }
+}
--- /dev/null
+++ b/replay/src/main/java/org/fuchsiawinch/replay/generate/package-info.java
@@ -0,0 +1,2 @@
+/** Seeded generator of the sample traces. */
+package org.fuchsiawinch.replay.generate;
--- /dev/null
+++ b/replay/src/main/java/org/fuchsiawinch/replay/measure/RequestLog.java
@@ -0,0 +1,164 @@
+package org.fuchsiawinch.replay.measure;
+
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.fuchsiawinch.core.ReasonCode;
+import org.fuchsiawinch.model.JobId;
+import org.fuchsiawinch.replay.history.HistoryEvent;
+import org.fuchsiawinch.replay.trace.Trace;
+import org.fuchsiawinch.replay.trace.TraceEvent;
+import org.fuchsiawinch.replay.trace.TraceJob;
+
+/**
+ * Follows each caller's request over refusals and submits again. Completion times are over the same requests for every
+ * policy: those that their callers don't cancel and that don't always fail. A request that was refused for good or
+ * is open at the end counts with the time up to the end of the replay's horizon. Not thread-safe.
+ */
+final class RequestLog {
+
+    private static final Set<ReasonCode> REFUSALS = EnumSet.of(
+            ReasonCode.END_WORKSPACE_QUEUE_FULL,
+            ReasonCode.END_SYSTEM_QUEUE_FULL,
+            ReasonCode.END_OVER_SPEND_LIMIT,
+            ReasonCode.END_DEADLINE);
+    private static final Set<ReasonCode> IMPOSSIBLE = EnumSet.of(
+            ReasonCode.END_IMPOSSIBLE_SHAPE,
+            ReasonCode.END_OVER_QUOTA,
+            ReasonCode.END_POISON,
+            ReasonCode.END_UNKNOWN_WORKSPACE);
+    private static final double LARGE_SHARE = 0.5;
+
+    private final long horizonMs;
+    private final Map<JobId, Request> requests = new LinkedHashMap<>();
+    private final Map<JobId, JobId> originals = new HashMap<>();
+    private int retries;
+
+    RequestLog(Trace trace) {
+        horizonMs = trace.horizonMs();
+        for (TraceEvent event : trace.events()) {
+            if (event instanceof TraceEvent.Submit submit) {
+                requests.put(submit.job().spec().id(), new Request(submit.job(), submit.atMs()));
+            } else if (event instanceof TraceEvent.Cancel cancel) {
+                requests.get(cancel.job()).cancelled = true;
+            }
+        }
+    }
+
+    void see(HistoryEvent event) {
+        if (event instanceof HistoryEvent.JobSubmitted submitted) {
+            originals.put(submitted.spec().id(), submitted.original());
+            retries += submitted.spec().id().equals(submitted.original()) ? 0 : 1;
+        } else if (event instanceof HistoryEvent.SubmitDeferred) {
+            retries++;
+        } else if (event instanceof HistoryEvent.PartStarted started) {
+            Request request = of(started.task().attempt().job());
+            request.startedMs = Math.min(request.startedMs, started.atMs());
+        } else if (event instanceof HistoryEvent.ResultDelivered result) {
+            Request request = of(result.job());
+            request.resultMs = Math.min(request.resultMs, result.atMs());
+        } else if (event instanceof HistoryEvent.EndTold told) {
+            Request request = of(told.job());
+            request.endedMs = told.atMs();
+            request.code = told.code();
+        }
+    }
+
+    TraceJob job(JobId id) {
+        return of(id).job;
+    }
+
+    Distribution completion() {
+        return Distribution.of(requests.values().stream()
+                .filter(Request::counts)
+                .map(this::completionMs)
+                .toList());
+    }
+
+    List<Double> slowdowns() {
+        return requests.values().stream()
+                .filter(Request::counts)
+                .map(request -> (double) completionMs(request) / request.job.trueRunMs())
+                .sorted()
+                .toList();
+    }
+
+    Distribution largestJobWait() {
+        int largest = requests.values().stream()
+                .filter(Request::counts)
+                .mapToInt(Request::accelerators)
+                .max()
+                .orElse(0);
+        List<Long> waits = new ArrayList<>();
+        for (Request request : requests.values()) {
+            if (request.counts() && request.accelerators() >= largest * LARGE_SHARE) {
+                waits.add(Math.min(request.startedMs, horizonMs) - request.submitMs);
+            }
+        }
+        return Distribution.of(waits);
+    }
+
+    Measures.JobCounts counts() {
+        int[] tally = new int[6];
+        requests.values().forEach(request -> tally[outcome(request)]++);
+        return new Measures.JobCounts(
+                requests.size(), tally[0], tally[1], tally[2], tally[3], tally[4], tally[5], retries);
+    }
+
+    private static int outcome(Request request) {
+        if (request.resultMs != Request.NEVER) {
+            return 0;
+        } else if (request.cancelled) {
+            return 1;
+        } else if (request.code == null) {
+            return 5;
+        } else if (REFUSALS.contains(request.code)) {
+            return 2;
+        }
+        return IMPOSSIBLE.contains(request.code) ? 3 : 4;
+    }
+
+    private long completionMs(Request request) {
+        if (request.resultMs != Request.NEVER) {
+            return request.resultMs - request.submitMs;
+        }
+        boolean told =
+                request.code != null && !REFUSALS.contains(request.code) && request.code != ReasonCode.END_POISON;
+        return (told ? request.endedMs : horizonMs) - request.submitMs;
+    }
+
+    private Request of(JobId id) {
+        return requests.get(originals.getOrDefault(id, id));
+    }
+
+    /** One request of a caller. */
+    private static final class Request {
+        private static final long NEVER = Long.MAX_VALUE;
+
+        private final TraceJob job;
+        private final long submitMs;
+        private long startedMs = NEVER;
+        private long resultMs = NEVER;
+        private long endedMs = NEVER;
+        private ReasonCode code;
+        private boolean cancelled;
+
+        private Request(TraceJob job, long submitMs) {
+            this.job = job;
+            this.submitMs = submitMs;
+        }
+
+        private boolean counts() {
+            return !cancelled && !job.alwaysFails();
+        }
+
+        private int accelerators() {
+            return job.spec().shape().accelerators();
+        }
+    }
+}
--- /dev/null
+++ b/replay/src/main/java/org/fuchsiawinch/replay/measure/package-info.java
@@ -0,0 +1,2 @@
+/** Figures of one replay, worked out from its history. */
+package org.fuchsiawinch.replay.measure;
