--- a/replay/src/main/java/org/fuchsiawinch/replay/SchedulingPolicy.java
+++ b/replay/src/main/java/org/fuchsiawinch/replay/SchedulingPolicy.java
@@ -5,12 +5,15 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 
+import org.fuchsiawinch.core.GuaranteeScheduler;
 import org.fuchsiawinch.core.Scheduler;
 import org.fuchsiawinch.core.baseline.BackfillScheduler;
 import org.fuchsiawinch.core.baseline.FirstFitScheduler;
 
 /** Schedulers that a replay can drive. */
 public enum SchedulingPolicy {
+    /** Workspace guarantees with lending, reclaim, reservations and corrected estimates. */
+    GUARANTEE("guarantee", false, GuaranteeScheduler::new),
     /** Strict order of arrival. */
     FIRST_COME_FIRST_SERVED("first-come-first-served", true, () -> new FirstFitScheduler(true)),
     /** Order of arrival; what doesn't fit is passed over. */
--- /dev/null
+++ b/replay/src/main/java/org/fuchsiawinch/replay/cli/package-info.java
@@ -0,0 +1,2 @@
+/** Command lines of the replay binaries. */
+package org.fuchsiawinch.replay.cli;
--- /dev/null
+++ b/replay/src/main/java/org/fuchsiawinch/replay/outcome/Measure.java
@@ -0,0 +1,62 @@
+package org.fuchsiawinch.replay.outcome;
+
+import java.util.Arrays;
+import java.util.Optional;
+import java.util.function.ToDoubleFunction;
+
+import org.fuchsiawinch.replay.measure.Measures;
+
+/** Measures that an outcome can set a target for; lower is better in each. */
+public enum Measure {
+    /** Mean completion time in ms. */
+    COMPLETION_MEAN("completion-mean", measures -> measures.completionMs().meanMs()),
+    /** 95th percentile of completion time in ms. */
+    COMPLETION_P95("completion-p95", measures -> measures.completionMs().p95Ms()),
+    /** Time average of fragmentation, a share. */
+    FRAGMENTATION("fragmentation", Measures::fragmentation),
+    /** Longest wait of the largest jobs in ms. */
+    LARGEST_JOB_WAIT("largest-job-wait", measures -> measures.largestJobWaitMs().maxMs()),
+    /** Highest guaranteed-start delay as a share of the reclaim bound. */
+    GUARANTEED_START("guaranteed-start", Measures::guaranteedStartShareOfBound),
+    /** Number of broken promises. */
+    PROMISES_BROKEN("promises-broken", Measures::violations);
+
+    private final String label;
+    private final ToDoubleFunction<Measures> value;
+
+    Measure(String label, ToDoubleFunction<Measures> value) {
+        this.label = label;
+        this.value = value;
+    }
+
+    /**
+     * Finds a measure.
+     *
+     * @param label its name in an outcome file
+     * @return the measure, or empty if there is none
+     */
+    public static Optional<Measure> byLabel(String label) {
+        return Arrays.stream(values())
+                .filter(measure -> measure.label.equals(label))
+                .findFirst();
+    }
+
+    /**
+     * Gives the name in an outcome file.
+     *
+     * @return lower-case name
+     */
+    public String label() {
+        return label;
+    }
+
+    /**
+     * Reads the value out of a replay's figures.
+     *
+     * @param measures the figures
+     * @return the value
+     */
+    public double of(Measures measures) {
+        return value.applyAsDouble(measures);
+    }
+}
--- /dev/null
+++ b/replay/src/main/java/org/fuchsiawinch/replay/outcome/package-info.java
@@ -0,0 +1,2 @@
+/** Stated outcomes of traces and how a replay compares with them. */
+package org.fuchsiawinch.replay.outcome;
