--- a/core/src/main/java/org/fuchsiawinch/core/baseline/BackfillScheduler.java
+++ b/core/src/main/java/org/fuchsiawinch/core/baseline/BackfillScheduler.java
@@ -46,9 +46,11 @@
             if (misfits.contains(job.shape())) {
                 continue;
             }
-            Optional<List<Placement>> placements = fleet.place(job.shape());
+            Optional<List<Placement>> placements = fleet.place(job);
             if (placements.isEmpty()) {
-                misfits.add(job.shape());
+                if (!fleet.hasFailed(job.id())) {
+                    misfits.add(job.shape());
+                }
                 if (!blocked) {
                     blocked = true;
                     reservation = reserve(job, fleet, nowMs);
--- a/core/src/main/java/org/fuchsiawinch/core/baseline/FirstFitScheduler.java
+++ b/core/src/main/java/org/fuchsiawinch/core/baseline/FirstFitScheduler.java
@@ -49,7 +49,7 @@
             if (misfits.contains(job.shape())) {
                 continue;
             }
-            Optional<List<Placement>> placements = fleet.place(job.shape());
+            Optional<List<Placement>> placements = fleet.place(job);
             if (placements.isPresent()) {
                 fleet.start(job, placements.get(), nowMs);
                 continue;
@@ -57,7 +57,9 @@
             if (strictOrder) {
                 return;
             }
-            misfits.add(job.shape());
+            if (!fleet.hasFailed(job.id())) {
+                misfits.add(job.shape());
+            }
         }
     }
 }
--- a/core/src/main/java/org/fuchsiawinch/core/baseline/Fleet.java
+++ b/core/src/main/java/org/fuchsiawinch/core/baseline/Fleet.java
@@ -31,6 +31,7 @@
     private final Set<WorkerId> closed = new HashSet<>();
     private final Map<AttemptId, RunningGang> running = new LinkedHashMap<>();
     private final Map<JobId, Integer> attempts = new HashMap<>();
+    private final Map<JobId, Set<WorkerId>> failedOn = new HashMap<>();
     private final Map<Shape, Boolean> possible = new HashMap<>();
     private final List<Decision> started = new ArrayList<>();
 
@@ -118,9 +119,20 @@
         return open;
     }
 
-    /** Finds the first workers that hold the shape now. */
-    Optional<List<Placement>> place(Shape shape) {
-        return place(shape, openCapacity(), workers);
+    /** Finds the first workers that hold the job now, without those on which it failed. */
+    Optional<List<Placement>> place(JobSpec job) {
+        Map<WorkerId, Resources> open = openCapacity();
+        open.keySet().removeAll(failedOn.getOrDefault(job.id(), Set.of()));
+        return place(job.shape(), open, workers);
+    }
+
+    /** Remembers that a job failed on a worker. */
+    void avoid(JobId job, WorkerId worker) {
+        failedOn.computeIfAbsent(job, id -> new HashSet<>()).add(worker);
+    }
+
+    boolean hasFailed(JobId job) {
+        return failedOn.containsKey(job);
     }
 
     /** Finds the first workers that hold the shape in the given amounts. */
--- a/core/src/main/java/org/fuchsiawinch/core/baseline/QueueScheduler.java
+++ b/core/src/main/java/org/fuchsiawinch/core/baseline/QueueScheduler.java
@@ -137,8 +137,9 @@
 
     private void fail(SchedulerEvent.TaskFailed failed, List<Decision> decisions) {
         fleet.gang(failed.task().attempt()).ifPresent(gang -> {
-            if (failed.failure() != TaskFailure.WORKER_LOST && !gang.stopping) {
+            if (failed.failure() == TaskFailure.WORK_FAILED && !gang.stopping) {
                 failures.merge(gang.job.id(), 1, Integer::sum);
+                gang.workerOf(failed.task().part()).ifPresent(worker -> fleet.avoid(gang.job.id(), worker));
             }
             breakOff(gang, decisions);
         });
--- a/core/src/main/java/org/fuchsiawinch/core/baseline/RunningGang.java
+++ b/core/src/main/java/org/fuchsiawinch/core/baseline/RunningGang.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 import org.fuchsiawinch.model.AttemptId;
@@ -31,6 +32,13 @@
         return done.size() == placements.size();
     }
 
+    Optional<WorkerId> workerOf(int part) {
+        return placements.stream()
+                .filter(placement -> placement.part() == part)
+                .map(Placement::worker)
+                .findFirst();
+    }
+
     boolean runsOn(WorkerId worker) {
         return placements.stream()
                 .anyMatch(placement -> placement.worker().equals(worker) && !done.contains(placement.part()));
--- a/replay/src/main/java/org/fuchsiawinch/replay/check/ShapeWitness.java
+++ b/replay/src/main/java/org/fuchsiawinch/replay/check/ShapeWitness.java
@@ -15,6 +15,7 @@
 import org.fuchsiawinch.model.TaskId;
 import org.fuchsiawinch.model.WorkerId;
 import org.fuchsiawinch.model.WorkerSpec;
+import org.fuchsiawinch.model.WorkspaceId;
 import org.fuchsiawinch.replay.history.HistoryEvent;
 
 /**
@@ -77,6 +78,19 @@
         return ShapePacker.copies(bySpec, shape) > 0;
     }
 
+    /** Counts the accelerators of a workspace that may not be reclaimed now. */
+    int heldForGood(WorkspaceId workspace) {
+        int sum = 0;
+        for (Map.Entry<TaskId, Running> entry : running.entrySet()) {
+            JobSpec job = jobs.get(entry.getKey().attempt().job());
+            boolean held = protectedJobs.contains(job.id()) || !job.reclaimable();
+            if (held && job.workspace().equals(workspace)) {
+                sum += job.shape().perPart().accelerators();
+            }
+        }
+        return sum;
+    }
+
     private boolean stays(JobSpec job, AttemptId attempt, Running part) {
         return protectedJobs.contains(attempt.job()) || !job.reclaimable() && part.sinceMs() <= lastLossMs;
     }
--- a/replay/src/main/java/org/fuchsiawinch/replay/check/SpendLedger.java
+++ b/replay/src/main/java/org/fuchsiawinch/replay/check/SpendLedger.java
@@ -3,6 +3,7 @@
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 import org.fuchsiawinch.model.AttemptId;
@@ -48,8 +49,10 @@
             jobs.put(submitted.spec().id(), submitted.spec());
         } else if (event instanceof HistoryEvent.StartDecided start) {
             lent.put(start.attempt(), start.lent());
+        } else if (event instanceof HistoryEvent.AttemptPromoted promoted) {
+            promote(promoted);
         } else if (event instanceof HistoryEvent.PartStarted started) {
-            begin(started);
+            begin(started.task(), started.atMs());
         } else if (event instanceof HistoryEvent.PartEnded ended) {
             Charge charge = running.remove(ended.task());
             if (charge != null) {
@@ -105,8 +108,18 @@
         return perMs * worstRunMs(job);
     }
 
-    private void begin(HistoryEvent.PartStarted started) {
-        AttemptId attempt = started.task().attempt();
+    private void promote(HistoryEvent.AttemptPromoted promoted) {
+        lent.put(promoted.attempt(), false);
+        for (TaskId task : List.copyOf(running.keySet())) {
+            if (task.attempt().equals(promoted.attempt())) {
+                add(running.remove(task), promoted.atMs());
+                begin(task, promoted.atMs());
+            }
+        }
+    }
+
+    private void begin(TaskId task, long nowMs) {
+        AttemptId attempt = task.attempt();
         JobSpec job = jobs.get(attempt.job());
         if (job == null || policy == null) {
             return;
@@ -115,7 +128,7 @@
                 ? policy.prices().lentAcceleratorHourMicros()
                 : policy.prices().acceleratorHourMicros();
         double perMs = (double) hourMicros / HOUR_MS * job.shape().perPart().accelerators();
-        running.put(started.task(), new Charge(job.workspace(), started.atMs(), perMs, worstRunMs(job)));
+        running.put(task, new Charge(job.workspace(), nowMs, perMs, worstRunMs(job)));
     }
 
     private double worstRunMs(JobSpec job) {
--- a/replay/src/main/java/org/fuchsiawinch/replay/cli/ResultPrinter.java
+++ b/replay/src/main/java/org/fuchsiawinch/replay/cli/ResultPrinter.java
@@ -87,6 +87,8 @@
             seconds(measures.completionMs().p99Ms()),
             decimal(measures.slowdownMean(), 2),
             decimal(measures.fragmentation(), 4),
+            decimal(measures.strandedShare(), 4),
+            decimal(measures.strandedAccelerators(), 1),
             seconds(measures.guaranteedStartMs().maxMs()),
             seconds(measures.reclaimMs().maxMs()),
             seconds(measures.largestJobWaitMs().maxMs()),
--- a/replay/src/main/java/org/fuchsiawinch/replay/engine/ReplayEngine.java
+++ b/replay/src/main/java/org/fuchsiawinch/replay/engine/ReplayEngine.java
@@ -131,6 +131,8 @@
             gangs.start(callers.job(start.attempt().job()), start);
         } else if (decision instanceof Decision.StopGang stop) {
             gangs.stop(stop);
+        } else if (decision instanceof Decision.PromoteGang promote) {
+            stage.record(new HistoryEvent.AttemptPromoted(stage.nowMs(), promote.attempt()));
         } else if (decision instanceof Decision.EndJob end) {
             callers.end(end);
         } else if (decision instanceof Decision.ProbeWorker probe) {
--- a/replay/src/main/java/org/fuchsiawinch/replay/history/HistoryEvent.java
+++ b/replay/src/main/java/org/fuchsiawinch/replay/history/HistoryEvent.java
@@ -153,6 +153,14 @@
         }
     }
 
+    /**
+     * The scheduler counts a running attempt within its workspace's guarantee from now on.
+     *
+     * @param atMs time in ms
+     * @param attempt the attempt
+     */
+    record AttemptPromoted(long atMs, AttemptId attempt) implements HistoryEvent {}
+
     /**
      * Physical: one part was released to run.
      *
--- a/replay/src/main/java/org/fuchsiawinch/replay/measure/FragmentationMeter.java
+++ b/replay/src/main/java/org/fuchsiawinch/replay/measure/FragmentationMeter.java
@@ -37,6 +37,8 @@
     private final List<Measures.FragmentationSample> samples = new ArrayList<>();
     private Optional<Shape> largest = Optional.empty();
     private double weighted;
+    private double freeMs;
+    private double strandedMs;
     private long measuredMs;
     private long lastMs;
     private long nextSampleMs;
@@ -58,6 +60,16 @@
         return measuredMs == 0 ? 0 : weighted / measuredMs;
     }
 
+    /** Gives the unusable share of all free accelerator time. */
+    double strandedShare() {
+        return freeMs == 0 ? 0 : strandedMs / freeMs;
+    }
+
+    /** Gives the time average of the number of unusable free accelerators. */
+    double strandedAccelerators() {
+        return measuredMs == 0 ? 0 : strandedMs / measuredMs;
+    }
+
     List<Measures.FragmentationSample> samples() {
         return samples;
     }
@@ -73,6 +85,8 @@
         }
         if (nowMs > lastMs) {
             weighted += current * (nowMs - lastMs);
+            freeMs += (double) free * (nowMs - lastMs);
+            strandedMs += current * free * (nowMs - lastMs);
             measuredMs += nowMs - lastMs;
             lastMs = nowMs;
         }
--- a/replay/src/main/java/org/fuchsiawinch/replay/measure/MeasureCalculator.java
+++ b/replay/src/main/java/org/fuchsiawinch/replay/measure/MeasureCalculator.java
@@ -53,6 +53,8 @@
                 slowdowns.stream().mapToDouble(Double::doubleValue).average().orElse(0),
                 percentile(slowdowns, 0.95),
                 fragmentation.average(),
+                fragmentation.strandedShare(),
+                fragmentation.strandedAccelerators(),
                 fragmentation.samples(),
                 Distribution.of(starts.stream().map(GuaranteedStart::delayMs).toList()),
                 highestShareOfBound(starts),
--- a/replay/src/main/java/org/fuchsiawinch/replay/measure/Measures.java
+++ b/replay/src/main/java/org/fuchsiawinch/replay/measure/Measures.java
@@ -16,7 +16,10 @@
  * @param slowdownP95 95th percentile of the same
  * @param fragmentation time average over the trace of the share of free accelerators that the largest guaranteed
  *     shape can't use
- * @param fragmentationOverTime the same as samples
+ * @param strandedShare the share of all free accelerator time that the same shape can't use; unlike the average, it
+ *     gives little weight to moments when hardly anything is free
+ * @param strandedAccelerators time average of the number of free accelerators that the same shape can't use
+ * @param fragmentationOverTime fragmentation as samples
  * @param guaranteedStartMs time from submit to start of submits within unused guarantees
  * @param guaranteedStartShareOfBound highest such time as a share of the reclaim bound, without excused ones
  * @param guaranteedStartsExcused starts past the bound that lost capacity, an outage or a spending limit accounts for
@@ -34,6 +37,8 @@
         double slowdownMean,
         double slowdownP95,
         double fragmentation,
+        double strandedShare,
+        double strandedAccelerators,
         List<FragmentationSample> fragmentationOverTime,
         Distribution guaranteedStartMs,
         double guaranteedStartShareOfBound,
--- a/replay/src/main/java/org/fuchsiawinch/replay/measure/RequestLog.java
+++ b/replay/src/main/java/org/fuchsiawinch/replay/measure/RequestLog.java
@@ -10,15 +10,20 @@
 
 import org.fuchsiawinch.core.ReasonCode;
 import org.fuchsiawinch.model.JobId;
+import org.fuchsiawinch.model.Resources;
+import org.fuchsiawinch.model.WorkerSpec;
+import org.fuchsiawinch.replay.check.ShapePacker;
 import org.fuchsiawinch.replay.history.HistoryEvent;
+import org.fuchsiawinch.replay.history.PartEnd;
 import org.fuchsiawinch.replay.trace.Trace;
 import org.fuchsiawinch.replay.trace.TraceEvent;
 import org.fuchsiawinch.replay.trace.TraceJob;
 
 /**
  * Follows each caller's request over refusals and submits again. Completion times are over the same requests for every
- * policy: those that their callers don't cancel and that don't always fail. A request that was refused for good or
- * is open at the end counts with the time up to the end of the replay's horizon. Not thread-safe.
+ * policy: those that their callers don't cancel, that don't always fail and that the trace's workers could hold. One
+ * that a lost or failing worker broke counts with the time until its caller was told; any other one without a result
+ * counts with the time up to the horizon. Not thread-safe.
  */
 final class RequestLog {
 
@@ -41,9 +46,16 @@
 
     RequestLog(Trace trace) {
         horizonMs = trace.horizonMs();
+        Map<WorkerSpec, Resources> empty = new LinkedHashMap<>();
+        for (TraceEvent event : trace.events()) {
+            if (event instanceof TraceEvent.WorkerJoins joins) {
+                empty.put(joins.worker(), joins.worker().capacity());
+            }
+        }
         for (TraceEvent event : trace.events()) {
             if (event instanceof TraceEvent.Submit submit) {
-                requests.put(submit.job().spec().id(), new Request(submit.job(), submit.atMs()));
+                boolean possible = ShapePacker.copies(empty, submit.job().spec().shape()) > 0;
+                requests.put(submit.job().spec().id(), new Request(submit.job(), submit.atMs(), possible));
             } else if (event instanceof TraceEvent.Cancel cancel) {
                 requests.get(cancel.job()).cancelled = true;
             }
@@ -59,6 +71,8 @@
         } else if (event instanceof HistoryEvent.PartStarted started) {
             Request request = of(started.task().attempt().job());
             request.startedMs = Math.min(request.startedMs, started.atMs());
+        } else if (event instanceof HistoryEvent.PartEnded ended) {
+            of(ended.task().attempt().job()).partFailed |= ended.end() == PartEnd.FAILED || ended.end() == PartEnd.LOST;
         } else if (event instanceof HistoryEvent.ResultDelivered result) {
             Request request = of(result.job());
             request.resultMs = Math.min(request.resultMs, result.atMs());
@@ -142,19 +156,22 @@
 
         private final TraceJob job;
         private final long submitMs;
+        private final boolean possible;
         private long startedMs = NEVER;
         private long resultMs = NEVER;
         private long endedMs = NEVER;
         private ReasonCode code;
         private boolean cancelled;
+        private boolean partFailed;
 
-        private Request(TraceJob job, long submitMs) {
+        private Request(TraceJob job, long submitMs, boolean possible) {
             this.job = job;
             this.submitMs = submitMs;
+            this.possible = possible;
         }
 
         private boolean counts() {
-            return !cancelled && !job.alwaysFails();
+            return !cancelled && possible && !job.alwaysFails();
         }
 
         private int accelerators() {
--- /dev/null
+++ b/replay/src/test/java/org/fuchsiawinch/replay/generate/TraceGeneratorTest.java
@@ -0,0 +1,36 @@
+package org.fuchsiawinch.replay.generate;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import org.fuchsiawinch.replay.trace.TraceWriter;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+
+public class TraceGeneratorTest {
+
+    private static final int COMMITTED_SEED = 1;
+
+    @DataProvider
+    public Object[][] kinds() {
+        return TraceKind.all().stream().map(kind -> new Object[] {kind}).toArray(Object[][]::new);
+    }
+
+    @Test(dataProvider = "kinds")
+    public void committedSampleIsWhatTheGeneratorMakes(TraceKind kind) throws IOException {
+        Path sample = Path.of("..", "samples", "traces", kind.name() + ".jsonl");
+        String made = new TraceWriter().write(new TraceGenerator().generate(kind, COMMITTED_SEED));
+        assertEquals(made, Files.readString(sample));
+    }
+
+    @Test
+    public void anotherSeedMakesAnotherTrace() {
+        TraceKind kind = TraceKind.all().get(0);
+        TraceGenerator generator = new TraceGenerator();
+        assertNotEquals(generator.generate(kind, 1), generator.generate(kind, 2));
+    }
+}
