--- a/document/src/main/java/org/fuchsiawinch/document/internal/CapacitySection.java
+++ b/document/src/main/java/org/fuchsiawinch/document/internal/CapacitySection.java
@@ -88,8 +88,7 @@
                     "Fewest finished jobs of a workspace and kind before a correction applies.")
             .defaultTo("5")
             .between("1", "10000");
-    static final Field<Double> MIN_FACTOR = Field.of(
-                    "min-factor", FieldTypes.DECIMAL, "Lowest correction factor; not above max-factor.")
+    static final Field<Double> MIN_FACTOR = Field.of("min-factor", FieldTypes.DECIMAL, "Lowest correction factor.")
             .defaultTo("0.25")
             .between("0.01", "1");
     static final Field<Double> MAX_FACTOR = Field.of("max-factor", FieldTypes.DECIMAL, "Highest correction factor.")
@@ -98,7 +97,7 @@
     static final Field<Double> TIME_OVERRUN_FACTOR = Field.of(
                     "time-overrun-factor",
                     FieldTypes.DECIMAL,
-                    "Factor over the corrected run time at which an attempt is ended; 0 ends none.")
+                    "Factor over the corrected run time at which an attempt is ended; 0 ends none, else at least 1.")
             .defaultTo("0")
             .between("0", "1000");
     static final Field<Double> MEMORY_OVERRUN_FACTOR = Field.of(
@@ -238,12 +237,19 @@
     }
 
     private static EstimatePolicy estimates(Cursor cursor) {
+        double timeOverrun = cursor.read(TIME_OVERRUN_FACTOR);
+        if (timeOverrun > 0 && timeOverrun < 1) {
+            cursor.report(
+                    TIME_OVERRUN_FACTOR.name(),
+                    ProblemCode.CONTRADICTION,
+                    "would end attempts before their corrected run time; use 0 or at least 1");
+        }
         return new EstimatePolicy(
                 cursor.read(QUANTILE),
                 cursor.read(MIN_SAMPLES),
                 cursor.read(MIN_FACTOR),
                 cursor.read(MAX_FACTOR),
-                cursor.read(TIME_OVERRUN_FACTOR),
+                timeOverrun,
                 cursor.read(MEMORY_OVERRUN_FACTOR));
     }
 
--- a/document/src/test/java/org/fuchsiawinch/document/DocumentReaderTest.java
+++ b/document/src/test/java/org/fuchsiawinch/document/DocumentReaderTest.java
@@ -71,6 +71,12 @@
             {"checkpoint: 20s", "checkpoint: 61s", "capacity.lending.checkpoint", ProblemCode.CONTRADICTION},
             {"checkpoint: 20s", "check: 20s", "capacity.lending.check", ProblemCode.UNKNOWN_FIELD},
             {"enabled: true", "enabled: yes", "capacity.lending.enabled", ProblemCode.MALFORMED_VALUE},
+            {
+                "quantile: 0.9",
+                "time-overrun-factor: 0.5",
+                "capacity.estimates.time-overrun-factor",
+                ProblemCode.CONTRADICTION
+            },
             {"quantile: 0.9", "quantile: .nan", "capacity.estimates.quantile", ProblemCode.MALFORMED_VALUE},
             {
                 "accelerator-quota: 192",
