Add the operators' command line

Cause: operators and finance need one program that reads, checks, compares and proposes documents and shows what a node does. Change: fuchsiawinch-ctl with sub-commands, help with examples, exit statuses 0, 1 and 2, tables or JSON; propose signs again when only other sections changed and shows the conflict when its own did.

--- /dev/null
+++ b/ctl/src/main/java/org/fuchsiawinch/ctl/Ctl.java
@@ -0,0 +1,151 @@
+package org.fuchsiawinch.ctl;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+
+import org.fuchsiawinch.ctl.api.ControlApi;
+import org.fuchsiawinch.ctl.command.ArgumentProblem;
+import org.fuchsiawinch.ctl.command.Command;
+import org.fuchsiawinch.ctl.command.Console;
+import org.fuchsiawinch.ctl.command.Invocation;
+import org.fuchsiawinch.ctl.command.UnreadableFileException;
+import org.fuchsiawinch.ctl.output.TextTable;
+import org.fuchsiawinch.document.ledger.UnreadableKeyException;
+import org.fuchsiawinch.model.FuchsiawinchException;
+import org.fuchsiawinch.runtime.Program;
+import org.fuchsiawinch.runtime.Settings;
+import org.fuchsiawinch.runtime.SettingsReader;
+import org.fuchsiawinch.runtime.SettingsResult;
+
+/** Finds the command of a call, checks its arguments and settings, and runs it. Immutable. */
+public final class Ctl {
+
+    private static final String PROGRAM = "fuchsiawinch-ctl";
+    private static final String HELP_FLAG = "--help";
+
+    private final List<Command> commands;
+    private final Function<Settings, ControlApi> apis;
+    private final Map<String, String> environment;
+
+    /**
+     * Creates the dispatcher.
+     *
+     * @param commands all commands
+     * @param apis gives the node that the settings name
+     * @param environment environment variables
+     */
+    public Ctl(List<Command> commands, Function<Settings, ControlApi> apis, Map<String, String> environment) {
+        this.commands = List.copyOf(commands);
+        this.apis = apis;
+        this.environment = Map.copyOf(environment);
+    }
+
+    /**
+     * Runs a call.
+     *
+     * @param arguments arguments of the program
+     * @param console where to write
+     * @return the exit status
+     */
+    public int run(String[] arguments, Console console) {
+        if (arguments.length == 0 || arguments[0].equals("help") || arguments[0].equals(HELP_FLAG)) {
+            console.out().print(overview());
+            return arguments.length == 0 ? Program.EXIT_USAGE : Program.EXIT_OK;
+        }
+        Optional<Command> command = find(arguments);
+        if (command.isEmpty()) {
+            String words = String.join(" ", arguments);
+            console.err()
+                    .println(new ArgumentProblem(
+                            ArgumentProblem.Code.UNKNOWN_COMMAND, words, "see " + PROGRAM + " " + HELP_FLAG));
+            return Program.EXIT_USAGE;
+        }
+        int words = command.get().name().split(" ").length;
+        return run(command.get(), List.of(arguments).subList(words, arguments.length), console);
+    }
+
+    private int run(Command command, List<String> rest, Console console) {
+        ArgumentSplit split = ArgumentSplit.of(rest);
+        SettingsReader reader =
+                new SettingsReader(PROGRAM + " " + command.usage(), command.purpose(), command.settings());
+        SettingsResult result = reader.read(split.flags().toArray(String[]::new), environment);
+        if (result instanceof SettingsResult.Help help) {
+            console.out().print(help.text());
+            return Program.EXIT_OK;
+        }
+        List<ArgumentProblem> problems = argumentProblems(command, split.arguments());
+        problems.forEach(console.err()::println);
+        if (result instanceof SettingsResult.Invalid invalid) {
+            invalid.problems().forEach(console.err()::println);
+            return Program.EXIT_USAGE;
+        }
+        if (!problems.isEmpty()) {
+            return Program.EXIT_USAGE;
+        }
+        return execute(command, split.arguments(), ((SettingsResult.Valid) result).settings(), console);
+    }
+
+    private int execute(Command command, List<String> arguments, Settings settings, Console console) {
+        try {
+            return command.body().applyAsInt(new Invocation(arguments, settings, () -> apis.apply(settings), console));
+        } catch (UnreadableKeyException | UnreadableFileException e) {
+            console.err().println(e.getMessage());
+            return Program.EXIT_USAGE;
+        } catch (FuchsiawinchException e) {
+            console.err().println(e.getMessage());
+            return Program.EXIT_FAILED;
+        }
+    }
+
+    private Optional<Command> find(String[] arguments) {
+        String one = arguments[0];
+        String two = arguments.length > 1 ? one + " " + arguments[1] : one;
+        return commands.stream()
+                .filter(command -> command.name().equals(one) || command.name().equals(two))
+                .findFirst();
+    }
+
+    private static List<ArgumentProblem> argumentProblems(Command command, List<String> arguments) {
+        List<ArgumentProblem> problems = new ArrayList<>();
+        for (int i = arguments.size(); i < command.requiredArguments(); i++) {
+            problems.add(new ArgumentProblem(
+                    ArgumentProblem.Code.MISSING, command.arguments().get(i), "usage: " + command.usage()));
+        }
+        arguments.stream()
+                .skip(command.arguments().size())
+                .map(extra -> new ArgumentProblem(ArgumentProblem.Code.UNEXPECTED, extra, "usage: " + command.usage()))
+                .forEach(problems::add);
+        return problems;
+    }
+
+    private String overview() {
+        List<List<String>> rows = commands.stream()
+                .sorted(Comparator.comparing(Command::name))
+                .map(command -> List.of("  " + command.usage(), command.summary()))
+                .toList();
+        return "usage: " + PROGRAM + " COMMAND [ARGUMENT ...] [--flag value ...]\n\n"
+                + TextTable.withoutHeader(rows)
+                + "\n" + PROGRAM + " COMMAND --help shows flags and examples.\n"
+                + "exit status: 0 done, 1 refused or failed, 2 wrong usage or unreadable input\n";
+    }
+
+    /** Arguments and flags of a call, taken apart: each flag but help takes one value. */
+    private record ArgumentSplit(List<String> arguments, List<String> flags) {
+
+        static ArgumentSplit of(List<String> rest) {
+            List<String> arguments = new ArrayList<>();
+            List<String> flags = new ArrayList<>();
+            boolean valueNext = false;
+            for (String word : rest) {
+                boolean flag = word.startsWith("--");
+                (flag || valueNext ? flags : arguments).add(word);
+                valueNext = flag && !word.equals(HELP_FLAG) && !word.contains("=");
+            }
+            return new ArgumentSplit(List.copyOf(arguments), List.copyOf(flags));
+        }
+    }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/fuchsiawinch/ctl/CtlMain.java
@@ -0,0 +1,34 @@
+package org.fuchsiawinch.ctl;
+
+import java.time.Duration;
+
+import org.fuchsiawinch.ctl.api.ControlApi;
+import org.fuchsiawinch.ctl.api.HttpControlApi;
+import org.fuchsiawinch.ctl.command.Commands;
+import org.fuchsiawinch.ctl.command.CommonSettings;
+import org.fuchsiawinch.ctl.command.Console;
+import org.fuchsiawinch.runtime.Settings;
+
+/** Entry point of the command line. */
+public final class CtlMain {
+
+    private CtlMain() {}
+
+    /**
+     * Runs the program and exits with its status.
+     *
+     * @param arguments arguments of the program
+     */
+    public static void main(String[] arguments) {
+        Ctl ctl = new Ctl(Commands.all(), CtlMain::connect, System.getenv());
+        int status = ctl.run(arguments, new Console(System.out, System.err));
+        System.exit(status);
+    }
+
+    private static ControlApi connect(Settings settings) {
+        return new HttpControlApi(
+                settings.value(CommonSettings.NODE),
+                settings.value(CommonSettings.TOKEN),
+                Duration.ofMillis(settings.value(CommonSettings.TIMEOUT_MS)));
+    }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/fuchsiawinch/ctl/api/NodeUnreachableException.java
@@ -0,0 +1,19 @@
+package org.fuchsiawinch.ctl.api;
+
+import org.fuchsiawinch.model.FuchsiawinchException;
+
+/** Reports a node that gave no reply. */
+public final class NodeUnreachableException extends FuchsiawinchException {
+
+    private static final long serialVersionUID = 1L;
+
+    /**
+     * Creates the exception.
+     *
+     * @param url URL of the request
+     * @param cause what the connection reported
+     */
+    public NodeUnreachableException(String url, Throwable cause) {
+        super("no reply from " + url + ": " + cause.getMessage(), cause);
+    }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/fuchsiawinch/ctl/command/Replies.java
@@ -0,0 +1,56 @@
+package org.fuchsiawinch.ctl.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.fuchsiawinch.ctl.api.ApiReply;
+import org.fuchsiawinch.ctl.output.JsonView;
+import org.fuchsiawinch.ctl.output.OutputFormat;
+import org.fuchsiawinch.runtime.Program;
+
+/** Prints replies of a node. Stateless. */
+final class Replies {
+
+    private Replies() {}
+
+    /**
+     * Prints a reply.
+     *
+     * @param reply the reply
+     * @param invocation the call
+     * @return the exit status
+     */
+    static int print(ApiReply reply, Invocation invocation) {
+        if (!reply.ok()) {
+            return refused(reply, invocation);
+        }
+        invocation.console().out().print(JsonView.render(reply.body(), invocation.format()));
+        return Program.EXIT_OK;
+    }
+
+    /**
+     * Prints a refusal: as JSON with the output, or as one line with the problems.
+     *
+     * @param reply the reply
+     * @param invocation the call
+     * @return the exit status
+     */
+    static int refused(ApiReply reply, Invocation invocation) {
+        if (invocation.format() == OutputFormat.JSON) {
+            invocation.console().out().println(reply.body().toPrettyString());
+            return Program.EXIT_FAILED;
+        }
+        JsonNode body = reply.body();
+        StringBuilder line = new StringBuilder("status=").append(reply.status());
+        for (String key : new String[] {"error", "outcome", "message", "retryAfterMs"}) {
+            if (body.hasNonNull(key)) {
+                String value = body.get(key).asText().replaceAll("\\p{Cntrl}", "?");
+                line.append(' ').append(key).append('=').append(value.contains(" ") ? '"' + value + '"' : value);
+            }
+        }
+        invocation.console().err().println(line);
+        if (body.path("problems").isArray()) {
+            body.path("problems")
+                    .forEach(problem -> invocation.console().err().print(JsonView.render(problem, OutputFormat.TABLE)));
+        }
+        return Program.EXIT_FAILED;
+    }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/fuchsiawinch/ctl/command/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The commands, their arguments, settings and help.
+ */
+package org.fuchsiawinch.ctl.command;
--- /dev/null
+++ b/ctl/src/main/java/org/fuchsiawinch/ctl/output/JsonView.java
@@ -0,0 +1,120 @@
+package org.fuchsiawinch.ctl.output;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.StreamSupport;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * Shows any JSON value as text: a list of objects as a table, an object as lines of key and value followed by its
+ * lists. Stateless.
+ */
+public final class JsonView {
+
+    private static final int MAX_INLINE_LIST = 8;
+
+    private JsonView() {}
+
+    /**
+     * Renders a value.
+     *
+     * @param value the value
+     * @param format the form of the output
+     * @return text that ends with a line end
+     */
+    public static String render(JsonNode value, OutputFormat format) {
+        if (format == OutputFormat.JSON) {
+            return value.toPrettyString() + "\n";
+        }
+        StringBuilder text = new StringBuilder();
+        append(text, value);
+        return text.toString();
+    }
+
+    private static void append(StringBuilder text, JsonNode value) {
+        if (isTable(value)) {
+            text.append(table(value));
+            return;
+        }
+        if (!value.isObject()) {
+            text.append(cell(value)).append('\n');
+            return;
+        }
+        Map<String, JsonNode> tables = new LinkedHashMap<>();
+        List<List<String>> pairs = new ArrayList<>();
+        flatten("", value, (path, leaf) -> {
+            if (isTable(leaf)) {
+                tables.put(path, leaf);
+            } else {
+                pairs.add(List.of(path, cell(leaf)));
+            }
+        });
+        text.append(TextTable.withoutHeader(pairs));
+        tables.forEach((path, rows) -> {
+            text.append(text.isEmpty() ? "" : "\n");
+            text.append(tables.size() == 1 && pairs.isEmpty() ? "" : path + ":\n");
+            text.append(table(rows));
+        });
+    }
+
+    private static boolean isTable(JsonNode value) {
+        return value.isArray()
+                && StreamSupport.stream(value.spliterator(), false).allMatch(JsonNode::isObject);
+    }
+
+    private static String table(JsonNode rows) {
+        if (rows.isEmpty()) {
+            return "none\n";
+        }
+        Set<String> columns = new LinkedHashSet<>();
+        List<Map<String, String>> cells = new ArrayList<>();
+        for (JsonNode row : rows) {
+            Map<String, String> byColumn = new LinkedHashMap<>();
+            flatten("", row, (path, leaf) -> byColumn.put(path, cell(leaf)));
+            columns.addAll(byColumn.keySet());
+            cells.add(byColumn);
+        }
+        List<List<String>> lines = cells.stream()
+                .map(row -> columns.stream()
+                        .map(column -> row.getOrDefault(column, "-"))
+                        .toList())
+                .toList();
+        return TextTable.withHeader(List.copyOf(columns), lines);
+    }
+
+    /** Takes the leaves of an object. */
+    private interface LeafVisitor {
+        void visit(String path, JsonNode leaf);
+    }
+
+    private static void flatten(String path, JsonNode value, LeafVisitor visitor) {
+        if (!value.isObject()) {
+            visitor.visit(path, value);
+            return;
+        }
+        value.properties()
+                .forEach(member -> flatten(
+                        path.isEmpty() ? member.getKey() : path + "." + member.getKey(), member.getValue(), visitor));
+    }
+
+    private static String cell(JsonNode leaf) {
+        if (leaf.isNull()) {
+            return "-";
+        }
+        if (!leaf.isArray()) {
+            return leaf.asText().isEmpty() ? "-" : leaf.asText();
+        }
+        List<String> items = new ArrayList<>();
+        leaf.forEach(item -> items.add(item.isValueNode() ? item.asText() : item.toString()));
+        if (items.size() > MAX_INLINE_LIST) {
+            String shown = String.join(",", items.subList(0, MAX_INLINE_LIST));
+            return shown + ",... (" + items.size() + ")";
+        }
+        return items.isEmpty() ? "-" : String.join(",", items);
+    }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/fuchsiawinch/ctl/output/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tables and JSON for the terminal.
+ */
+package org.fuchsiawinch.ctl.output;
--- /dev/null
+++ b/ctl/src/test/java/org/fuchsiawinch/ctl/CtlTest.java
@@ -0,0 +1,92 @@
+package org.fuchsiawinch.ctl;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import org.fuchsiawinch.ctl.command.Command;
+import org.fuchsiawinch.ctl.command.Commands;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** Checks dispatch, help, exit statuses and the commands that read. */
+public final class CtlTest {
+
+    private static final String SAMPLE = "../samples/lagilagi/document.yaml";
+
+    private final FakeNode node = new FakeNode();
+
+    /** Each command has help that names its flags and shows an example of itself. */
+    @Test
+    public void helpsWithEachCommand() {
+        String overview = CtlRun.of(node, "--help").out();
+        for (Command command : Commands.all()) {
+            assertTrue(overview.contains(command.usage()), command.name());
+            String[] call = (command.name() + " --help").split(" ");
+            CtlRun help = CtlRun.of(node, call);
+            assertEquals(help.status(), 0);
+            assertTrue(help.out().contains("examples:\n  fuchsiawinch-ctl " + command.name()), help.out());
+            command.settings().forEach(setting -> assertTrue(help.out().contains("--" + setting.flag()), help.out()));
+        }
+        assertEquals(CtlRun.of(node).status(), 2);
+        assertEquals(CtlRun.of(node, "documents").status(), 2);
+    }
+
+    /** All wrong arguments and settings are named at once. */
+    @Test
+    public void reportsAllUsageProblemsAtOnce() {
+        CtlRun run = CtlRun.of(node, "document", "propose", "--section", "money", "--node", "ftp://x", "--colour", "1");
+        assertEquals(run.status(), 2);
+        for (String part : new String[] {
+            "FILE: MISSING",
+            "--section: INVALID",
+            "--node: INVALID",
+            "--colour: UNKNOWN_FLAG",
+            "--team: MISSING",
+            "--key: MISSING",
+            "--base: MISSING"
+        }) {
+            assertTrue(run.err().contains(part), part + " in " + run.err());
+        }
+        assertTrue(CtlRun.of(node, "jobs", "extra").err().contains("extra: UNEXPECTED"));
+    }
+
+    /** A file that cannot be read, or has problems, is wrong input with its place. */
+    @Test
+    public void checksFiles() throws IOException {
+        assertEquals(CtlRun.of(node, "document", "check", SAMPLE).status(), 0);
+        CtlRun absent = CtlRun.of(node, "document", "check", "absent.yaml");
+        assertEquals(absent.status(), 2);
+        assertTrue(absent.err().startsWith("absent.yaml cannot be read"), absent.err());
+        Path file = Files.createTempFile("bad", ".yaml");
+        Files.writeString(file, FakeNode.read(Path.of(SAMPLE)).replace("checkpoint: 20s", "checkpoint: 20"));
+        CtlRun bad = CtlRun.of(node, "document", "check", file.toString());
+        assertEquals(bad.status(), 2);
+        assertTrue(bad.err().contains(":54: capacity.lending.checkpoint: WRONG_UNIT"), bad.err());
+        CtlRun json = CtlRun.of(node, "document", "check", file.toString(), "--output", "json");
+        assertEquals(json.status(), 2);
+        assertTrue(json.out().contains("\"code\" : \"WRONG_UNIT\""), json.out());
+        Files.delete(file);
+    }
+
+    /** The document in force goes to the output alone, its version beside it. */
+    @Test
+    public void printsTheDocumentInForce() {
+        CtlRun run = CtlRun.of(node, "document", "get");
+        assertEquals(run.out(), node.current().text());
+        assertTrue(run.err().startsWith("version=1 digest="), run.err());
+        assertEquals(CtlRun.of(node, "document", "diff", SAMPLE).out(), "no difference\n");
+    }
+
+    /** Lists are tables; a refusal is one line and status 1. */
+    @Test
+    public void printsRepliesAndRefusals() {
+        assertEquals(CtlRun.of(node, "jobs").out(), "job      state\nplans-1  waiting\n");
+        CtlRun refused = CtlRun.of(node, "explain", "plans/2");
+        assertEquals(refused.status(), 1);
+        assertEquals(
+                refused.err(), "status=404 error=NOT_FOUND message=\"no such path: /v1/jobs/plans%2F2/explain\"\n");
+    }
+}
--- /dev/null
+++ b/ctl/src/test/java/org/fuchsiawinch/ctl/HttpControlApiTest.java
@@ -0,0 +1,75 @@
+package org.fuchsiawinch.ctl;
+
+import java.net.URI;
+import java.time.Duration;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import org.fuchsiawinch.ctl.api.ApiReply;
+import org.fuchsiawinch.ctl.api.HttpControlApi;
+import org.fuchsiawinch.ctl.api.NodeUnreachableException;
+import org.fuchsiawinch.ctl.api.UnreadableReplyException;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+/** Checks the HTTP adapter against a server on loopback. */
+public final class HttpControlApiTest {
+
+    private DisposableServer server;
+    private HttpControlApi api;
+
+    @BeforeClass
+    void startServer() {
+        server = HttpServer.create()
+                .host("127.0.0.1")
+                .port(0)
+                .route(routes -> routes.get("/token", (request, response) -> response.status(403)
+                                .sendString(Mono.just("{\"token\":\""
+                                        + request.requestHeaders().get("Authorization") + "\"}")))
+                        .post(
+                                "/echo",
+                                (request, response) ->
+                                        response.send(request.receive().retain()))
+                        .get("/text", (request, response) -> response.sendString(Mono.just("<html>"))))
+                .bindNow();
+        api = new HttpControlApi(
+                URI.create("http://127.0.0.1:" + server.port() + "/"), "secret", Duration.ofSeconds(60));
+    }
+
+    @AfterClass
+    void stopServer() {
+        server.disposeNow();
+    }
+
+    /** The token is sent, and a refusal's body is read. */
+    @Test
+    public void sendsTheToken() {
+        ApiReply reply = api.read("/token");
+        assertEquals(reply.status(), 403);
+        assertEquals(reply.body().path("token").asText(), "Bearer secret");
+        assertTrue(!reply.ok());
+    }
+
+    /** A body arrives whole, in UTF-8. */
+    @Test
+    public void sendsTheBody() {
+        String text = "Fidži\n".repeat(20_000);
+        ApiReply reply = api.send("/echo", JsonNodeFactory.instance.objectNode().put("text", text));
+        assertEquals(reply.body().path("text").asText(), text);
+    }
+
+    /** Replies that are no JSON and nodes that are away are typed errors. */
+    @Test
+    public void reportsUnusableReplies() {
+        assertThrows(UnreadableReplyException.class, () -> api.read("/text"));
+        HttpControlApi absent = new HttpControlApi(URI.create("http://127.0.0.1:1"), "", Duration.ofSeconds(60));
+        assertThrows(NodeUnreachableException.class, () -> absent.read("/v1/document"));
+    }
+}
