Show a proposed document's effect before it takes effect

Cause: finance and engineering must see each tradeoff of speed against spend before a document is proposed. Change: document plan replays a trace under the document in force, under each changed section alone and under the proposed one, side by side: completion, fragmentation, guaranteed starts, reclaims, spend by workspace and promises.

--- a/ctl/src/main/java/org/fuchsiawinch/ctl/command/Commands.java
+++ b/ctl/src/main/java/org/fuchsiawinch/ctl/command/Commands.java
@@ -14,7 +14,10 @@
      * @return the commands of documents, then those of the fleet
      */
     public static List<Command> all() {
-        return Stream.of(DocumentCommands.all(), List.of(ProposeCommand.command()), FleetCommands.all())
+        return Stream.of(
+                        DocumentCommands.all(),
+                        List.of(PlanCommand.command(), ProposeCommand.command()),
+                        FleetCommands.all())
                 .flatMap(List::stream)
                 .toList();
     }
--- a/ctl/src/main/java/org/fuchsiawinch/ctl/command/DocumentCommands.java
+++ b/ctl/src/main/java/org/fuchsiawinch/ctl/command/DocumentCommands.java
@@ -153,7 +153,13 @@
         }
     }
 
-    private static ObjectNode json(SectionDiff diff) {
+    /**
+     * Gives the differences of a section as JSON.
+     *
+     * @param diff the differences
+     * @return section, owner and changed fields
+     */
+    static ObjectNode json(SectionDiff diff) {
         ObjectNode section = JsonNodeFactory.instance.objectNode();
         section.put("section", diff.section().key()).put("owner", diff.owner());
         ArrayNode changes = section.putArray("changes");
--- /dev/null
+++ b/ctl/src/test/java/org/fuchsiawinch/ctl/PlanCommandTest.java
@@ -0,0 +1,127 @@
+package org.fuchsiawinch.ctl;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.fuchsiawinch.replay.generate.TraceGenerator;
+import org.fuchsiawinch.replay.generate.TraceKind;
+import org.fuchsiawinch.replay.trace.Trace;
+import org.fuchsiawinch.replay.trace.TraceEvent;
+import org.fuchsiawinch.replay.trace.TraceWriter;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** Checks that the effect of a proposed document is shown before it takes effect. */
+public final class PlanCommandTest {
+
+    private static final long MORNING_MS = 1_800_000;
+
+    private final FakeNode node = new FakeNode();
+    private Path trace;
+    private Path edited;
+
+    @BeforeClass
+    void writeFiles() throws IOException {
+        Trace whole = new TraceGenerator()
+                .generate(TraceKind.byName("lagilagi-festival-burst").orElseThrow(), 1);
+        List<TraceEvent> morning = whole.events().stream()
+                .filter(event -> event.atMs() < MORNING_MS)
+                .toList();
+        trace = Files.createTempFile("morning", ".jsonl");
+        Files.writeString(trace, new TraceWriter().write(new Trace("morning", whole.horizonMs(), morning)));
+        edited = Files.createTempFile("edited", ".yaml");
+        Files.writeString(
+                edited,
+                node.current()
+                        .text()
+                        .replace("plans: {amount: 9000.00", "plans: {amount: 10.00")
+                        .replace("checkpoint: 20s", "checkpoint: 30s"));
+    }
+
+    @AfterClass
+    void removeFiles() throws IOException {
+        Files.delete(trace);
+        Files.delete(edited);
+    }
+
+    /** A lower spending limit shows as less spend and fewer completed requests, also by itself. */
+    @Test
+    public void showsTheEffectOfEachOwnersPart() throws IOException {
+        CtlRun run = plan("--output", "json");
+        assertEquals(run.status(), 0, run.err());
+        JsonNode report = new ObjectMapper().readTree(run.out());
+        assertEquals(report.path("sections").findValuesAsText("section"), List.of("capacity", "spending"));
+        JsonNode variants = report.path("variants");
+        assertEquals(
+                variants.findValuesAsText("name"), List.of("accepted", "only capacity", "only spending", "proposed"));
+        JsonNode accepted = variants.get(0).path("measures");
+        assertTrue(spend(accepted, "plans") > 0, run.out());
+        for (int limited : new int[] {2, 3}) {
+            JsonNode measures = variants.get(limited).path("measures");
+            assertTrue(spend(measures, "plans") < spend(accepted, "plans"), run.out());
+            assertTrue(measures.path("jobs").path("completed").asInt()
+                    < accepted.path("jobs").path("completed").asInt());
+        }
+        assertEquals(spend(variants.get(1).path("measures"), "plans"), spend(accepted, "plans"));
+        assertEquals(node.current().version(), 1);
+    }
+
+    /** The table has a line for each measure and names what changed; equal documents have no change. */
+    @Test
+    public void printsATable() {
+        String out = plan().out();
+        assertTrue(out.contains("spending.limits.plans.amount  9000.00  ->  10.00"), out);
+        for (String label : new String[] {
+            "completion mean, min",
+            "spend of plans, FJD",
+            "fragmentation, %",
+            "guaranteed start max, s",
+            "reclaim max, s"
+        }) {
+            assertTrue(out.contains(label), label);
+        }
+        String same = CtlRun.of(
+                        node, "document", "plan", "../samples/lagilagi/document.yaml", "--trace", trace.toString())
+                .out();
+        assertTrue(same.startsWith("no difference\n"), same);
+        assertTrue(same.lines().skip(4).allMatch(line -> line.endsWith("=")), same);
+    }
+
+    /** A trace that cannot be read is wrong input with its place. */
+    @Test
+    public void refusesAnUnreadableTrace() throws IOException {
+        Path bad = Files.createTempFile("bad", ".jsonl");
+        Files.writeString(bad, Files.readString(trace).replaceFirst("\"accelerators\":8", "\"accelerators\":\"8\""));
+        CtlRun run = CtlRun.of(node, "document", "plan", edited.toString(), "--trace", bad.toString());
+        assertEquals(run.status(), 2);
+        assertTrue(run.err().contains(bad + ":2: accelerators: "), run.err());
+        Files.delete(bad);
+    }
+
+    private CtlRun plan(String... more) {
+        String base = "../samples/lagilagi/document.yaml";
+        List<String> call = new ArrayList<>(
+                List.of("document", "plan", edited.toString(), "--base", base, "--trace", trace.toString()));
+        call.addAll(List.of(more));
+        return CtlRun.of(node, call.toArray(String[]::new));
+    }
+
+    /** Gives a workspace's spend; the measures list those that spent something. */
+    private static long spend(JsonNode measures, String workspace) {
+        for (JsonNode spend : measures.path("spend")) {
+            if (spend.path("workspace").asText().equals(workspace)) {
+                return spend.path("totalMicros").asLong();
+            }
+        }
+        return 0;
+    }
+}
