Add membership between nodes as pure state machines

Nodes need to know each other for routing, worker liaison and peers' help, without a coordination service.

No traffic or detection figures yet.

--- /dev/null
+++ b/membership/src/main/java/org/fuchsiawinch/membership/AllToAllHeartbeat.java
@@ -0,0 +1,151 @@
+package org.fuchsiawinch.membership;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import org.fuchsiawinch.membership.MembershipMessage.Heartbeat;
+import org.fuchsiawinch.model.NodeId;
+
+/**
+ * Each node sends a heartbeat to every address of the VM list and of every member it knows, and counts a member as dead
+ * after a silence. Messages per node grow with the number of nodes. Not thread-safe.
+ */
+public final class AllToAllHeartbeat implements MembershipProtocol {
+
+    private final HeartbeatSettings settings;
+    private final Map<NodeId, Peer> peers = new TreeMap<>();
+    private final Map<Endpoint, Long> hintedUntilMs = new LinkedHashMap<>();
+    private List<Endpoint> seeds = List.of();
+    private Member self;
+    private long nextBeatMs = Long.MIN_VALUE;
+    private long lastTickMs = Long.MIN_VALUE;
+    private int rotation;
+
+    /** A member with the time of its last heartbeat. */
+    private record Peer(Member member, long heardMs) {}
+
+    /**
+     * Creates the protocol of one node.
+     *
+     * @param self this node at incarnation 0
+     * @param settings the settings
+     */
+    public AllToAllHeartbeat(Member self, HeartbeatSettings settings) {
+        this.self = self;
+        this.settings = settings;
+    }
+
+    @Override
+    public MembershipOutput handle(MembershipInput input, long nowMs) {
+        MembershipOutput.Builder out = new MembershipOutput.Builder();
+        if (input instanceof MembershipInput.Tick) {
+            tick(nowMs, out);
+        } else if (input instanceof MembershipInput.Received received) {
+            receive(received.message(), nowMs, out);
+        } else if (input instanceof MembershipInput.VmList list) {
+            vmList(list, out);
+        } else if (input instanceof MembershipInput.Leave) {
+            leave(out);
+        }
+        return out.build();
+    }
+
+    private void tick(long nowMs, MembershipOutput.Builder out) {
+        boolean paused = lastTickMs != Long.MIN_VALUE && nowMs - lastTickMs > settings.intervalMs();
+        if (paused) {
+            long gapMs = nowMs - lastTickMs;
+            peers.replaceAll((id, peer) -> new Peer(peer.member(), peer.heardMs() + gapMs));
+        }
+        lastTickMs = nowMs;
+        expire(nowMs, out);
+        if (nowMs >= nextBeatMs) {
+            beat(out);
+            nextBeatMs = nowMs + settings.intervalMs();
+        }
+    }
+
+    private void expire(long nowMs, MembershipOutput.Builder out) {
+        for (Peer peer : List.copyOf(peers.values())) {
+            long silenceMs = nowMs - peer.heardMs();
+            if (silenceMs >= settings.deadAfterMs()) {
+                replace(peer, MemberState.DEAD, out);
+            } else if (silenceMs >= settings.suspectAfterMs() && peer.member().state() == MemberState.ALIVE) {
+                replace(peer, MemberState.SUSPECT, out);
+            }
+        }
+        hintedUntilMs.values().removeIf(untilMs -> untilMs <= nowMs);
+    }
+
+    private void replace(Peer peer, MemberState next, MembershipOutput.Builder out) {
+        Member member = peer.member().withState(next);
+        if (next == MemberState.DEAD) {
+            peers.remove(member.id());
+        } else {
+            peers.put(member.id(), new Peer(member, peer.heardMs()));
+        }
+        out.change(new MembershipChange(member, Optional.of(peer.member().state())));
+    }
+
+    private void beat(MembershipOutput.Builder out) {
+        Set<Endpoint> targets = new TreeSet<>(seeds);
+        peers.values().forEach(peer -> targets.add(peer.member().endpoint()));
+        targets.addAll(hintedUntilMs.keySet());
+        targets.remove(self.endpoint());
+        Heartbeat heartbeat = new Heartbeat(self, nextHints());
+        targets.forEach(target -> out.send(target, heartbeat));
+    }
+
+    private List<Member> nextHints() {
+        List<Member> known = peers.values().stream().map(Peer::member).toList();
+        int count = Math.min(settings.maxUpdates(), known.size());
+        List<Member> hints = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            hints.add(known.get((rotation + i) % known.size()));
+        }
+        rotation = known.isEmpty() ? 0 : (rotation + count) % known.size();
+        return List.copyOf(hints);
+    }
+
+    private void receive(MembershipMessage message, long nowMs, MembershipOutput.Builder out) {
+        if (!(message instanceof Heartbeat heartbeat)) {
+            return;
+        }
+        Member from = heartbeat.from();
+        if (from.id().equals(self.id())) {
+            return;
+        }
+        Peer before = peers.get(from.id());
+        Member accepted = before != null && before.member().state() == MemberState.LEAVING
+                ? from.withState(MemberState.LEAVING)
+                : from;
+        peers.put(from.id(), new Peer(accepted, nowMs));
+        if (before == null || before.member().state() != accepted.state()) {
+            out.change(new MembershipChange(
+                    accepted, Optional.ofNullable(before).map(Peer::member).map(Member::state)));
+        }
+        for (Member hint : heartbeat.updates()) {
+            hintedUntilMs.put(hint.endpoint(), nowMs + settings.deadAfterMs());
+        }
+    }
+
+    private void vmList(MembershipInput.VmList list, MembershipOutput.Builder out) {
+        seeds = list.live();
+        for (Peer peer : List.copyOf(peers.values())) {
+            boolean leaving = list.leaving().contains(peer.member().endpoint());
+            if (leaving && peer.member().state().routable()) {
+                replace(peer, MemberState.LEAVING, out);
+            }
+        }
+    }
+
+    private void leave(MembershipOutput.Builder out) {
+        self = self.withState(MemberState.LEAVING);
+        beat(out);
+    }
+}
--- /dev/null
+++ b/membership/src/main/java/org/fuchsiawinch/membership/GossipMembership.java
@@ -0,0 +1,143 @@
+package org.fuchsiawinch.membership;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+import org.fuchsiawinch.membership.MembershipMessage.Ack;
+import org.fuchsiawinch.membership.MembershipMessage.Gossip;
+import org.fuchsiawinch.membership.MembershipMessage.Ping;
+import org.fuchsiawinch.membership.MembershipMessage.PingRequest;
+import org.fuchsiawinch.membership.MembershipMessage.SyncPage;
+import org.fuchsiawinch.membership.MembershipMessage.SyncRequest;
+import org.fuchsiawinch.membership.internal.Group;
+import org.fuchsiawinch.membership.internal.Prober;
+import org.fuchsiawinch.membership.internal.ViewSync;
+
+/**
+ * Membership in the SWIM style: each period a node probes one member, directly and then through helpers; a member that
+ * does not answer is suspect and has time to refute with a higher incarnation; statements travel on probes and in small
+ * gossip rounds, each a bounded number of times; views are compared with seeds and members now and then. Messages per
+ * node do not grow with the number of nodes. Not thread-safe.
+ */
+public final class GossipMembership implements MembershipProtocol {
+
+    private final GossipSettings settings;
+    private final Group group;
+    private final Prober prober;
+    private final ViewSync sync;
+    private Optional<List<Endpoint>> leavingEndpoints = Optional.empty();
+    private long lastTickMs = Long.MIN_VALUE;
+    private long nextGossipMs = Long.MIN_VALUE;
+
+    /**
+     * Creates the protocol of one node.
+     *
+     * @param self this node at incarnation 0
+     * @param settings the settings
+     * @param seed seed of the random choices
+     */
+    public GossipMembership(Member self, GossipSettings settings, long seed) {
+        this.settings = settings;
+        this.group = new Group(self, settings, new SplittableRandom(seed));
+        this.prober = new Prober(group);
+        this.sync = new ViewSync(group);
+    }
+
+    @Override
+    public MembershipOutput handle(MembershipInput input, long nowMs) {
+        MembershipOutput.Builder out = new MembershipOutput.Builder();
+        if (input instanceof MembershipInput.Tick) {
+            tick(nowMs, out);
+        } else if (input instanceof MembershipInput.Received received) {
+            receive(received.message(), nowMs, out);
+        } else if (input instanceof MembershipInput.VmList list) {
+            vmList(list, nowMs, out);
+        } else if (input instanceof MembershipInput.Leave) {
+            leave(out);
+        }
+        return out.build();
+    }
+
+    private void tick(long nowMs, MembershipOutput.Builder out) {
+        long gapMs = lastTickMs == Long.MIN_VALUE ? 0 : nowMs - lastTickMs;
+        lastTickMs = nowMs;
+        if (gapMs > settings.pauseThresholdMs()) {
+            group.postpone(gapMs);
+            prober.abandon();
+        }
+        group.expire(nowMs, out);
+        prober.tick(nowMs, out);
+        sync.tick(nowMs, out);
+        gossip(nowMs, out);
+    }
+
+    private void gossip(long nowMs, MembershipOutput.Builder out) {
+        if (nowMs < nextGossipMs || !group.hasUpdates()) {
+            return;
+        }
+        nextGossipMs = nowMs + settings.gossipIntervalMs();
+        spread(settings.gossipFanout(), out);
+    }
+
+    private void spread(int fanout, MembershipOutput.Builder out) {
+        for (Member target : group.pick(fanout, group.self().id())) {
+            List<Member> updates = group.updatesFor(Optional.of(target.id()));
+            out.send(target.endpoint(), new Gossip(group.self(), updates));
+        }
+    }
+
+    private void receive(MembershipMessage message, long nowMs, MembershipOutput.Builder out) {
+        if (message.from().id().equals(group.self().id())) {
+            return;
+        }
+        boolean fromDead = group.contact(message.from(), nowMs, out);
+        if (message instanceof SyncPage page) {
+            sync.onPage(page, nowMs, out);
+        } else {
+            mergeRumours(message, fromDead, nowMs, out);
+        }
+        if (message instanceof Ping ping) {
+            prober.onPing(ping, out);
+        } else if (message instanceof PingRequest request) {
+            prober.onPingRequest(request, nowMs, out);
+        } else if (message instanceof Ack ack) {
+            prober.onAck(ack, nowMs, out);
+        } else if (message instanceof SyncRequest request) {
+            sync.onRequest(request, out);
+        }
+    }
+
+    private void mergeRumours(MembershipMessage message, boolean fromDead, long nowMs, MembershipOutput.Builder out) {
+        for (Member update : message.updates()) {
+            boolean aboutSelf = update.id().equals(group.self().id());
+            if (!fromDead || aboutSelf) {
+                group.merge(update, true, nowMs, out);
+            }
+        }
+    }
+
+    private void vmList(MembershipInput.VmList list, long nowMs, MembershipOutput.Builder out) {
+        sync.seeds(list.live());
+        List<Endpoint> before = leavingEndpoints.orElse(list.leaving());
+        List<Endpoint> newlyLeaving = list.leaving().stream()
+                .filter(endpoint -> !before.contains(endpoint))
+                .toList();
+        leavingEndpoints = Optional.of(list.leaving());
+        if (newlyLeaving.contains(group.self().endpoint())) {
+            leave(out);
+        }
+        group.table().page(Optional.empty(), Integer.MAX_VALUE).stream()
+                .filter(member -> newlyLeaving.contains(member.endpoint()))
+                .filter(member -> member.state().routable())
+                .forEach(member -> group.merge(member.withState(MemberState.LEAVING), true, nowMs, out));
+    }
+
+    private void leave(MembershipOutput.Builder out) {
+        if (group.self().state() == MemberState.LEAVING) {
+            return;
+        }
+        group.leave();
+        spread(settings.leaveFanout(), out);
+    }
+}
--- /dev/null
+++ b/membership/src/main/java/org/fuchsiawinch/membership/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Parts of the membership protocols; not for use outside this module. */
+package org.fuchsiawinch.membership.internal;
--- /dev/null
+++ b/membership/src/test/java/org/fuchsiawinch/membership/GossipMembershipTest.java
@@ -0,0 +1,139 @@
+package org.fuchsiawinch.membership;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.fuchsiawinch.membership.MembershipInput.Leave;
+import org.fuchsiawinch.membership.MembershipInput.Received;
+import org.fuchsiawinch.membership.MembershipInput.Tick;
+import org.fuchsiawinch.membership.MembershipInput.VmList;
+import org.fuchsiawinch.membership.MembershipMessage.Ack;
+import org.fuchsiawinch.membership.MembershipMessage.Gossip;
+import org.fuchsiawinch.membership.MembershipMessage.Ping;
+import org.fuchsiawinch.membership.MembershipMessage.SyncPage;
+import org.fuchsiawinch.membership.MembershipMessage.SyncRequest;
+import org.fuchsiawinch.model.NodeId;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** Single steps of the gossip protocol. */
+public class GossipMembershipTest {
+
+    private final Member self = node(1);
+    private final Member peer = node(2);
+    private final Member third = node(3);
+    private GossipMembership protocol;
+    private MembershipView view;
+
+    @BeforeMethod
+    void create() {
+        protocol = new GossipMembership(self, GossipSettings.DEFAULTS, 1);
+        view = new MembershipView();
+    }
+
+    @Test
+    public void refutesASuspicionOfItself() {
+        step(new Received(new Gossip(peer, List.of())), 0);
+        MembershipOutput out = step(new Received(new Ping(peer, 9, List.of(self.withState(MemberState.SUSPECT)))), 10);
+        Ack ack = (Ack) out.messages().get(0).message();
+        assertEquals(ack.from().incarnation(), 1);
+        assertEquals(ack.from().state(), MemberState.ALIVE);
+        assertEquals(ack.sequence(), 9);
+    }
+
+    @Test
+    public void leavingWinsAtOnceAndStays() {
+        step(new Received(new Gossip(peer.withIncarnation(4), List.of())), 0);
+        step(new Received(new Gossip(third, List.of(peer.withState(MemberState.LEAVING)))), 10);
+        assertEquals(view.routable(), List.of(third.id()));
+        step(new Received(new Gossip(peer.withIncarnation(5), List.of())), 20);
+        assertEquals(view.routable(), List.of(third.id()));
+    }
+
+    @Test
+    public void tellsItsMembersWhenItLeaves() {
+        step(new Received(new Gossip(peer, List.of())), 0);
+        MembershipOutput out = step(new Leave(), 10);
+        assertEquals(out.messages().size(), 1);
+        assertEquals(out.messages().get(0).message().from().state(), MemberState.LEAVING);
+    }
+
+    @Test
+    public void aNewProcessAtAnAddressReplacesTheOldOne() {
+        step(new Received(new Gossip(peer, List.of())), 0);
+        Member restarted = Member.alive(new NodeId("n2-b"), peer.endpoint(), "dc");
+        step(new Received(new SyncRequest(restarted, 0, Optional.empty())), 10);
+        assertEquals(view.routable(), List.of(restarted.id()));
+    }
+
+    @Test
+    public void aVmListedAsLeavingGetsNoNewWork() {
+        step(new VmList(List.of(peer.endpoint()), List.of()), 0);
+        step(new Received(new Gossip(peer, List.of())), 1);
+        step(new VmList(List.of(), List.of(peer.endpoint())), 2);
+        assertTrue(view.routable().isEmpty());
+    }
+
+    @Test
+    public void aStaleLeavingEntryDoesNotHitANewProcess() {
+        step(new VmList(List.of(), List.of(peer.endpoint())), 0);
+        step(new Received(new Gossip(peer, List.of())), 1);
+        step(new VmList(List.of(), List.of(peer.endpoint())), 2);
+        assertEquals(view.routable(), List.of(peer.id()));
+    }
+
+    @Test
+    public void agreeingViewsExchangeNoPages() {
+        step(new Received(new Gossip(peer, List.of())), 0);
+        GossipMembership other = new GossipMembership(peer, GossipSettings.DEFAULTS, 2);
+        MembershipOutput first = other.handle(new Received(new SyncRequest(self, 0, Optional.empty())), 1);
+        assertTrue(first.messages().get(0).message() instanceof SyncPage);
+        long digest = digestSentBy(protocol);
+        MembershipOutput second = other.handle(new Received(new SyncRequest(self, digest, Optional.empty())), 2);
+        assertTrue(second.messages().isEmpty());
+    }
+
+    @Test
+    public void sendsAStatementABoundedNumberOfTimes() {
+        step(new Received(new Gossip(peer, List.of(third))), 0);
+        int sent = 0;
+        for (int i = 0; i < 200; i++) {
+            MembershipOutput out = step(new Received(new Ping(peer, i, List.of())), i);
+            sent += out.messages().get(0).message().updates().contains(third) ? 1 : 0;
+        }
+        int limit = GossipSettings.DEFAULTS.retransmitFactor() * 2;
+        assertEquals(sent, limit);
+    }
+
+    @Test
+    public void aPauseOfItsOwnIsNotHeldAgainstPeers() {
+        step(new Received(new Gossip(peer, List.of(third.withState(MemberState.SUSPECT)))), 0);
+        step(new Tick(), 100);
+        step(new Tick(), 3_600_000);
+        assertTrue(view.member(third.id()).isPresent());
+    }
+
+    private static long digestSentBy(GossipMembership protocol) {
+        for (long nowMs = 0; nowMs < 60_000; nowMs += 100) {
+            for (Outbound outbound : protocol.handle(new Tick(), nowMs).messages()) {
+                if (outbound.message() instanceof SyncRequest request) {
+                    return request.digest();
+                }
+            }
+        }
+        throw new AssertionError("no request");
+    }
+
+    private MembershipOutput step(MembershipInput input, long nowMs) {
+        MembershipOutput out = protocol.handle(input, nowMs);
+        view.apply(out.changes());
+        return out;
+    }
+
+    private static Member node(int number) {
+        return Member.alive(new NodeId("n" + number), new Endpoint("10.0.0." + number, 7000), "dc");
+    }
+}
--- /dev/null
+++ b/membership/src/test/java/org/fuchsiawinch/membership/MemberPrecedenceTest.java
@@ -0,0 +1,55 @@
+package org.fuchsiawinch.membership;
+
+import org.fuchsiawinch.model.NodeId;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.expectThrows;
+
+/** Which of two statements on a member stands. */
+public class MemberPrecedenceTest {
+
+    @DataProvider
+    Object[][] pairs() {
+        return new Object[][] {
+            {MemberState.SUSPECT, 0, MemberState.ALIVE, 0, true},
+            {MemberState.ALIVE, 0, MemberState.SUSPECT, 0, false},
+            {MemberState.ALIVE, 1, MemberState.SUSPECT, 0, true},
+            {MemberState.ALIVE, 1, MemberState.DEAD, 0, true},
+            {MemberState.ALIVE, 0, MemberState.DEAD, 0, false},
+            {MemberState.DEAD, 0, MemberState.SUSPECT, 0, true},
+            {MemberState.DEAD, 0, MemberState.ALIVE, 1, false},
+            {MemberState.LEAVING, 0, MemberState.ALIVE, 7, true},
+            {MemberState.LEAVING, 0, MemberState.SUSPECT, 7, true},
+            {MemberState.ALIVE, 7, MemberState.LEAVING, 0, false},
+            {MemberState.SUSPECT, 7, MemberState.LEAVING, 0, false},
+            {MemberState.LEAVING, 0, MemberState.DEAD, 0, false},
+            {MemberState.LEAVING, 1, MemberState.DEAD, 0, true},
+            {MemberState.DEAD, 0, MemberState.LEAVING, 0, true},
+            {MemberState.ALIVE, 0, MemberState.ALIVE, 0, false},
+        };
+    }
+
+    @Test(dataProvider = "pairs")
+    public void ranksStatements(
+            MemberState next, int nextIncarnation, MemberState held, int heldIncarnation, boolean replaces) {
+        Member update = member().withState(next).withIncarnation(nextIncarnation);
+        Member earlier = member().withState(held).withIncarnation(heldIncarnation);
+        assertEquals(update.supersedes(earlier), replaces);
+    }
+
+    @Test
+    public void refusesBadParts() {
+        IllegalMembershipException port =
+                expectThrows(IllegalMembershipException.class, () -> new Endpoint("10.0.0.1", 0));
+        assertEquals(port.field(), "port");
+        IllegalMembershipException incarnation =
+                expectThrows(IllegalMembershipException.class, () -> member().withIncarnation(-1));
+        assertEquals(incarnation.field(), "incarnation");
+    }
+
+    private static Member member() {
+        return Member.alive(new NodeId("n1"), new Endpoint("10.0.0.1", 7000), "suva-1");
+    }
+}
