Test membership under faults on a virtual network

A small seeded fake of the network between nodes (loss, delay, blocked links, crash, pause) drives either protocol on a virtual clock.

--- /dev/null
+++ b/explore/src/main/java/org/fuchsiawinch/explore/membership/VirtualGroup.java
@@ -0,0 +1,105 @@
+package org.fuchsiawinch.explore.membership;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
+
+import org.fuchsiawinch.membership.Endpoint;
+import org.fuchsiawinch.membership.Member;
+import org.fuchsiawinch.membership.MembershipInput;
+import org.fuchsiawinch.model.NodeId;
+
+/** Starts and restarts the nodes of one group on a {@link VirtualNetwork}. Not thread-safe. */
+public final class VirtualGroup {
+
+    private static final int DATA_CENTRES = 7;
+    private static final int PORT = 7_000;
+    private static final int HOSTS_PER_BLOCK = 250;
+
+    private final VirtualNetwork network;
+    private final ProtocolKind kind;
+    private final SplittableRandom seeds;
+    private int started;
+
+    /**
+     * Creates a group without nodes.
+     *
+     * @param kind the protocol of its nodes
+     * @param loss probability that a message is lost, 0 to 1
+     * @param seed seed of the whole run
+     */
+    public VirtualGroup(ProtocolKind kind, double loss, long seed) {
+        this.kind = kind;
+        this.seeds = new SplittableRandom(seed);
+        this.network = new VirtualNetwork(loss, seeds.nextLong());
+    }
+
+    /** Returns the network. */
+    public VirtualNetwork network() {
+        return network;
+    }
+
+    /** Starts nodes on hosts 0 to {@code count - 1}, each with the full VM list. */
+    public void startAll(int count) {
+        List<Endpoint> all = new ArrayList<>();
+        for (int host = 0; host < count; host++) {
+            all.add(endpoint(host));
+        }
+        for (int host = 0; host < count; host++) {
+            start(host, all);
+        }
+    }
+
+    /**
+     * Starts a process on a host; a process that ran there before is taken over.
+     *
+     * @param host number of the host
+     * @param vmList live VMs that the platform lists to it
+     */
+    public NodeId start(int host, List<Endpoint> vmList) {
+        started++;
+        NodeId id = new NodeId("node-" + host + "-" + started);
+        Member self = Member.alive(id, endpoint(host), "dc-" + host % DATA_CENTRES);
+        network.start(self, kind.create(self, seeds.nextLong()));
+        network.give(id, new MembershipInput.VmList(vmList, List.of()));
+        return id;
+    }
+
+    /** Gives every running node a VM list. */
+    public void vmList(List<Endpoint> live) {
+        for (SimulatedNode node : List.copyOf(network.nodes())) {
+            network.give(node.id(), new MembershipInput.VmList(live, List.of()));
+        }
+    }
+
+    /** Runs for a time, in ms. */
+    public void run(long forMs) {
+        network.runUntil(network.nowMs() + forMs);
+    }
+
+    /** Returns whether each running node may route to all the others and to none besides. */
+    public boolean agreed() {
+        TreeSet<NodeId> running = new TreeSet<>();
+        network.nodes().forEach(node -> running.add(node.id()));
+        return network.nodes().stream().allMatch(node -> {
+            TreeSet<NodeId> routable = new TreeSet<>(node.view().routable());
+            routable.add(node.id());
+            return routable.equals(running);
+        });
+    }
+
+    /** Runs until all views agree with the running nodes, and returns the time it took, or the limit, in ms. */
+    public long runUntilAgreed(long limitMs) {
+        long startMs = network.nowMs();
+        while (!agreed() && network.nowMs() - startMs < limitMs) {
+            run(VirtualNetwork.TICK_MS);
+        }
+        return network.nowMs() - startMs;
+    }
+
+    /** Returns the address of a host. */
+    public static Endpoint endpoint(int host) {
+        return new Endpoint("10.20." + host / HOSTS_PER_BLOCK + "." + (host % HOSTS_PER_BLOCK + 1), PORT);
+    }
+}
--- /dev/null
+++ b/explore/src/main/java/org/fuchsiawinch/explore/membership/VirtualNetwork.java
@@ -0,0 +1,205 @@
+package org.fuchsiawinch.explore.membership;
+
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.function.BiPredicate;
+import java.util.function.ToIntFunction;
+
+import org.fuchsiawinch.membership.Endpoint;
+import org.fuchsiawinch.membership.Member;
+import org.fuchsiawinch.membership.MembershipChange;
+import org.fuchsiawinch.membership.MembershipInput;
+import org.fuchsiawinch.membership.MembershipMessage;
+import org.fuchsiawinch.membership.MembershipOutput;
+import org.fuchsiawinch.membership.MembershipProtocol;
+import org.fuchsiawinch.membership.MessageSizes;
+import org.fuchsiawinch.membership.Outbound;
+import org.fuchsiawinch.model.NodeId;
+
+/**
+ * Small fake of the network and the clocks between nodes: seeded loss and delay, blocked links, crashes and pauses, on
+ * a virtual clock. The same calls with the same seed give the same run. Not thread-safe.
+ */
+public final class VirtualNetwork {
+
+    /** Time between ticks of a node, in ms. */
+    public static final long TICK_MS = 100;
+
+    private static final int MIN_DELAY_MS = 1;
+    private static final int MAX_DELAY_MS = 4;
+    private static final int SOCKET_BUFFER_MESSAGES = 512;
+
+    private final SplittableRandom random;
+    private final double loss;
+    private final ToIntFunction<MembershipMessage> sizes = new MessageSizes();
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingLong(Event::atMs).thenComparingLong(Event::order));
+    private final Map<Endpoint, SimulatedNode> byEndpoint = new HashMap<>();
+    private final Map<NodeId, SimulatedNode> nodes = new LinkedHashMap<>();
+    private BiPredicate<Endpoint, Endpoint> blocked = (from, to) -> false;
+    private ChangeListener listener = (observer, change, nowMs) -> {};
+    private long nowMs;
+    private long eventCount;
+
+    /** Told of each change of a node's view. */
+    @FunctionalInterface
+    public interface ChangeListener {
+
+        /**
+         * Takes a change.
+         *
+         * @param observer the node whose view changed
+         * @param change the change
+         * @param nowMs virtual time in ms
+         */
+        void changed(NodeId observer, MembershipChange change, long nowMs);
+    }
+
+    /** Something due at a time; events of the same time run in the order they were made. */
+    private record Event(long atMs, long order, Runnable action) {}
+
+    /**
+     * Creates a network without nodes at time 0.
+     *
+     * @param loss probability that a message is lost, 0 to 1
+     * @param seed seed of loss and delay
+     */
+    public VirtualNetwork(double loss, long seed) {
+        this.loss = loss;
+        this.random = new SplittableRandom(seed);
+    }
+
+    /** Sets the listener. */
+    public void listener(ChangeListener next) {
+        listener = next;
+    }
+
+    /** Sets which directed links lose everything, given the sender's and the receiver's address. */
+    public void blocked(BiPredicate<Endpoint, Endpoint> next) {
+        blocked = next;
+    }
+
+    /** Returns the virtual time in ms. */
+    public long nowMs() {
+        return nowMs;
+    }
+
+    /** Returns the running nodes in the order of their start; a read-only view. */
+    public Collection<SimulatedNode> nodes() {
+        return Collections.unmodifiableCollection(nodes.values());
+    }
+
+    /** Returns a running node. */
+    public SimulatedNode node(NodeId id) {
+        return nodes.get(id);
+    }
+
+    /** Starts a node; it takes the address over from any other. */
+    public SimulatedNode start(Member self, MembershipProtocol protocol) {
+        SimulatedNode node = new SimulatedNode(self, protocol);
+        nodes.put(self.id(), node);
+        byEndpoint.put(self.endpoint(), node);
+        schedule(nowMs + random.nextLong(TICK_MS), () -> tick(node));
+        return node;
+    }
+
+    /** Ends a node without notice. */
+    public void crash(NodeId id) {
+        SimulatedNode node = nodes.remove(id);
+        node.running = false;
+        byEndpoint.remove(node.self().endpoint(), node);
+    }
+
+    /** Stops a node's clock and processor for a time, as SIGSTOP does; a bounded number of messages wait for it. */
+    public void pause(NodeId id, long forMs) {
+        SimulatedNode node = nodes.get(id);
+        node.pausedUntilMs = nowMs + forMs;
+        schedule(node.pausedUntilMs, () -> wake(node));
+    }
+
+    /** Gives a node an input at once. */
+    public void give(NodeId id, MembershipInput input) {
+        handle(nodes.get(id), input);
+    }
+
+    /** Runs all events up to a time, in ms. */
+    public void runUntil(long untilMs) {
+        while (!events.isEmpty() && events.peek().atMs() <= untilMs) {
+            Event event = events.poll();
+            nowMs = event.atMs();
+            event.action().run();
+        }
+        nowMs = untilMs;
+    }
+
+    private void tick(SimulatedNode node) {
+        if (!node.running) {
+            return;
+        }
+        long nextMs = Math.max(nowMs + TICK_MS, node.pausedUntilMs);
+        if (!node.pausedAt(nowMs)) {
+            handle(node, new MembershipInput.Tick());
+        }
+        schedule(nextMs, () -> tick(node));
+    }
+
+    private void wake(SimulatedNode node) {
+        while (node.running && !node.buffer.isEmpty()) {
+            deliver(node, node.buffer.poll());
+        }
+    }
+
+    private void handle(SimulatedNode node, MembershipInput input) {
+        MembershipOutput output = node.protocol.handle(input, nowMs);
+        node.view().apply(output.changes());
+        for (MembershipChange change : output.changes()) {
+            node.convergence.changed(nowMs);
+            listener.changed(node.self().id(), change, nowMs);
+        }
+        output.messages().forEach(outbound -> send(node, outbound));
+    }
+
+    private void send(SimulatedNode from, Outbound outbound) {
+        int bytes = sizes.applyAsInt(outbound.message());
+        from.sentBytes += bytes;
+        boolean lost = random.nextDouble() < loss || blocked.test(from.self().endpoint(), outbound.to());
+        if (lost) {
+            return;
+        }
+        long delayMs = random.nextLong(MIN_DELAY_MS, MAX_DELAY_MS);
+        Delivery delivery = new Delivery(outbound.message(), bytes, from.convergence.updateMs());
+        schedule(nowMs + delayMs, () -> arrive(outbound.to(), delivery));
+    }
+
+    private void arrive(Endpoint to, Delivery delivery) {
+        SimulatedNode node = byEndpoint.get(to);
+        if (node == null) {
+            return;
+        }
+        if (!node.pausedAt(nowMs)) {
+            deliver(node, delivery);
+        } else if (node.buffer.size() < SOCKET_BUFFER_MESSAGES) {
+            node.buffer.add(delivery);
+        }
+    }
+
+    private void deliver(SimulatedNode node, Delivery delivery) {
+        node.receivedBytes += delivery.bytes();
+        handle(node, new MembershipInput.Received(delivery.message()));
+        node.convergence.heard(delivery.updateMs());
+    }
+
+    private void schedule(long atMs, Runnable action) {
+        eventCount++;
+        events.add(new Event(atMs, eventCount, action));
+    }
+
+    /** A message on its way, with the sender's update time for the convergence observer. */
+    record Delivery(MembershipMessage message, int bytes, long updateMs) {}
+}
--- /dev/null
+++ b/explore/src/test/java/org/fuchsiawinch/explore/membership/MembershipFaultTest.java
@@ -0,0 +1,196 @@
+package org.fuchsiawinch.explore.membership;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+
+import org.fuchsiawinch.membership.Endpoint;
+import org.fuchsiawinch.membership.MemberState;
+import org.fuchsiawinch.membership.MembershipInput;
+import org.fuchsiawinch.model.NodeId;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/** Groups under faults, on a virtual clock. */
+public class MembershipFaultTest {
+
+    private static final long JOIN_MS = 15_000;
+    private static final long SETTLE_MS = 60_000;
+    private static final long HOUR_MS = 3_600_000;
+
+    private final List<NodeId> deaths = new ArrayList<>();
+
+    @DataProvider
+    Object[][] protocols() {
+        return new Object[][] {{ProtocolKind.HEARTBEAT}, {ProtocolKind.GOSSIP}};
+    }
+
+    @Test(dataProvider = "protocols")
+    public void lossOfOneInTwentyKillsNoMember(ProtocolKind kind) {
+        VirtualGroup group = started(kind, 8, 0.05, 11);
+        group.run(600_000);
+        assertEquals(deaths, List.of());
+        assertTrue(group.runUntilAgreed(SETTLE_MS) < SETTLE_MS);
+    }
+
+    @Test
+    public void aOneWayLinkKillsNoMember() {
+        VirtualGroup group = started(ProtocolKind.GOSSIP, 8, 0, 12);
+        Endpoint from = VirtualGroup.endpoint(0);
+        Endpoint to = VirtualGroup.endpoint(1);
+        group.network().blocked((sender, receiver) -> sender.equals(from) && receiver.equals(to));
+        group.run(600_000);
+        assertEquals(deaths, List.of());
+        assertTrue(group.agreed());
+    }
+
+    @Test
+    public void aNodeThatHearsNothingIsTheOnlyOneLost() {
+        VirtualGroup group = started(ProtocolKind.GOSSIP, 8, 0, 13);
+        NodeId deaf = group.network().nodes().iterator().next().id();
+        Endpoint address = VirtualGroup.endpoint(0);
+        group.network().blocked((sender, receiver) -> receiver.equals(address));
+        group.run(SETTLE_MS);
+        for (SimulatedNode node : group.network().nodes()) {
+            int expected = node.id().equals(deaf) ? node.view().routable().size() : 6;
+            assertEquals(node.view().routable().size(), expected, node.id().value());
+        }
+        group.network().blocked((sender, receiver) -> false);
+        assertTrue(group.runUntilAgreed(SETTLE_MS) < SETTLE_MS);
+    }
+
+    @Test(dataProvider = "protocols")
+    public void aPauseOfTwoSecondsKillsNoMember(ProtocolKind kind) {
+        VirtualGroup group = started(kind, 8, 0, 14);
+        NodeId paused = group.network().nodes().iterator().next().id();
+        for (int i = 0; i < 20; i++) {
+            group.network().pause(paused, 2_000);
+            group.run(20_000);
+        }
+        assertEquals(deaths, List.of());
+    }
+
+    @Test(dataProvider = "protocols")
+    public void aNodeThatWakesAfterAMinuteIsTakenBack(ProtocolKind kind) {
+        VirtualGroup group = started(kind, 8, 0, 15);
+        NodeId paused = group.network().nodes().iterator().next().id();
+        group.network().pause(paused, 60_000);
+        group.run(60_000);
+        assertEquals(Set.copyOf(deaths), Set.of(paused));
+        assertTrue(group.runUntilAgreed(SETTLE_MS) < SETTLE_MS);
+        assertEquals(Set.copyOf(deaths), Set.of(paused));
+    }
+
+    @Test(dataProvider = "protocols")
+    public void halvesThatWereApartForAnHourFindEachOther(ProtocolKind kind) {
+        VirtualGroup group = started(kind, 8, 0, 16);
+        Set<Endpoint> left = new TreeSet<>();
+        for (int host = 0; host < 3; host++) {
+            left.add(VirtualGroup.endpoint(host));
+        }
+        group.network().blocked((from, to) -> left.contains(from) != left.contains(to));
+        group.run(HOUR_MS);
+        group.network().nodes().forEach(node -> {
+            int others = left.contains(node.self().endpoint()) ? 2 : 4;
+            assertEquals(node.view().routable().size(), others, node.id().value());
+        });
+        group.network().blocked((from, to) -> false);
+        assertTrue(group.runUntilAgreed(SETTLE_MS) < SETTLE_MS);
+    }
+
+    @Test(dataProvider = "protocols")
+    public void allNodesRestartedAtOnceFormOneGroup(ProtocolKind kind) {
+        VirtualGroup group = started(kind, 8, 0, 17);
+        for (SimulatedNode node : List.copyOf(group.network().nodes())) {
+            group.network().crash(node.id());
+        }
+        group.startAll(8);
+        assertTrue(group.runUntilAgreed(SETTLE_MS) < SETTLE_MS);
+    }
+
+    @Test(dataProvider = "protocols")
+    public void aLaggingVmListKeepsNobodyOut(ProtocolKind kind) {
+        VirtualGroup group = started(kind, 8, 0, 18);
+        List<Endpoint> old = hosts(0, 8);
+        for (NodeId gone : ids(group).subList(0, 3)) {
+            group.network().crash(gone);
+        }
+        for (int host = 8; host < 11; host++) {
+            group.start(host, old);
+        }
+        group.vmList(old);
+        assertTrue(group.runUntilAgreed(SETTLE_MS) < SETTLE_MS);
+    }
+
+    @Test(dataProvider = "protocols")
+    public void aLostDataCentreIsNoticed(ProtocolKind kind) {
+        VirtualGroup group = started(kind, 50, 0.01, 19);
+        List<NodeId> gone = group.network().nodes().stream()
+                .filter(node -> node.self().dataCentre().equals("dc-2"))
+                .map(SimulatedNode::id)
+                .toList();
+        gone.forEach(group.network()::crash);
+        assertEquals(gone.size(), 7);
+        assertTrue(group.runUntilAgreed(SETTLE_MS) < SETTLE_MS);
+        assertEquals(Set.copyOf(deaths), Set.copyOf(gone));
+    }
+
+    @Test(dataProvider = "protocols")
+    public void aLeavingNodeGetsNothingNewWithinSeconds(ProtocolKind kind) {
+        VirtualGroup group = started(kind, 50, 0.05, 20);
+        NodeId leaving = ids(group).get(7);
+        group.network().give(leaving, new MembershipInput.Leave());
+        group.run(5_000);
+        group.network()
+                .listener((observer, change, nowMs) ->
+                        assertFalse(change.member().id().equals(leaving)
+                                && change.member().state().routable()));
+        for (int i = 0; i < 60; i++) {
+            group.network()
+                    .nodes()
+                    .forEach(node -> assertFalse(
+                            node.view().routable().contains(leaving), node.id().value()));
+            group.run(1_000);
+        }
+    }
+
+    @Test
+    public void twoFaultsAtOnceLeaveTheOthersAgreed() {
+        VirtualGroup group = started(ProtocolKind.GOSSIP, 8, 0.05, 21);
+        List<NodeId> ids = ids(group);
+        group.network().pause(ids.get(0), 10_000);
+        group.network().crash(ids.get(1));
+        assertTrue(group.runUntilAgreed(SETTLE_MS) < SETTLE_MS);
+    }
+
+    private VirtualGroup started(ProtocolKind kind, int nodes, double loss, long seed) {
+        VirtualGroup group = new VirtualGroup(kind, loss, seed);
+        group.startAll(nodes);
+        group.run(JOIN_MS);
+        assertTrue(group.runUntilAgreed(SETTLE_MS) < SETTLE_MS);
+        deaths.clear();
+        group.network().listener((observer, change, nowMs) -> {
+            if (change.member().state() == MemberState.DEAD) {
+                deaths.add(change.member().id());
+            }
+        });
+        return group;
+    }
+
+    private static List<NodeId> ids(VirtualGroup group) {
+        return group.network().nodes().stream().map(SimulatedNode::id).toList();
+    }
+
+    private static List<Endpoint> hosts(int from, int to) {
+        List<Endpoint> hosts = new ArrayList<>();
+        for (int host = from; host < to; host++) {
+            hosts.add(VirtualGroup.endpoint(host));
+        }
+        return hosts;
+    }
+}
