--- /dev/null
+++ b/explore/src/main/java/org/fuchsiawinch/explore/membership/ConvergenceObserver.java
@@ -0,0 +1,40 @@
+package org.fuchsiawinch.explore.membership;
+
+import java.util.HashSet;
+import java.util.Set;
+import java.util.TreeSet;
+
+import org.fuchsiawinch.model.NodeId;
+
+/** Compares the convergence test by equal update times with the views themselves. Not thread-safe. */
+final class ConvergenceObserver {
+
+    private final VirtualNetwork network;
+    private int samples;
+    private int wronglyEqual;
+    private int wronglyDifferent;
+
+    ConvergenceObserver(VirtualNetwork network) {
+        this.network = network;
+    }
+
+    void sample() {
+        Set<Long> updateTimes = new HashSet<>();
+        Set<Set<NodeId>> views = new HashSet<>();
+        for (SimulatedNode node : network.nodes()) {
+            Set<NodeId> view = new TreeSet<>(node.view().routable());
+            view.add(node.id());
+            views.add(view);
+            updateTimes.add(node.updateMs());
+        }
+        boolean equalTimes = updateTimes.size() == 1;
+        boolean equalViews = views.size() == 1;
+        samples++;
+        wronglyEqual += equalTimes && !equalViews ? 1 : 0;
+        wronglyDifferent += !equalTimes && equalViews ? 1 : 0;
+    }
+
+    TrialResult.Convergence result() {
+        return new TrialResult.Convergence(samples, wronglyEqual, wronglyDifferent);
+    }
+}
--- /dev/null
+++ b/explore/src/main/java/org/fuchsiawinch/explore/membership/MembershipTrial.java
@@ -0,0 +1,229 @@
+package org.fuchsiawinch.explore.membership;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+import org.fuchsiawinch.membership.Endpoint;
+import org.fuchsiawinch.membership.MemberState;
+import org.fuchsiawinch.membership.MembershipChange;
+import org.fuchsiawinch.membership.MembershipInput;
+import org.fuchsiawinch.model.NodeId;
+
+/** Runs one group through a steady phase, crashes with replacement, pauses and a planned stop. Used once. */
+public final class MembershipTrial {
+
+    private static final long JOIN_LIMIT_MS = 120_000;
+    private static final long CRASH_ROUND_MS = 40_000;
+    private static final long ARRIVAL_ROUND_MS = 20_000;
+    private static final long PAUSE_ROUND_MS = 30_000;
+    private static final long SHORT_PAUSE_MS = 2_000;
+    private static final long LONG_PAUSE_MS = 10_000;
+    private static final long LEAVE_LIMIT_MS = 60_000;
+    private static final double MS_PER_HOUR = 3_600_000.0;
+    private static final double MS_PER_S = 1_000.0;
+
+    private final TrialSettings settings;
+    private final VirtualGroup group;
+    private final VirtualNetwork network;
+    private final ConvergenceObserver convergence;
+    private final SplittableRandom random;
+    private final List<Endpoint> hosts = new ArrayList<>();
+    private final Map<Integer, NodeId> byHost = new HashMap<>();
+    private final Samples detection = new Samples();
+    private final Samples spread = new Samples();
+    private final Samples arrival = new Samples();
+    private int missedVerdicts;
+    private Watch watch = new Watch(new NodeId("none"), 0);
+    private int falseDeaths;
+
+    /** Verdicts on one node since a time. */
+    private static final class Watch {
+
+        private final NodeId subject;
+        private final long sinceMs;
+        private final Map<NodeId, Long> verdictsMs = new HashMap<>();
+        private int others;
+
+        Watch(NodeId subject, long sinceMs) {
+            this.subject = subject;
+            this.sinceMs = sinceMs;
+        }
+    }
+
+    /** Creates a trial. */
+    public MembershipTrial(TrialSettings settings) {
+        this.settings = settings;
+        this.random = new SplittableRandom(settings.seed() + 1);
+        this.group = new VirtualGroup(settings.kind(), settings.lossPercent() / 100.0, settings.seed());
+        this.network = group.network();
+        this.convergence = new ConvergenceObserver(network);
+    }
+
+    /** Runs all phases and returns the figures. */
+    public TrialResult run() {
+        long joinMs = join();
+        network.listener(this::changed);
+        long startMs = network.nowMs();
+        TrialResult.Traffic traffic = steady();
+        for (int i = 0; i < settings.rounds(); i++) {
+            crashAndReplace();
+        }
+        TrialResult.Pauses shortPauses = pauses(SHORT_PAUSE_MS);
+        TrialResult.Pauses longPauses = pauses(LONG_PAUSE_MS);
+        double hours = (network.nowMs() - startMs) / MS_PER_HOUR;
+        long leaveMs = leave();
+        return new TrialResult(
+                settings,
+                traffic,
+                joinMs,
+                detection,
+                missedVerdicts,
+                spread,
+                arrival,
+                leaveMs,
+                falseDeaths / (settings.nodes() * hours),
+                shortPauses,
+                longPauses,
+                convergence.result());
+    }
+
+    private long join() {
+        for (int host = 0; host < settings.nodes(); host++) {
+            hosts.add(VirtualGroup.endpoint(host));
+        }
+        for (int host = 0; host < settings.nodes(); host++) {
+            byHost.put(host, group.start(host, hosts));
+        }
+        return group.runUntilAgreed(JOIN_LIMIT_MS);
+    }
+
+    private TrialResult.Traffic steady() {
+        Map<NodeId, Long> sentBefore = new HashMap<>();
+        Map<NodeId, Long> bothBefore = new HashMap<>();
+        for (SimulatedNode node : network.nodes()) {
+            sentBefore.put(node.id(), node.sentBytes());
+            bothBefore.put(node.id(), node.sentBytes() + node.receivedBytes());
+        }
+        group.run(settings.steadyMs());
+        double seconds = settings.steadyMs() / MS_PER_S;
+        double sent = 0;
+        double both = 0;
+        double busiest = 0;
+        for (SimulatedNode node : network.nodes()) {
+            double nodeBoth = node.sentBytes() + node.receivedBytes() - bothBefore.get(node.id());
+            sent += node.sentBytes() - sentBefore.get(node.id());
+            both += nodeBoth;
+            busiest = Math.max(busiest, nodeBoth);
+        }
+        double nodeSeconds = seconds * settings.nodes();
+        return new TrialResult.Traffic(sent / nodeSeconds, both / nodeSeconds, busiest / seconds);
+    }
+
+    private void crashAndReplace() {
+        int host = random.nextInt(settings.nodes());
+        NodeId victim = byHost.get(host);
+        network.crash(victim);
+        watch = new Watch(victim, network.nowMs());
+        runSampled(CRASH_ROUND_MS);
+        collect();
+        NodeId replacement = group.start(host, hosts);
+        byHost.put(host, replacement);
+        watch = new Watch(victim, network.nowMs());
+        long arrivedMs = runUntilKnown(replacement);
+        arrival.add(arrivedMs);
+        runSampled(Math.max(0, ARRIVAL_ROUND_MS - arrivedMs));
+    }
+
+    private void collect() {
+        long firstMs = Long.MAX_VALUE;
+        long lastMs = 0;
+        for (SimulatedNode node : network.nodes()) {
+            Long atMs = watch.verdictsMs.get(node.id());
+            if (atMs == null) {
+                missedVerdicts++;
+                continue;
+            }
+            detection.add(atMs - watch.sinceMs);
+            firstMs = Math.min(firstMs, atMs);
+            lastMs = Math.max(lastMs, atMs);
+        }
+        if (lastMs > 0) {
+            spread.add(lastMs - firstMs);
+        }
+    }
+
+    private long runUntilKnown(NodeId id) {
+        long startMs = network.nowMs();
+        while (!knownByAll(id) && network.nowMs() - startMs < JOIN_LIMIT_MS) {
+            runSampled(VirtualNetwork.TICK_MS);
+        }
+        return network.nowMs() - startMs;
+    }
+
+    private boolean knownByAll(NodeId id) {
+        return network.nodes().stream().filter(node -> !node.id().equals(id)).allMatch(node -> node.view()
+                .member(id)
+                .filter(member -> member.state().routable())
+                .isPresent());
+    }
+
+    private void runSampled(long forMs) {
+        for (long ranMs = 0; ranMs < forMs; ranMs += VirtualNetwork.TICK_MS) {
+            group.run(VirtualNetwork.TICK_MS);
+            convergence.sample();
+        }
+    }
+
+    private TrialResult.Pauses pauses(long pauseMs) {
+        int declaredDead = 0;
+        int others = 0;
+        long agreedAfterMaxMs = 0;
+        for (int i = 0; i < settings.rounds(); i++) {
+            NodeId paused = byHost.get(random.nextInt(settings.nodes()));
+            watch = new Watch(paused, network.nowMs());
+            network.pause(paused, pauseMs);
+            group.run(pauseMs);
+            long agreedMs = group.runUntilAgreed(PAUSE_ROUND_MS);
+            agreedAfterMaxMs = Math.max(agreedAfterMaxMs, agreedMs);
+            group.run(PAUSE_ROUND_MS);
+            declaredDead += watch.verdictsMs.isEmpty() ? 0 : 1;
+            others += watch.others;
+        }
+        return new TrialResult.Pauses(settings.rounds(), declaredDead, others, agreedAfterMaxMs);
+    }
+
+    private long leave() {
+        NodeId leaving = byHost.get(0);
+        long startMs = network.nowMs();
+        network.give(leaving, new MembershipInput.Leave());
+        while (routedByAny(leaving) && network.nowMs() - startMs < LEAVE_LIMIT_MS) {
+            group.run(VirtualNetwork.TICK_MS);
+        }
+        return network.nowMs() - startMs;
+    }
+
+    private boolean routedByAny(NodeId id) {
+        return network.nodes().stream().anyMatch(node -> node.view()
+                .member(id)
+                .filter(member -> member.state().routable())
+                .isPresent());
+    }
+
+    private void changed(NodeId observer, MembershipChange change, long nowMs) {
+        if (change.member().state() != MemberState.DEAD) {
+            return;
+        }
+        NodeId subject = change.member().id();
+        if (subject.equals(watch.subject)) {
+            watch.verdictsMs.putIfAbsent(observer, nowMs);
+            return;
+        }
+        if (network.nodes().stream().anyMatch(node -> node.id().equals(subject))) {
+            falseDeaths++;
+            watch.others++;
+        }
+    }
+}
--- /dev/null
+++ b/explore/src/main/java/org/fuchsiawinch/explore/membership/TrialSettings.java
@@ -0,0 +1,13 @@
+package org.fuchsiawinch.explore.membership;
+
+/**
+ * Settings of one trial.
+ *
+ * @param kind the protocol
+ * @param nodes number of nodes, at least 2
+ * @param lossPercent share of messages lost, 0 to 99
+ * @param seed seed of the run
+ * @param steadyMs virtual time without faults but loss, in ms
+ * @param rounds number of crashes, and of pauses of each length
+ */
+public record TrialSettings(ProtocolKind kind, int nodes, int lossPercent, long seed, long steadyMs, int rounds) {}
