Compare views more often while they bring new members

After a common start, 50 nodes took 11 s to know each other without loss and 32 s at 20% loss, since a view was compared once in 10 s, and at 20% loss refutations made equal views look different (2809 B/s sent a node). The interval now starts at 1 s and grows while pages bring nothing new, and the digest leaves incarnations out.

--- a/explore/src/main/java/org/fuchsiawinch/explore/membership/SimulatedNode.java
+++ b/explore/src/main/java/org/fuchsiawinch/explore/membership/SimulatedNode.java
@@ -2,8 +2,12 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
+import java.util.SplittableRandom;
 
 import org.fuchsiawinch.membership.Member;
+import org.fuchsiawinch.membership.MemberState;
+import org.fuchsiawinch.membership.MembershipChange;
 import org.fuchsiawinch.membership.MembershipProtocol;
 import org.fuchsiawinch.membership.MembershipView;
 import org.fuchsiawinch.model.NodeId;
@@ -18,6 +22,7 @@
     long pausedUntilMs;
     long sentBytes;
     long receivedBytes;
+    long viewDigest;
 
     private final Member self;
     private final MembershipView view = new MembershipView();
@@ -25,6 +30,20 @@
     SimulatedNode(Member self, MembershipProtocol protocol) {
         this.self = self;
         this.protocol = protocol;
+        this.viewDigest = digest(self.id());
+    }
+
+    /** Returns the part of a node in the digest of the routable nodes. */
+    static long digest(NodeId id) {
+        return new SplittableRandom(id.hashCode()).nextLong();
+    }
+
+    void take(MembershipChange change) {
+        view.apply(List.of(change));
+        boolean before = change.previous().map(MemberState::routable).orElse(false);
+        if (before != change.member().state().routable()) {
+            viewDigest ^= digest(change.member().id());
+        }
     }
 
     /** Returns the node as it was started. */
--- a/explore/src/main/java/org/fuchsiawinch/explore/membership/VirtualNetwork.java
+++ b/explore/src/main/java/org/fuchsiawinch/explore/membership/VirtualNetwork.java
@@ -157,8 +157,8 @@
 
     private void handle(SimulatedNode node, MembershipInput input) {
         MembershipOutput output = node.protocol.handle(input, nowMs);
-        node.view().apply(output.changes());
         for (MembershipChange change : output.changes()) {
+            node.take(change);
             node.convergence.changed(nowMs);
             listener.changed(node.self().id(), change, nowMs);
         }
--- a/membership/src/main/java/org/fuchsiawinch/membership/internal/Hashing.java
+++ b/membership/src/main/java/org/fuchsiawinch/membership/internal/Hashing.java
@@ -30,7 +30,7 @@
 
     /**
      * Returns a member's part in the digest of a view. Alive and suspect count as the same, and a dead member as
-     * absent, so that the digest is steady while suspicions come and go.
+     * absent, and the incarnation does not count, so that the digest is steady while suspicions come and go.
      *
      * @param member the member
      */
@@ -39,6 +39,6 @@
             return 0;
         }
         long leaving = member.state() == MemberState.LEAVING ? 1 : 0;
-        return mix(text(member.id().value()) + 2L * member.incarnation() + leaving);
+        return mix(text(member.id().value()) + leaving);
     }
 }
--- a/membership/src/main/java/org/fuchsiawinch/membership/internal/ViewSync.java
+++ b/membership/src/main/java/org/fuchsiawinch/membership/internal/ViewSync.java
@@ -14,15 +14,19 @@
 
 /**
  * Compares views with a seed or a member now and then, and pulls pages where they differ: so a new node joins, and
- * halves that were apart find each other. Not thread-safe.
+ * halves that were apart find each other. The interval is short while pages bring new members and grows to its full
+ * length while they do not. Not thread-safe.
  */
 public final class ViewSync {
 
+    private static final int INTERVAL_GROWTH = 2;
+
     private final Group group;
     private List<Endpoint> seeds = List.of();
     private Optional<Cursor> cursor = Optional.empty();
     private long nextSyncMs = Long.MIN_VALUE;
     private boolean seedNext = true;
+    private long intervalMs;
     private boolean joined;
 
     /** Where to go on pulling pages. */
@@ -45,6 +49,7 @@
         GossipSettings settings = group.settings();
         if (nextSyncMs == Long.MIN_VALUE) {
             nextSyncMs = nowMs + group.random().nextLong(settings.joinIntervalMs());
+            intervalMs = settings.joinIntervalMs();
         }
         cursor.ifPresent(
                 at -> out.send(at.peer(), new SyncRequest(group.self(), group.digest(), Optional.of(at.after()))));
@@ -54,7 +59,8 @@
         }
         target().ifPresent(peer -> out.send(peer, new SyncRequest(group.self(), group.digest(), Optional.empty())));
         boolean alone = group.table().reachableCount() == 0;
-        nextSyncMs = nowMs + (alone ? settings.joinIntervalMs() : settings.syncIntervalMs());
+        nextSyncMs = nowMs + (alone ? settings.joinIntervalMs() : intervalMs);
+        intervalMs = Math.min(settings.syncIntervalMs(), INTERVAL_GROWTH * intervalMs);
     }
 
     private Optional<Endpoint> target() {
@@ -85,7 +91,11 @@
 
     /** Takes in a page; the next one is asked for on the next tick. */
     public void onPage(SyncPage page, long nowMs, MembershipOutput.Builder out) {
+        int before = group.table().reachableCount();
         page.updates().forEach(update -> group.merge(update, joined, nowMs, out));
+        if (group.table().reachableCount() > before) {
+            intervalMs = group.settings().joinIntervalMs();
+        }
         cursor = page.next().map(after -> new Cursor(page.from().endpoint(), after));
         joined = joined || cursor.isEmpty();
     }
