Add the schedule explorer and switchable protocol features

Cause: nothing brought the node state machine, log and workers under faults together. Change: seeded virtual-time schedules with faults of log, nodes, workers and connections; an independent checker over worker-side and caller-side observations; delta debugging of a red seed's events. Each safety mechanism of the protocol can be disabled for tests.

--- /dev/null
+++ b/explore/src/main/java/org/fuchsiawinch/explore/FigureSummary.java
@@ -0,0 +1,35 @@
+package org.fuchsiawinch.explore;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+
+/** Sums up the figures of many schedules. Not thread-safe. */
+final class FigureSummary {
+
+    private final List<Long> takeOverMs = new ArrayList<>();
+    private final List<Long> documentMs = new ArrayList<>();
+    private long records;
+    private long jobs;
+
+    void add(ScheduleFigures figures) {
+        takeOverMs.addAll(figures.takeOverMs());
+        documentMs.addAll(figures.documentMs());
+        records += figures.records();
+        jobs += figures.jobs();
+    }
+
+    String text() {
+        return "event=figures take_overs=" + takeOverMs.size() + quantiles(" take_over", takeOverMs)
+                + quantiles(" document_spread", documentMs) + " jobs=" + jobs + " records=" + records;
+    }
+
+    private static String quantiles(String name, List<Long> values) {
+        if (values.isEmpty()) {
+            return "";
+        }
+        Collections.sort(values);
+        return name + "_p50_ms=" + values.get(values.size() / 2) + name + "_p99_ms="
+                + values.get((int) (values.size() * 0.99)) + name + "_max_ms=" + values.get(values.size() - 1);
+    }
+}
--- /dev/null
+++ b/explore/src/main/java/org/fuchsiawinch/explore/HistoryChecker.java
@@ -0,0 +1,33 @@
+package org.fuchsiawinch.explore;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Judges a history by the promises. Reads only what was seen from outside: workers' parts, callers' answers and
+ * documents in force. Thread-safe.
+ */
+final class HistoryChecker {
+
+    private HistoryChecker() {}
+
+    /** Gives all broken promises; none if all were kept. */
+    static List<Violation> check(History history) {
+        List<Violation> found = new ArrayList<>();
+        PartRuns runs = PartRuns.of(history);
+        WorkChecks.check(history, runs, found);
+        AnswerChecks.check(history, runs, found);
+        DocumentChecks.check(history, found);
+        for (Observation.Drained drained : history.of(Observation.Drained.class)) {
+            if (drained.open() > 0) {
+                String detail = drained.node() + " left " + drained.open() + " requests open";
+                found.add(new Violation(Violation.Promise.DRAIN_CUTS_NOTHING, drained.atMs(), detail));
+            }
+        }
+        for (Observation.NotDrained stuck : history.of(Observation.NotDrained.class)) {
+            String detail = stuck.node() + " never finished its stop";
+            found.add(new Violation(Violation.Promise.DRAIN_CUTS_NOTHING, stuck.atMs(), detail));
+        }
+        return found;
+    }
+}
--- /dev/null
+++ b/explore/src/main/java/org/fuchsiawinch/explore/PartRuns.java
@@ -0,0 +1,112 @@
+package org.fuchsiawinch.explore;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.fuchsiawinch.model.AttemptId;
+import org.fuchsiawinch.model.JobId;
+import org.fuchsiawinch.model.Resources;
+import org.fuchsiawinch.model.TaskId;
+import org.fuchsiawinch.model.WorkerId;
+import org.fuchsiawinch.protocol.worker.TaskState;
+
+/** The times at which parts were taken, ran and ended on workers, put together from a history. */
+final class PartRuns {
+
+    private final Map<AttemptId, List<Run>> byAttempt = new LinkedHashMap<>();
+
+    private PartRuns() {}
+
+    /** One stay of a part on a worker. */
+    static final class Run {
+        private final TaskId task;
+        private final WorkerId worker;
+        private final Resources resources;
+        private final long takenMs;
+        private Optional<Long> ranMs = Optional.empty();
+        private long endedMs = Long.MAX_VALUE;
+        private Optional<TaskState> end = Optional.empty();
+
+        private Run(Observation.PartTaken taken) {
+            this.task = taken.task();
+            this.worker = taken.worker();
+            this.resources = taken.resources();
+            this.takenMs = taken.atMs();
+        }
+
+        TaskId task() {
+            return task;
+        }
+
+        WorkerId worker() {
+            return worker;
+        }
+
+        Resources resources() {
+            return resources;
+        }
+
+        long takenMs() {
+            return takenMs;
+        }
+
+        Optional<Long> ranMs() {
+            return ranMs;
+        }
+
+        long endedMs() {
+            return endedMs;
+        }
+
+        boolean endedIn(TaskState state) {
+            return end.filter(state::equals).isPresent();
+        }
+    }
+
+    static PartRuns of(History history) {
+        PartRuns runs = new PartRuns();
+        Map<Place, Run> present = new HashMap<>();
+        for (Observation observation : history.observations()) {
+            if (observation instanceof Observation.PartTaken taken) {
+                Run run = new Run(taken);
+                present.put(new Place(taken.worker(), taken.task()), run);
+                runs.byAttempt
+                        .computeIfAbsent(taken.task().attempt(), id -> new ArrayList<>())
+                        .add(run);
+            } else if (observation instanceof Observation.PartRan ran) {
+                Run run = present.get(new Place(ran.worker(), ran.task()));
+                if (run != null && run.ranMs.isEmpty()) {
+                    run.ranMs = Optional.of(ran.atMs());
+                }
+            } else if (observation instanceof Observation.PartEnded ended) {
+                Run run = present.remove(new Place(ended.worker(), ended.task()));
+                if (run != null) {
+                    run.endedMs = ended.atMs();
+                    run.end = Optional.of(ended.state());
+                }
+            }
+        }
+        return runs;
+    }
+
+    /** Gives the stays of each attempt's parts. */
+    Map<AttemptId, List<Run>> byAttempt() {
+        return byAttempt;
+    }
+
+    /** Gives all stays. */
+    List<Run> all() {
+        return byAttempt.values().stream().flatMap(List::stream).toList();
+    }
+
+    /** Says whether any part of a job ran. */
+    boolean ran(JobId job) {
+        return all().stream().anyMatch(run -> run.task.attempt().job().equals(job) && run.ranMs.isPresent());
+    }
+
+    private record Place(WorkerId worker, TaskId task) {}
+}
--- /dev/null
+++ b/explore/src/main/java/org/fuchsiawinch/explore/Shrinker.java
@@ -0,0 +1,33 @@
+package org.fuchsiawinch.explore;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Predicate;
+
+/** Finds a small part of a schedule's events that still breaks a promise, by delta debugging. */
+final class Shrinker {
+
+    private Shrinker() {}
+
+    /** Gives the schedule with as few events as were found to keep {@code fails} true. */
+    static Schedule shrink(Schedule schedule, Predicate<Schedule> fails) {
+        List<ScheduleEvent> events = new ArrayList<>(schedule.events());
+        int chunk = Math.max(1, events.size() / 2);
+        while (chunk >= 1) {
+            boolean removed = false;
+            for (int from = 0; from < events.size(); from += chunk) {
+                List<ScheduleEvent> fewer = new ArrayList<>(events.subList(0, from));
+                fewer.addAll(events.subList(Math.min(events.size(), from + chunk), events.size()));
+                if (fails.test(schedule.withEvents(fewer))) {
+                    events = fewer;
+                    removed = true;
+                    from -= chunk;
+                }
+            }
+            if (!removed) {
+                chunk /= 2;
+            }
+        }
+        return schedule.withEvents(events);
+    }
+}
--- /dev/null
+++ b/explore/src/main/java/org/fuchsiawinch/explore/SimLog.java
@@ -0,0 +1,112 @@
+package org.fuchsiawinch.explore;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+
+import org.fuchsiawinch.platform.log.LogStore;
+import org.fuchsiawinch.protocol.record.Envelope;
+
+/** The platform's log with its faults on the way in and out. Not thread-safe. */
+final class SimLog {
+
+    private static final long TIMEOUT_MS = 1000;
+    private static final long REFUSED_MS = 100;
+    private static final int READ_LIMIT = 256;
+
+    private final EventLoop loop;
+    private final SplittableRandom random;
+    private final LogStore store;
+    private final List<Envelope> records = new ArrayList<>();
+    private long downUntilMs;
+    private long slowUntilMs;
+    private long slowMs;
+    private long faultyUntilMs;
+    private ScheduleEvent.AppendFaults faults = new ScheduleEvent.AppendFaults(0, 0, 0, 0, 0);
+
+    SimLog(EventLoop loop, SplittableRandom random, long retentionMs) {
+        this.loop = loop;
+        this.random = random;
+        this.store = new LogStore(retentionMs);
+    }
+
+    /** Number of records that were ever appended. */
+    int appended() {
+        return records.size();
+    }
+
+    void outage(long forMs) {
+        downUntilMs = Math.max(downUntilMs, loop.nowMs() + forMs);
+    }
+
+    void slow(long forMs, long delayMs) {
+        slowUntilMs = loop.nowMs() + forMs;
+        slowMs = delayMs;
+    }
+
+    void appendFaults(ScheduleEvent.AppendFaults value) {
+        faults = value;
+        faultyUntilMs = loop.nowMs() + value.forMs();
+    }
+
+    /** Appends a batch; tells whether it was acknowledged. */
+    void append(List<Envelope> batch, boolean reachable, Consumer<Boolean> answer) {
+        if (!reachable) {
+            loop.in(TIMEOUT_MS, () -> answer.accept(false));
+            return;
+        }
+        if (loop.nowMs() < downUntilMs) {
+            boolean refused = random.nextBoolean();
+            loop.in(refused ? REFUSED_MS : TIMEOUT_MS, () -> answer.accept(false));
+            return;
+        }
+        boolean faulty = loop.nowMs() < faultyUntilMs;
+        int dice = random.nextInt(100);
+        if (faulty && dice < faults.lostPercent()) {
+            loop.in(TIMEOUT_MS, () -> answer.accept(false));
+            return;
+        }
+        boolean late = faulty && dice >= 100 - faults.latePercent();
+        boolean unanswered = faulty && random.nextInt(100) < faults.unansweredPercent();
+        long arriveMs = late ? TIMEOUT_MS + random.nextInt(4000) : delayMs();
+        long answerMs = arriveMs + delayMs();
+        loop.in(arriveMs, () -> arrive(batch));
+        if (unanswered || answerMs > TIMEOUT_MS) {
+            loop.in(TIMEOUT_MS, () -> answer.accept(false));
+            return;
+        }
+        loop.in(answerMs, () -> answer.accept(true));
+    }
+
+    /** Reads from an offset; gives nothing if the log cannot be read. */
+    void read(long fromOffset, boolean reachable, Consumer<LogStore.Slice> answer, Runnable failed) {
+        if (!reachable || loop.nowMs() < downUntilMs) {
+            loop.in(TIMEOUT_MS / 2, failed);
+            return;
+        }
+        loop.in(delayMs(), () -> {
+            LogStore.Slice slice = store.read(fromOffset, READ_LIMIT, loop.nowMs());
+            loop.in(delayMs(), () -> answer.accept(slice));
+        });
+    }
+
+    Envelope record(byte[] stored) {
+        return records.get(ByteBuffer.wrap(stored).getInt());
+    }
+
+    private void arrive(List<Envelope> batch) {
+        List<byte[]> stored = new ArrayList<>();
+        for (Envelope envelope : batch) {
+            stored.add(ByteBuffer.allocate(Integer.BYTES).putInt(records.size()).array());
+            records.add(envelope);
+        }
+        store.append(stored, loop.nowMs());
+    }
+
+    private long delayMs() {
+        long extra = loop.nowMs() < slowUntilMs ? random.nextLong(slowMs + 1) : 0;
+        return 1 + random.nextInt(8) + extra;
+    }
+}
--- /dev/null
+++ b/explore/src/main/java/org/fuchsiawinch/explore/World.java
@@ -0,0 +1,358 @@
+package org.fuchsiawinch.explore;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+
+import org.fuchsiawinch.core.baseline.FirstFitScheduler;
+import org.fuchsiawinch.model.JobSpec;
+import org.fuchsiawinch.model.NodeId;
+import org.fuchsiawinch.model.WorkerId;
+import org.fuchsiawinch.model.WorkerSpec;
+import org.fuchsiawinch.model.WorkspaceId;
+import org.fuchsiawinch.protocol.ProtocolFeature;
+import org.fuchsiawinch.protocol.node.NodeEffect;
+import org.fuchsiawinch.protocol.node.NodeEvent;
+import org.fuchsiawinch.protocol.node.NodeInput;
+import org.fuchsiawinch.protocol.node.NodeMachine;
+import org.fuchsiawinch.protocol.node.NodeReply;
+import org.fuchsiawinch.protocol.node.NodeSettings;
+import org.fuchsiawinch.protocol.record.LogRecord;
+
+/** Everything of one schedule on one virtual clock. Not thread-safe; used once. */
+final class World {
+
+    static final WorkspaceId WORKSPACE = new WorkspaceId("plans");
+
+    private static final long EPOCH_MS = 1_700_000_000_000L;
+    private static final long RETENTION_MS = 3_600_000;
+    private static final long WORKER_STEP_MS = 250;
+    private static final long LIST_LAG_MS = 1500;
+    private static final long LIST_SAMPLE_MS = 500;
+    private static final long DRAIN_BOUND_MS = 40_000;
+    private static final String TEAM = "engineering";
+
+    private final Schedule schedule;
+    private final Set<ProtocolFeature> features;
+    private final EventLoop loop = new EventLoop();
+    private final SplittableRandom random;
+    private final SimLog log;
+    private final Commands commands;
+    private final List<SimNode> nodes = new ArrayList<>();
+    private final List<SimWorker> workers = new ArrayList<>();
+    private final Map<Integer, Caller> callers = new HashMap<>();
+    private final Deque<ListSample> samples = new ArrayDeque<>();
+    private final List<Observation> history = new ArrayList<>();
+    private final Consumer<String> trace;
+    private long listLagUntilMs;
+    private long listLagMs = LIST_LAG_MS;
+    private long requests;
+    private int nodeCount;
+    private int callerCount;
+
+    World(Schedule schedule, Set<ProtocolFeature> features, Consumer<String> trace) {
+        this.schedule = schedule;
+        this.features = features;
+        this.trace = trace;
+        this.random = new SplittableRandom(schedule.seed() ^ 0x5DEECE66DL);
+        this.log = new SimLog(loop, random.split(), RETENTION_MS);
+        this.commands = new Commands(loop, random.split());
+    }
+
+    /** Runs the schedule to its end and gives what was seen. */
+    History run() {
+        for (WorkerSpec spec : schedule.workers()) {
+            boolean fenced = features.contains(ProtocolFeature.FENCING);
+            workers.add(new SimWorker(spec, fenced, EPOCH_MS + clockOffset(), this::observe));
+        }
+        sampleList();
+        for (int slot = 0; slot < schedule.nodes(); slot++) {
+            nodes.add(null);
+            startNode(slot);
+        }
+        stepWorkers();
+        loop.in(300, this::foundDocument);
+        schedule.events().forEach(event -> loop.at(event.atMs(), () -> bringAbout(event)));
+        loop.runUntil(schedule.endMs());
+        workers.forEach(worker -> worker.advance(loop.nowMs()));
+        nodes.stream()
+                .filter(node -> node.alive() && node.draining())
+                .forEach(node -> observe(new Observation.NotDrained(loop.nowMs(), node.id())));
+        return new History(schedule, history, log.appended(), loop.nowMs());
+    }
+
+    EventLoop loop() {
+        return loop;
+    }
+
+    SimLog log() {
+        return log;
+    }
+
+    long newRequest() {
+        return ++requests;
+    }
+
+    void observe(Observation observation) {
+        history.add(observation);
+        trace.accept(observation.toString());
+    }
+
+    void trace(NodeId node, NodeEvent event) {
+        trace.accept(loop.nowMs() + " " + node + " " + event);
+    }
+
+    /** Gives a node as the balancer would: alive and not stopping. */
+    Optional<SimNode> someNode() {
+        List<SimNode> usable =
+                nodes.stream().filter(node -> node.alive() && !node.draining()).toList();
+        return usable.isEmpty() ? Optional.empty() : Optional.of(usable.get(random.nextInt(usable.size())));
+    }
+
+    void command(SimNode node, NodeEffect.Command command) {
+        int index = indexOf(command.worker());
+        commands.send(
+                node.id().value(),
+                index,
+                workers.get(index),
+                command.command(),
+                reply -> node.deliver(new NodeInput.WorkerReplied(
+                        command.worker(), command.command().epoch(), reply)));
+    }
+
+    /** Starts a new node in the place of one that ended. */
+    void replace(SimNode ended, long afterMs) {
+        int slot = nodes.indexOf(ended);
+        loop.in(afterMs, () -> startNode(slot));
+    }
+
+    /** Gives the VM list as it was some time ago. */
+    NodeInput.WorkersListed listedWorkers() {
+        long lagMs = loop.nowMs() < listLagUntilMs ? listLagMs : random.nextLong(LIST_LAG_MS);
+        ListSample found = samples.getFirst();
+        for (ListSample sample : samples) {
+            if (sample.atMs() <= loop.nowMs() - lagMs) {
+                found = sample;
+            }
+        }
+        return found.list();
+    }
+
+    private void startNode(int slot) {
+        if (nodes.get(slot) != null && nodes.get(slot).alive()) {
+            return;
+        }
+        nodeCount++;
+        NodeId id = new NodeId("n" + slot + "-" + nodeCount);
+        boolean checksBase = features.contains(ProtocolFeature.DOCUMENT_BASE_CHECK);
+        NodeMachine machine = new NodeMachine(
+                NodeSettings.defaults(id, slot).withFeatures(features),
+                new FakeDocumentBook(checksBase),
+                () -> new FirstFitScheduler(false));
+        SimNode node = new SimNode(id, this, machine, clockOffset());
+        nodes.set(slot, node);
+        node.start();
+    }
+
+    private long clockOffset() {
+        long drift = NodeSettings.defaults(new NodeId("any"), 0).clockDriftMs();
+        return random.nextLong(drift) - drift / 2;
+    }
+
+    private void sampleList() {
+        samples.addLast(new ListSample(loop.nowMs(), currentList()));
+        if (samples.size() > 20) {
+            samples.removeFirst();
+        }
+        loop.in(LIST_SAMPLE_MS, this::sampleList);
+    }
+
+    private NodeInput.WorkersListed currentList() {
+        List<WorkerSpec> all =
+                workers.stream().filter(SimWorker::listed).map(SimWorker::spec).toList();
+        List<WorkerId> leaving = workers.stream()
+                .filter(worker -> worker.listed() && worker.listedLeaving())
+                .map(worker -> worker.spec().id())
+                .toList();
+        return new NodeInput.WorkersListed(all, leaving);
+    }
+
+    private void stepWorkers() {
+        workers.forEach(worker -> worker.advance(loop.nowMs()));
+        loop.in(WORKER_STEP_MS, this::stepWorkers);
+    }
+
+    private void foundDocument() {
+        long id = newRequest();
+        someNode()
+                .ifPresent(node -> node.request(
+                        id, new NodeInput.DocumentChange(id, new LogRecord.DocumentFounded("v1")), reply -> {
+                            if (!(reply instanceof NodeReply.DocumentJudged)) {
+                                loop.in(300, this::foundDocument);
+                            }
+                        }));
+    }
+
+    private void bringAbout(ScheduleEvent event) {
+        trace.accept(event.toString());
+        if (event instanceof ScheduleEvent.Submit submit) {
+            submit(submit);
+        } else if (event instanceof ScheduleEvent.Cancel cancel) {
+            Optional.ofNullable(callers.get(cancel.job())).ifPresent(Caller::cancel);
+        } else if (event instanceof ScheduleEvent.DocumentRace race) {
+            raceDocument(race.editors());
+        } else if (event instanceof ScheduleEvent.LogOutage outage) {
+            log.outage(outage.forMs());
+            observe(new Observation.LogImpaired(loop.nowMs(), loop.nowMs() + outage.forMs()));
+        } else if (event instanceof ScheduleEvent.LogSlow slow) {
+            log.slow(slow.forMs(), slow.delayMs());
+            observe(new Observation.LogImpaired(loop.nowMs(), loop.nowMs() + slow.forMs()));
+        } else if (event instanceof ScheduleEvent.AppendFaults faults) {
+            log.appendFaults(faults);
+        } else if (event instanceof ScheduleEvent.CommandFaults faults) {
+            commands.faults(faults);
+        } else if (event instanceof ScheduleEvent.ListLagged lagged) {
+            listLagUntilMs = loop.nowMs() + lagged.forMs();
+            listLagMs = lagged.lagMs();
+        } else {
+            bringAboutOnNode(event);
+            bringAboutOnWorker(event);
+        }
+    }
+
+    private void bringAboutOnNode(ScheduleEvent event) {
+        if (event instanceof ScheduleEvent.NodePaused paused) {
+            node(paused.node()).ifPresent(node -> node.pause(paused.forMs()));
+        } else if (event instanceof ScheduleEvent.NodeKilled killed) {
+            node(killed.node()).ifPresent(node -> kill(node, killed.downMs()));
+        } else if (event instanceof ScheduleEvent.AllNodesKilled killed) {
+            nodes.stream().filter(SimNode::alive).toList().forEach(node -> kill(node, killed.downMs()));
+        } else if (event instanceof ScheduleEvent.NodeDrained drained) {
+            node(drained.node()).filter(node -> !node.draining()).ifPresent(this::drain);
+        } else if (event instanceof ScheduleEvent.NodeCutFromLog cut) {
+            node(cut.node()).ifPresent(node -> node.cutFromLog(cut.forMs()));
+        } else if (event instanceof ScheduleEvent.NodeCutFromWorkers cut) {
+            node(cut.node()).ifPresent(node -> cut.workers()
+                    .forEach(worker -> commands.cut(node.id().value(), worker, cut.forMs())));
+        } else if (event instanceof ScheduleEvent.ConnectionSilent silent) {
+            node(silent.node()).ifPresent(node -> commands.silence(node.id().value(), silent.worker()));
+        }
+    }
+
+    private void bringAboutOnWorker(ScheduleEvent event) {
+        if (event instanceof ScheduleEvent.WorkerLeaves leaves) {
+            SimWorker worker = workers.get(leaves.worker());
+            if (worker.up() && !worker.listedLeaving()) {
+                worker.leave(leaves.saysSo(), loop.nowMs());
+                loop.in(leaves.goneAfterMs(), () -> lose(worker, 15_000));
+            }
+        } else if (event instanceof ScheduleEvent.WorkerLost lost) {
+            lose(workers.get(lost.worker()), lost.backAfterMs());
+        } else if (event instanceof ScheduleEvent.WorkerRestarted restarted) {
+            SimWorker worker = workers.get(restarted.worker());
+            if (worker.up() && !worker.listedLeaving()) {
+                worker.stop(loop.nowMs());
+                loop.in(restarted.downMs(), () -> worker.start(loop.nowMs()));
+            }
+        }
+    }
+
+    private void lose(SimWorker worker, long backAfterMs) {
+        if (!worker.up()) {
+            return;
+        }
+        boolean last = workers.stream().filter(SimWorker::up).count() <= 4;
+        worker.stop(loop.nowMs());
+        loop.in(500 + random.nextInt(2000), () -> worker.listed(worker.up()));
+        if (backAfterMs > 0 || last) {
+            loop.in(Math.max(backAfterMs, 10_000), () -> worker.start(loop.nowMs()));
+        }
+    }
+
+    private void kill(SimNode node, long downMs) {
+        node.kill();
+        replace(node, downMs);
+    }
+
+    private void drain(SimNode node) {
+        node.drain();
+        loop.in(DRAIN_BOUND_MS, () -> {
+            if (node.alive() && loop.nowMs() < schedule.endMs()) {
+                trace.accept("still draining " + node.id());
+            }
+        });
+    }
+
+    private Optional<SimNode> node(int index) {
+        if (index != ScheduleEvent.OWNER) {
+            return Optional.of(nodes.get(index)).filter(SimNode::alive);
+        }
+        return nodes.stream().filter(SimNode::schedules).findFirst();
+    }
+
+    private void submit(ScheduleEvent.Submit submit) {
+        JobPlan plan = schedule.jobs().get(submit.job());
+        JobSpec spec = withDeadline(plan.spec());
+        for (int copy = 0; copy < submit.callers(); copy++) {
+            int variant = submit.conflicting() && copy > 0 ? copy : 0;
+            Caller caller = new Caller(this, plan, spec, ++callerCount, variant);
+            callers.putIfAbsent(submit.job(), caller);
+            caller.ask();
+        }
+    }
+
+    private static JobSpec withDeadline(JobSpec spec) {
+        OptionalLong deadline = spec.deadlineMs().isPresent()
+                ? OptionalLong.of(EPOCH_MS + spec.deadlineMs().getAsLong())
+                : OptionalLong.empty();
+        return new JobSpec(
+                spec.id(),
+                spec.workspace(),
+                spec.kind(),
+                spec.shape(),
+                spec.declaredRunMs(),
+                spec.idempotent(),
+                spec.checkpointable(),
+                spec.urgency(),
+                deadline);
+    }
+
+    private void raceDocument(int editors) {
+        for (int editor = 0; editor < editors; editor++) {
+            Optional<SimNode> node = someNode();
+            if (node.isEmpty()) {
+                return;
+            }
+            int base = node.get().documentVersion();
+            long id = newRequest();
+            String text = "v" + (base + 1) + " by " + id;
+            LogRecord change = new LogRecord.DocumentProposed(TEAM, "capacity", base, text, "");
+            node.get().request(id, new NodeInput.DocumentChange(id, change), reply -> judged(base, reply));
+        }
+    }
+
+    private void judged(int base, NodeReply reply) {
+        if (reply instanceof NodeReply.DocumentJudged judged && judged.refusal().isEmpty()) {
+            observe(new Observation.DocumentAccepted(loop.nowMs(), base, judged.version()));
+        }
+    }
+
+    private int indexOf(WorkerId id) {
+        for (int index = 0; index < workers.size(); index++) {
+            if (workers.get(index).spec().id().equals(id)) {
+                return index;
+            }
+        }
+        throw new IllegalStateException("unknown worker " + id);
+    }
+
+    private record ListSample(long atMs, NodeInput.WorkersListed list) {}
+}
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/fold/LogFold.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/fold/LogFold.java
@@ -6,10 +6,12 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.fuchsiawinch.model.CellId;
 import org.fuchsiawinch.model.JobId;
 import org.fuchsiawinch.model.NodeId;
+import org.fuchsiawinch.protocol.ProtocolFeature;
 import org.fuchsiawinch.protocol.record.Envelope;
 import org.fuchsiawinch.protocol.record.JobOutcome;
 import org.fuchsiawinch.protocol.record.LogRecord;
@@ -21,6 +23,7 @@
 public final class LogFold {
 
     private final DocumentBook document;
+    private final boolean deduplicates;
     private final Map<NodeId, Long> lastSequence = new HashMap<>();
     private final Map<CellId, CellEntry> cells = new HashMap<>();
     private final Map<JobId, JobEntry> jobs = new LinkedHashMap<>();
@@ -33,7 +36,18 @@
      * @param document folds the document's records
      */
     public LogFold(DocumentBook document) {
+        this(document, ProtocolFeature.defaults());
+    }
+
+    /**
+     * Creates the state before the first record.
+     *
+     * @param document folds the document's records
+     * @param features enabled safety mechanisms
+     */
+    public LogFold(DocumentBook document, Set<ProtocolFeature> features) {
         this.document = document;
+        this.deduplicates = features.contains(ProtocolFeature.DEDUPLICATION);
     }
 
     /**
@@ -46,7 +60,7 @@
     public Optional<VoidCode> apply(long offset, Envelope envelope) {
         nextOffset = offset + 1;
         NodeId writer = envelope.id().writer();
-        if (envelope.id().sequence() <= lastSequence.getOrDefault(writer, 0L)) {
+        if (deduplicates && envelope.id().sequence() <= lastSequence.getOrDefault(writer, 0L)) {
             return Optional.of(VoidCode.DUPLICATE_RECORD);
         }
         lastSequence.put(writer, envelope.id().sequence());
@@ -176,7 +190,7 @@
 
     private Optional<VoidCode> accept(LogRecord.JobAccepted accepted, long nowMs) {
         JobId id = accepted.job().id();
-        if (jobs.containsKey(id)) {
+        if (deduplicates && jobs.containsKey(id)) {
             return Optional.of(VoidCode.DUPLICATE_JOB);
         }
         jobs.put(id, JobEntry.accepted(accepted.cell(), accepted.job(), accepted.payload(), nowMs));
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeMachine.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeMachine.java
@@ -12,6 +12,7 @@
 import org.fuchsiawinch.core.Scheduler;
 import org.fuchsiawinch.model.JobId;
 import org.fuchsiawinch.model.JobSpec;
+import org.fuchsiawinch.protocol.ProtocolFeature;
 import org.fuchsiawinch.protocol.fold.CellEntry;
 import org.fuchsiawinch.protocol.fold.DocumentBook;
 import org.fuchsiawinch.protocol.fold.JobEntry;
@@ -66,7 +67,7 @@
      */
     public NodeMachine(NodeSettings settings, DocumentBook document, Supplier<Scheduler> schedulers) {
         this.settings = settings;
-        this.fold = new LogFold(document);
+        this.fold = new LogFold(document, settings.features());
         this.appender = new Appender(settings.node(), settings.appendLimit());
         this.owner = new CellOwner(settings, schedulers, fold, new MachineOutlet());
     }
@@ -158,6 +159,9 @@
         followOwner(nowMs);
         followDocument(nowMs);
         jobOf(record).flatMap(fold::job).ifPresent(job -> desk.jobChanged(job, effects::add));
+        if (own && actsBeforeReadBack(record)) {
+            return;
+        }
         if (jobOf(record).flatMap(fold::job).filter(this::inCell).isPresent()) {
             owner.recordApplied(record, nowMs);
         }
@@ -411,6 +415,11 @@
         effects.add(new NodeEffect.Reply(requestId, reply));
     }
 
+    private boolean actsBeforeReadBack(LogRecord record) {
+        boolean act = record instanceof LogRecord.AttemptPlaced || record instanceof LogRecord.AttemptReleased;
+        return act && !settings.features().contains(ProtocolFeature.READ_BACK);
+    }
+
     private boolean inCell(JobEntry job) {
         return job.cell().equals(settings.cell());
     }
@@ -441,7 +450,11 @@
 
         @Override
         public RecordId append(LogRecord record, long nowMs) {
-            return appender.add(record, nowMs);
+            RecordId id = appender.add(record, nowMs);
+            if (actsBeforeReadBack(record)) {
+                owner.recordApplied(record, nowMs);
+            }
+            return id;
         }
 
         @Override
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeSettings.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeSettings.java
@@ -1,7 +1,10 @@
 package org.fuchsiawinch.protocol.node;
 
+import java.util.Set;
+
 import org.fuchsiawinch.model.CellId;
 import org.fuchsiawinch.model.NodeId;
+import org.fuchsiawinch.protocol.ProtocolFeature;
 
 /**
  * Settings of the node state machine. Immutable.
@@ -18,6 +21,7 @@
  * @param inventoryWaitMs longest time in ms that a new owner waits for workers before it schedules with the others
  * @param appendLimit most records in one append
  * @param pendingLimit most records waiting for the log
+ * @param features enabled safety mechanisms
  */
 public record NodeSettings(
         NodeId node,
@@ -31,7 +35,15 @@
         long startWithinMs,
         long inventoryWaitMs,
         int appendLimit,
-        int pendingLimit) {
+        int pendingLimit,
+        Set<ProtocolFeature> features) {
+
+    /**
+     * Copies the set.
+     */
+    public NodeSettings {
+        features = Set.copyOf(features);
+    }
 
     /**
      * Gives the default settings.
@@ -41,6 +53,42 @@
      * @return the settings
      */
     public static NodeSettings defaults(NodeId node, int claimRank) {
-        return new NodeSettings(node, new CellId("main"), 500, 2000, claimRank, 1000, 5000, 250, 2000, 1500, 64, 4096);
+        return new NodeSettings(
+                node,
+                new CellId("main"),
+                500,
+                2000,
+                claimRank,
+                1000,
+                5000,
+                250,
+                2000,
+                1500,
+                64,
+                4096,
+                ProtocolFeature.defaults());
+    }
+
+    /**
+     * Gives the same settings with other safety mechanisms.
+     *
+     * @param enabled the enabled ones
+     * @return the changed settings
+     */
+    public NodeSettings withFeatures(Set<ProtocolFeature> enabled) {
+        return new NodeSettings(
+                node,
+                cell,
+                holdEveryMs,
+                claimAfterMs,
+                claimRank,
+                renewEveryMs,
+                leaseMs,
+                clockDriftMs,
+                startWithinMs,
+                inventoryWaitMs,
+                appendLimit,
+                pendingLimit,
+                enabled);
     }
 }
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/AttemptDriver.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/AttemptDriver.java
@@ -19,6 +19,7 @@
 import org.fuchsiawinch.model.TaskFailure;
 import org.fuchsiawinch.model.TaskId;
 import org.fuchsiawinch.model.WorkerId;
+import org.fuchsiawinch.protocol.ProtocolFeature;
 import org.fuchsiawinch.protocol.fold.JobEntry;
 import org.fuchsiawinch.protocol.fold.JobStatus;
 import org.fuchsiawinch.protocol.node.NodeEffect;
@@ -295,16 +296,17 @@
     }
 
     private void advancePreparing(AttemptView attempt, long nowMs) {
-        if (attempt.allInState(TaskState.PREPARED)) {
+        if (!settings.features().contains(ProtocolFeature.GANG_TRIAL)) {
+            releasePrepared(attempt, nowMs);
+        }
+        if (attempt.allTaken()) {
             attempt.phase(AttemptView.Phase.RELEASING);
             outlet.append(new LogRecord.AttemptReleased(settings.cell(), epoch, attempt.id()), nowMs);
             return;
         }
         boolean late = nowMs > attempt.startByMs();
         for (Placement placement : attempt.placements()) {
-            boolean prepared = attempt.report(placement.part())
-                    .filter(report -> report.state() == TaskState.PREPARED)
-                    .isPresent();
+            boolean prepared = attempt.report(placement.part()).isPresent();
             if (attempt.ended(placement.part()) || (late && !prepared)) {
                 tellFailed(attempt, placement.part(), TaskFailure.START_REFUSED, nowMs);
             }
@@ -312,6 +314,18 @@
     }
 
     private void advanceRunning(AttemptView attempt, long nowMs) {
+        releasePrepared(attempt, nowMs);
+        if (attempt.allReleased() && attempt.announceOnce()) {
+            scheduler.decide(new SchedulerEvent.AttemptRunning(attempt.id()), nowMs);
+        }
+        if (attempt.allInState(TaskState.COMPLETED)) {
+            complete(attempt, nowMs);
+            return;
+        }
+        attempt.placements().forEach(placement -> tellState(attempt, placement.part(), nowMs));
+    }
+
+    private void releasePrepared(AttemptView attempt, long nowMs) {
         for (Placement placement : attempt.placements()) {
             Optional<TaskReport> report = attempt.report(placement.part());
             if (report.filter(part -> part.state() == TaskState.PREPARED).isPresent()
@@ -325,14 +339,6 @@
                                 nowMs + settings.leaseMs()));
             }
         }
-        if (attempt.allReleased() && attempt.announceOnce()) {
-            scheduler.decide(new SchedulerEvent.AttemptRunning(attempt.id()), nowMs);
-        }
-        if (attempt.allInState(TaskState.COMPLETED)) {
-            complete(attempt, nowMs);
-            return;
-        }
-        attempt.placements().forEach(placement -> tellState(attempt, placement.part(), nowMs));
     }
 
     private void advanceStopping(AttemptView attempt, long nowMs) {
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/AttemptView.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/AttemptView.java
@@ -145,6 +145,12 @@
                 .isPresent());
     }
 
+    /** Says whether every worker holds its part, not ended. */
+    boolean allTaken() {
+        return placements.stream()
+                .allMatch(placement -> report(placement.part()).isPresent() && !ended(placement.part()));
+    }
+
     boolean allReleased() {
         return placements.stream().allMatch(placement -> report(placement.part())
                 .filter(report -> report.state() != TaskState.PREPARED)
--- /dev/null
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Features of the protocol between nodes, log and workers.
+ */
+package org.fuchsiawinch.protocol;
