--- a/explore/src/main/java/org/fuchsiawinch/explore/EventLoop.java
+++ b/explore/src/main/java/org/fuchsiawinch/explore/EventLoop.java
@@ -5,9 +5,12 @@
 /** Runs actions in order of virtual time; those of the same time in order of scheduling. Not thread-safe. */
 final class EventLoop {
 
+    private static final long MAX_STEPS = 500_000;
+
     private final PriorityQueue<Entry> queue = new PriorityQueue<>();
     private long nowMs;
     private long count;
+    private long steps;
 
     long nowMs() {
         return nowMs;
@@ -25,6 +28,10 @@
         while (!queue.isEmpty() && queue.peek().atMs() <= endMs) {
             Entry next = queue.poll();
             nowMs = next.atMs();
+            steps++;
+            if (steps > MAX_STEPS) {
+                throw new IllegalStateException("no end after " + steps + " steps at " + nowMs + " ms");
+            }
             next.action().run();
         }
         nowMs = endMs;
--- a/explore/src/main/java/org/fuchsiawinch/explore/SimLog.java
+++ b/explore/src/main/java/org/fuchsiawinch/explore/SimLog.java
@@ -14,6 +14,7 @@
 
     private static final long TIMEOUT_MS = 1000;
     private static final long REFUSED_MS = 100;
+    private static final int MAX_RECORDS = 5000;
     private static final int READ_LIMIT = 256;
 
     private final EventLoop loop;
@@ -97,6 +98,9 @@
     }
 
     private void arrive(List<Envelope> batch) {
+        if (records.size() > MAX_RECORDS) {
+            throw new IllegalStateException("more than " + MAX_RECORDS + " records at " + loop.nowMs() + " ms");
+        }
         List<byte[]> stored = new ArrayList<>();
         for (Envelope envelope : batch) {
             stored.add(ByteBuffer.allocate(Integer.BYTES).putInt(records.size()).array());
--- a/explore/src/main/java/org/fuchsiawinch/explore/World.java
+++ b/explore/src/main/java/org/fuchsiawinch/explore/World.java
@@ -37,6 +37,7 @@
     private static final long WORKER_STEP_MS = 250;
     private static final long LIST_LAG_MS = 1500;
     private static final long LIST_SAMPLE_MS = 500;
+    private static final long SHORT_HORIZON_MS = 6000;
     private static final long DRAIN_BOUND_MS = 40_000;
     private static final String TEAM = "engineering";
 
@@ -154,14 +155,17 @@
         NodeId id = new NodeId("n" + slot + "-" + nodeCount);
         boolean checksBase = features.contains(ProtocolFeature.DOCUMENT_BASE_CHECK);
         NodeMachine machine = new NodeMachine(
-                NodeSettings.defaults(id, slot).withFeatures(features),
-                new FakeDocumentBook(checksBase),
-                () -> new FirstFitScheduler(false));
+                settings(id, slot), new FakeDocumentBook(checksBase), () -> new FirstFitScheduler(false));
         SimNode node = new SimNode(id, this, machine, clockOffset());
         nodes.set(slot, node);
         node.start();
     }
 
+    private NodeSettings settings(NodeId id, int slot) {
+        NodeSettings settings = NodeSettings.defaults(id, slot).withFeatures(features);
+        return schedule.seed() % 4 == 0 ? settings.withRenewHorizonMs(SHORT_HORIZON_MS) : settings;
+    }
+
     private long clockOffset() {
         long drift = NodeSettings.defaults(new NodeId("any"), 0).clockDriftMs();
         return random.nextLong(drift) - drift / 2;
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/fold/JobEntry.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/fold/JobEntry.java
@@ -14,7 +14,8 @@
  *
  * @param cell the cell that runs it
  * @param spec the job
- * @param payload what the work is told
+ * @param payload what the work is told; empty once finished
+ * @param payloadSha256 digest of the payload, lower-case hex; stays after the payload is dropped
  * @param submittedMs time in ms since the epoch of its record
  * @param status where it stands
  * @param attemptNumber number of the current or last attempt; 0 before the first
@@ -22,6 +23,7 @@
  * @param lent whether the current attempt runs on lent capacity
  * @param attemptMs time in ms since the epoch of the current attempt's placement
  * @param everReleased whether any attempt was released
+ * @param resumable whether the last released attempt ended with its progress saved
  * @param cancelled whether its caller cancelled it
  * @param finishedMs time in ms since the epoch of its outcome; 0 before
  * @param outcome how it ended
@@ -30,6 +32,7 @@
         CellId cell,
         JobSpec spec,
         byte[] payload,
+        String payloadSha256,
         long submittedMs,
         JobStatus status,
         int attemptNumber,
@@ -37,6 +40,7 @@
         boolean lent,
         long attemptMs,
         boolean everReleased,
+        boolean resumable,
         boolean cancelled,
         long finishedMs,
         Optional<JobOutcome> outcome) {
@@ -51,20 +55,13 @@
      * @return the entry
      */
     public static JobEntry accepted(CellId cell, JobSpec spec, byte[] payload, long nowMs) {
-        return new JobEntry(
-                cell,
-                spec,
-                payload,
-                nowMs,
-                JobStatus.WAITING,
-                0,
-                List.of(),
-                false,
-                0,
-                false,
-                false,
-                0,
-                Optional.empty());
+        Builder entry = new Builder();
+        entry.cell = cell;
+        entry.spec = spec;
+        entry.payload = payload;
+        entry.payloadSha256 = Sha256.hex(payload);
+        entry.submittedMs = nowMs;
+        return entry.build();
     }
 
     /**
@@ -76,88 +73,125 @@
         return new AttemptId(spec.id(), attemptNumber);
     }
 
+    /**
+     * Says whether another attempt may be placed: none was released yet, or the work may be run again, or it resumes
+     * from saved progress.
+     *
+     * @return false if another attempt could run the work twice
+     */
+    public boolean repeatable() {
+        return !everReleased || spec.idempotent() || (spec.checkpointable() && resumable);
+    }
+
+    /**
+     * Says whether a request is for this very job.
+     *
+     * @param other the requested job
+     * @param digest digest of the requested payload, lower-case hex
+     * @return false if the job id stands for something else
+     */
+    public boolean sameAs(JobSpec other, String digest) {
+        return spec.equals(other) && payloadSha256.equals(digest);
+    }
+
     JobEntry placed(List<Placement> where, boolean onLent, long nowMs) {
-        return new JobEntry(
-                cell,
-                spec,
-                payload,
-                submittedMs,
-                JobStatus.PLACED,
-                attemptNumber + 1,
-                where,
-                onLent,
-                nowMs,
-                everReleased,
-                cancelled,
-                0,
-                outcome);
+        Builder entry = new Builder(this);
+        entry.status = JobStatus.PLACED;
+        entry.attemptNumber = attemptNumber + 1;
+        entry.placements = where;
+        entry.lent = onLent;
+        entry.attemptMs = nowMs;
+        return entry.build();
     }
 
     JobEntry released() {
-        return new JobEntry(
-                cell,
-                spec,
-                payload,
-                submittedMs,
-                JobStatus.RELEASED,
-                attemptNumber,
-                placements,
-                lent,
-                attemptMs,
-                true,
-                cancelled,
-                0,
-                outcome);
+        Builder entry = new Builder(this);
+        entry.status = JobStatus.RELEASED;
+        entry.everReleased = true;
+        entry.resumable = false;
+        return entry.build();
     }
 
-    JobEntry waiting() {
-        return new JobEntry(
-                cell,
-                spec,
-                payload,
-                submittedMs,
-                JobStatus.WAITING,
-                attemptNumber,
-                List.of(),
-                false,
-                0,
-                everReleased,
-                cancelled,
-                0,
-                outcome);
+    JobEntry waiting(boolean checkpointed) {
+        Builder entry = new Builder(this);
+        entry.resumable = status == JobStatus.RELEASED ? checkpointed : resumable;
+        entry.status = JobStatus.WAITING;
+        entry.placements = List.of();
+        entry.lent = false;
+        entry.attemptMs = 0;
+        return entry.build();
     }
 
     JobEntry withCancel() {
-        return new JobEntry(
-                cell,
-                spec,
-                payload,
-                submittedMs,
-                status,
-                attemptNumber,
-                placements,
-                lent,
-                attemptMs,
-                everReleased,
-                true,
-                0,
-                outcome);
+        Builder entry = new Builder(this);
+        entry.cancelled = true;
+        return entry.build();
     }
 
     JobEntry finished(JobOutcome how, long nowMs) {
-        return new JobEntry(
-                cell,
-                spec,
-                new byte[0],
-                submittedMs,
-                JobStatus.FINISHED,
-                attemptNumber,
-                placements,
-                lent,
-                attemptMs,
-                everReleased,
-                cancelled,
-                nowMs,
-                Optional.of(how));
+        Builder entry = new Builder(this);
+        entry.payload = new byte[0];
+        entry.status = JobStatus.FINISHED;
+        entry.finishedMs = nowMs;
+        entry.outcome = Optional.of(how);
+        return entry.build();
+    }
+
+    /** Changes a copy of an entry. */
+    private static final class Builder {
+        private CellId cell;
+        private JobSpec spec;
+        private byte[] payload;
+        private String payloadSha256;
+        private long submittedMs;
+        private JobStatus status = JobStatus.WAITING;
+        private int attemptNumber;
+        private List<Placement> placements = List.of();
+        private boolean lent;
+        private long attemptMs;
+        private boolean everReleased;
+        private boolean resumable;
+        private boolean cancelled;
+        private long finishedMs;
+        private Optional<JobOutcome> outcome = Optional.empty();
+
+        private Builder() {}
+
+        private Builder(JobEntry from) {
+            cell = from.cell;
+            spec = from.spec;
+            payload = from.payload;
+            payloadSha256 = from.payloadSha256;
+            submittedMs = from.submittedMs;
+            status = from.status;
+            attemptNumber = from.attemptNumber;
+            placements = from.placements;
+            lent = from.lent;
+            attemptMs = from.attemptMs;
+            everReleased = from.everReleased;
+            resumable = from.resumable;
+            cancelled = from.cancelled;
+            finishedMs = from.finishedMs;
+            outcome = from.outcome;
+        }
+
+        private JobEntry build() {
+            return new JobEntry(
+                    cell,
+                    spec,
+                    payload,
+                    payloadSha256,
+                    submittedMs,
+                    status,
+                    attemptNumber,
+                    placements,
+                    lent,
+                    attemptMs,
+                    everReleased,
+                    resumable,
+                    cancelled,
+                    finishedMs,
+                    outcome);
+        }
     }
 }
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/fold/LogFold.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/fold/LogFold.java
@@ -12,6 +12,7 @@
 import org.fuchsiawinch.model.JobId;
 import org.fuchsiawinch.model.NodeId;
 import org.fuchsiawinch.protocol.ProtocolFeature;
+import org.fuchsiawinch.protocol.record.AttemptEnd;
 import org.fuchsiawinch.protocol.record.Envelope;
 import org.fuchsiawinch.protocol.record.JobOutcome;
 import org.fuchsiawinch.protocol.record.LogRecord;
@@ -128,13 +129,13 @@
         NodeId writer = envelope.id().writer();
         long nowMs = envelope.writtenMs();
         if (record instanceof LogRecord.CellClaimed claimed) {
-            return claim(offset, writer, claimed);
+            return claim(offset, writer, claimed, nowMs);
         }
         if (record instanceof LogRecord.CellHeld held) {
-            return hold(offset, writer, held);
+            return hold(offset, writer, held, nowMs);
         }
         if (record instanceof LogRecord.CellReleased released) {
-            return release(writer, released);
+            return release(writer, released, nowMs);
         }
         if (record instanceof LogRecord.JobAccepted accepted) {
             return accept(accepted, nowMs);
@@ -161,30 +162,30 @@
         return documentRefusal.map(refusal -> VoidCode.DOCUMENT_REFUSED);
     }
 
-    private Optional<VoidCode> claim(long offset, NodeId writer, LogRecord.CellClaimed claimed) {
+    private Optional<VoidCode> claim(long offset, NodeId writer, LogRecord.CellClaimed claimed, long nowMs) {
         CellEntry cell = cell(claimed.cell());
         if (claimed.epoch() != cell.epoch() + 1 || !writer.equals(claimed.owner())) {
             return Optional.of(VoidCode.STALE_EPOCH);
         }
-        cells.put(claimed.cell(), new CellEntry(claimed.epoch(), Optional.of(writer), offset));
+        cells.put(claimed.cell(), cell.claimed(claimed.epoch(), writer, offset, nowMs));
         return Optional.empty();
     }
 
-    private Optional<VoidCode> hold(long offset, NodeId writer, LogRecord.CellHeld held) {
+    private Optional<VoidCode> hold(long offset, NodeId writer, LogRecord.CellHeld held, long nowMs) {
         CellEntry cell = cell(held.cell());
         if (!cell.ownedBy(writer, held.epoch())) {
             return Optional.of(VoidCode.STALE_EPOCH);
         }
-        cells.put(held.cell(), new CellEntry(cell.epoch(), cell.owner(), offset));
+        cells.put(held.cell(), cell.held(offset, nowMs));
         return Optional.empty();
     }
 
-    private Optional<VoidCode> release(NodeId writer, LogRecord.CellReleased released) {
+    private Optional<VoidCode> release(NodeId writer, LogRecord.CellReleased released, long nowMs) {
         CellEntry cell = cell(released.cell());
         if (!cell.ownedBy(writer, released.epoch())) {
             return Optional.of(VoidCode.STALE_EPOCH);
         }
-        cells.put(released.cell(), new CellEntry(cell.epoch(), Optional.empty(), cell.lastHeardOffset()));
+        cells.put(released.cell(), cell.released(nowMs));
         return Optional.empty();
     }
 
@@ -218,6 +219,9 @@
         if (job.status() != JobStatus.WAITING) {
             return Optional.of(VoidCode.WRONG_STATUS);
         }
+        if (!job.repeatable()) {
+            return Optional.of(VoidCode.NOT_REPEATABLE);
+        }
         if (placed.attempt().number() != job.attemptNumber() + 1) {
             return Optional.of(VoidCode.WRONG_ATTEMPT);
         }
@@ -253,7 +257,7 @@
         if (!ended.attempt().equals(job.attempt())) {
             return Optional.of(VoidCode.WRONG_ATTEMPT);
         }
-        jobs.put(ended.attempt().job(), job.waiting());
+        jobs.put(ended.attempt().job(), job.waiting(ended.end() == AttemptEnd.CHECKPOINTED));
         return Optional.empty();
     }
 
@@ -266,7 +270,11 @@
         if (job.status() == JobStatus.FINISHED) {
             return Optional.of(VoidCode.WRONG_STATUS);
         }
-        if (finished.outcome() instanceof JobOutcome.NotRun && job.everReleased()) {
+        boolean notRun = finished.outcome() instanceof JobOutcome.NotRun;
+        if (notRun && (job.everReleased() || job.status() != JobStatus.WAITING)) {
+            return Optional.of(VoidCode.WRONG_STATUS);
+        }
+        if (finished.outcome() instanceof JobOutcome.Completed && job.status() != JobStatus.RELEASED) {
             return Optional.of(VoidCode.WRONG_STATUS);
         }
         jobs.put(finished.job(), job.finished(finished.outcome(), nowMs));
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/fold/VoidCode.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/fold/VoidCode.java
@@ -14,6 +14,8 @@
     WRONG_STATUS,
     /** The attempt is not the current or next one. */
     WRONG_ATTEMPT,
+    /** Another attempt could run non-idempotent work twice. */
+    NOT_REPEATABLE,
     /** The document record breaks a rule of the document. */
     DOCUMENT_REFUSED,
     /** The record's kind is not known to this version. */
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeMachine.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeMachine.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 import org.fuchsiawinch.core.Reason;
@@ -18,6 +19,7 @@
 import org.fuchsiawinch.protocol.fold.JobEntry;
 import org.fuchsiawinch.protocol.fold.JobStatus;
 import org.fuchsiawinch.protocol.fold.LogFold;
+import org.fuchsiawinch.protocol.fold.Sha256;
 import org.fuchsiawinch.protocol.fold.VoidCode;
 import org.fuchsiawinch.protocol.node.internal.Appender;
 import org.fuchsiawinch.protocol.node.internal.CellOwner;
@@ -182,6 +184,12 @@
             submitting.remove(accepted.job().id());
             fold.job(accepted.job().id()).ifPresent(job -> desk.jobChanged(job, effects::add));
         }
+        if (record instanceof LogRecord.JobCancelled cancelled) {
+            NodeReply reply = fold.job(cancelled.job())
+                    .map(job -> (NodeReply) new NodeReply.Job(job))
+                    .orElse(new NodeReply.UnknownJob());
+            desk.recordRead(envelope.id(), reply, effects::add);
+        }
         if (documentChanges.remove(envelope.id())) {
             answerDocumentChange(envelope, refused);
         }
@@ -208,9 +216,12 @@
         if (mine && cell.epoch() != ownedEpoch) {
             ownedEpoch = cell.epoch();
             effects.add(new NodeEffect.Report(new NodeEvent.CellTaken(settings.cell(), ownedEpoch)));
-            owner.take(ownedEpoch, nowMs);
+            owner.take(cell, nowMs);
             return;
         }
+        if (mine) {
+            owner.held(cell.heldMs());
+        }
         if (!mine && ownedEpoch > 0) {
             ownedEpoch = 0;
             effects.add(new NodeEffect.Report(new NodeEvent.CellLost(settings.cell(), cell.epoch())));
@@ -280,30 +291,35 @@
             return;
         }
         Optional<NodeReply.Refused> refusal = refuse(job, nowMs);
+        if (refusal.isPresent() && submitting.contains(job.id())) {
+            reply(submit.requestId(), new NodeReply.Pending());
+            return;
+        }
         if (refusal.isPresent()) {
             effects.add(new NodeEffect.Reply(submit.requestId(), refusal.get()));
             return;
         }
         boolean outcome = submit.waitMs() > 0;
         long untilMs = nowMs + Math.max(submit.waitMs(), ACCEPT_TIMEOUT_MS);
-        desk.awaitJob(submit.requestId(), job.id(), untilMs, outcome);
+        String digest = Sha256.hex(submit.payload());
+        desk.awaitJob(submit.requestId(), job.id(), untilMs, outcome, entry -> entry.sameAs(job, digest));
         if (submitting.add(job.id())) {
             appender.add(new LogRecord.JobAccepted(settings.cell(), job, submit.payload()), nowMs);
         }
     }
 
     private void answerKnown(NodeInput.JobSubmit submit, JobEntry known, long nowMs) {
-        if (!known.spec().equals(submit.job())) {
+        if (!known.sameAs(submit.job(), Sha256.hex(submit.payload()))) {
             reply(submit.requestId(), refused(NodeReply.RefusalCode.KEY_REUSED));
             return;
         }
-        answerOrWait(submit.requestId(), known, submit.waitMs(), nowMs);
+        answerOrWait(submit.requestId(), known, submit.waitMs(), job -> true, nowMs);
     }
 
     private void lookup(NodeInput.JobLookup lookup, long nowMs) {
         Optional<JobEntry> known = fold.job(lookup.job());
         if (known.isPresent()) {
-            answerOrWait(lookup.requestId(), known.get(), lookup.waitMs(), nowMs);
+            answerOrWait(lookup.requestId(), known.get(), lookup.waitMs(), job -> true, nowMs);
             return;
         }
         boolean fresh = nowMs - endReachedMs <= READ_FRESH_MS;
@@ -311,12 +327,12 @@
         reply(lookup.requestId(), unsure ? new NodeReply.Pending() : new NodeReply.UnknownJob());
     }
 
-    private void answerOrWait(long requestId, JobEntry job, long waitMs, long nowMs) {
+    private void answerOrWait(long requestId, JobEntry job, long waitMs, Predicate<JobEntry> sameJob, long nowMs) {
         if (job.status() == JobStatus.FINISHED || waitMs <= 0 || draining) {
             reply(requestId, new NodeReply.Job(job));
             return;
         }
-        desk.awaitJob(requestId, job.spec().id(), nowMs + waitMs, true);
+        desk.awaitJob(requestId, job.spec().id(), nowMs + waitMs, true, sameJob);
     }
 
     private void cancel(NodeInput.JobCancel cancel, long nowMs) {
@@ -333,8 +349,8 @@
             reply(cancel.requestId(), logUnavailable());
             return;
         }
-        desk.awaitJob(cancel.requestId(), cancel.job(), nowMs + ACCEPT_TIMEOUT_MS, false);
-        appender.add(new LogRecord.JobCancelled(cancel.job()), nowMs);
+        RecordId id = appender.add(new LogRecord.JobCancelled(cancel.job()), nowMs);
+        desk.awaitRecord(cancel.requestId(), id, nowMs + ACCEPT_TIMEOUT_MS);
     }
 
     private void changeDocument(NodeInput.DocumentChange change, long nowMs) {
@@ -385,6 +401,7 @@
         draining = true;
         if (ownedEpoch > 0) {
             releasePending = true;
+            owner.handOver(nowMs);
             appender.add(new LogRecord.CellReleased(settings.cell(), ownedEpoch), nowMs);
         }
         desk.answerAccepted(job -> fold.job(job).orElse(null), effects::add);
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeSettings.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeSettings.java
@@ -17,6 +17,9 @@
  * @param renewEveryMs time in ms between lease renewals of a worker
  * @param leaseMs length in ms of a worker lease
  * @param clockDriftMs bound in ms on the difference of two clocks over a lease
+ * @param renewHorizonMs time in ms after its last sign of life in the log during which an owner grants leases; outages
+ *     of the log up to this length stop no work
+ * @param listLagMs bound in ms on the lag of the platform's list of workers
  * @param startWithinMs time in ms from placement to the start-by time
  * @param inventoryWaitMs longest time in ms that a new owner waits for workers before it schedules with the others
  * @param appendLimit most records in one append
@@ -32,6 +35,8 @@
         long renewEveryMs,
         long leaseMs,
         long clockDriftMs,
+        long renewHorizonMs,
+        long listLagMs,
         long startWithinMs,
         long inventoryWaitMs,
         int appendLimit,
@@ -62,6 +67,8 @@
                 1000,
                 5000,
                 250,
+                4_500_000,
+                5000,
                 2000,
                 1500,
                 64,
@@ -76,6 +83,20 @@
      * @return the changed settings
      */
     public NodeSettings withFeatures(Set<ProtocolFeature> enabled) {
+        return with(renewHorizonMs, enabled);
+    }
+
+    /**
+     * Gives the same settings with another renewal horizon.
+     *
+     * @param horizonMs the horizon in ms
+     * @return the changed settings
+     */
+    public NodeSettings withRenewHorizonMs(long horizonMs) {
+        return with(horizonMs, features);
+    }
+
+    private NodeSettings with(long horizonMs, Set<ProtocolFeature> enabled) {
         return new NodeSettings(
                 node,
                 cell,
@@ -85,6 +106,8 @@
                 renewEveryMs,
                 leaseMs,
                 clockDriftMs,
+                horizonMs,
+                listLagMs,
                 startWithinMs,
                 inventoryWaitMs,
                 appendLimit,
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/Answers.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/Answers.java
@@ -1,11 +1,9 @@
 package org.fuchsiawinch.protocol.node.internal;
 
 import java.io.ByteArrayOutputStream;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
 import java.util.List;
 
+import org.fuchsiawinch.protocol.fold.Sha256;
 import org.fuchsiawinch.protocol.record.JobOutcome;
 
 /** Puts a gang's answer together. */
@@ -23,14 +21,6 @@
         ByteArrayOutputStream whole = new ByteArrayOutputStream();
         parts.forEach(whole::writeBytes);
         byte[] answer = whole.toByteArray();
-        return new JobOutcome.Completed(answer, sha256(answer));
-    }
-
-    private static String sha256(byte[] bytes) {
-        try {
-            return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes));
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException(e);
-        }
+        return new JobOutcome.Completed(answer, Sha256.hex(answer));
     }
 }
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/AttemptDriver.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/AttemptDriver.java
@@ -8,7 +8,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 
+import org.fuchsiawinch.core.ReasonCode;
 import org.fuchsiawinch.core.SchedulerEvent;
 import org.fuchsiawinch.model.AttemptId;
 import org.fuchsiawinch.model.JobId;
@@ -25,6 +27,7 @@
 import org.fuchsiawinch.protocol.node.NodeEffect;
 import org.fuchsiawinch.protocol.node.NodeSettings;
 import org.fuchsiawinch.protocol.record.AttemptEnd;
+import org.fuchsiawinch.protocol.record.JobOutcome;
 import org.fuchsiawinch.protocol.record.LogRecord;
 import org.fuchsiawinch.protocol.worker.TaskReport;
 import org.fuchsiawinch.protocol.worker.TaskState;
@@ -38,11 +41,14 @@
 final class AttemptDriver {
 
     private static final Resources PROBE_RESOURCES = new Resources(100, 64, 0, 1, 1);
+    private static final long PREPARE_EVERY_MS = 500;
+    private static final long RELEASE_EVERY_MS = 250;
     private static final String PROBE_PREFIX = "probe:";
 
     private final NodeSettings settings;
     private final Outlet outlet;
     private final EventSink scheduler;
+    private final Leases leases;
     private final Map<AttemptId, AttemptView> attempts = new LinkedHashMap<>();
     private final Map<AttemptId, Long> forgetAtMs = new HashMap<>();
     private final Map<TaskId, Inventory> inventory = new HashMap<>();
@@ -50,10 +56,11 @@
     private int probeCount;
     private long epoch;
 
-    AttemptDriver(NodeSettings settings, Outlet outlet, EventSink scheduler) {
+    AttemptDriver(NodeSettings settings, Outlet outlet, EventSink scheduler, Leases leases) {
         this.settings = settings;
         this.outlet = outlet;
         this.scheduler = scheduler;
+        this.leases = leases;
     }
 
     void begin(long newEpoch) {
@@ -104,22 +111,37 @@
             advance(attempt, nowMs);
             return;
         }
+        attempt.payload(payload);
         attempt.phase(AttemptView.Phase.PREPARING);
+        prepare(attempt, nowMs);
+    }
+
+    /** Sends the parts that no worker has reported yet. Workers take a part only once. */
+    private void prepare(AttemptView attempt, long nowMs) {
+        boolean late = nowMs > attempt.startByMs();
+        boolean broken = attempt.placements().stream().anyMatch(placement -> attempt.ended(placement.part()));
+        if (late || broken || !leases.grantable(nowMs) || !attempt.prepareDue(nowMs, PREPARE_EVERY_MS)) {
+            return;
+        }
         for (Placement placement : attempt.placements()) {
-            send(
-                    placement.worker(),
-                    new WorkerCommand.Prepare(
-                            settings.cell(),
-                            epoch,
-                            new TaskId(id, placement.part()),
-                            attempt.job().shape().perPart(),
-                            attempt.job().kind(),
-                            payload,
-                            attempt.startByMs(),
-                            attempt.startByMs() + settings.leaseMs()));
+            if (attempt.report(placement.part()).isEmpty()) {
+                send(placement.worker(), prepareCommand(attempt, placement.part(), nowMs));
+            }
         }
     }
 
+    private WorkerCommand prepareCommand(AttemptView attempt, int part, long nowMs) {
+        return new WorkerCommand.Prepare(
+                settings.cell(),
+                epoch,
+                new TaskId(attempt.id(), part),
+                attempt.job().shape().perPart(),
+                attempt.job().kind(),
+                attempt.payload(),
+                attempt.startByMs(),
+                leases.untilMs(nowMs));
+    }
+
     void neverPlaced(AttemptId id, long nowMs) {
         if (attempts.remove(id) != null) {
             scheduler.decide(new SchedulerEvent.AttemptStopped(id, false), nowMs);
@@ -132,6 +154,7 @@
             return;
         }
         attempt.released(true);
+        attempt.releasePending(false);
         if (attempt.phase() == AttemptView.Phase.RELEASING) {
             attempt.phase(AttemptView.Phase.RUNNING);
         }
@@ -146,7 +169,7 @@
         scheduler.decide(new SchedulerEvent.AttemptStopped(id, end == AttemptEnd.CHECKPOINTED), nowMs);
     }
 
-    void finished(JobId job, long nowMs) {
+    void finished(JobId job, boolean completed, long nowMs) {
         Optional<AttemptView> found = attempts.values().stream()
                 .filter(attempt -> attempt.id().job().equals(job))
                 .findFirst();
@@ -156,9 +179,10 @@
         AttemptView attempt = found.get();
         attempts.remove(attempt.id());
         forgetAtMs.put(attempt.id(), nowMs + settings.startWithinMs() + settings.clockDriftMs());
-        if (attempt.stopRequested()) {
+        if (attempt.stopRequested() || !completed) {
             scheduler.decide(new SchedulerEvent.JobCancelled(job), nowMs);
             scheduler.decide(new SchedulerEvent.AttemptStopped(attempt.id(), false), nowMs);
+            scheduler.decide(new SchedulerEvent.JobCancelled(job), nowMs);
             return;
         }
         attempt.placements().forEach(placement -> tellCompleted(attempt, placement.part(), nowMs));
@@ -166,7 +190,11 @@
 
     void stop(AttemptId id, StopMode mode, long nowMs) {
         AttemptView attempt = attempts.get(id);
-        if (attempt == null || attempt.phase() == AttemptView.Phase.ENDING) {
+        if (attempt == null) {
+            return;
+        }
+        if (attempt.phase() == AttemptView.Phase.ENDING) {
+            attempt.stopTooLate();
             return;
         }
         attempt.stop(mode);
@@ -183,7 +211,40 @@
         }
     }
 
+    /** Tells the scheduler to stop the gangs that have a part on a worker which is silent beyond its lease. */
+    void breakGangs(WorkerId worker, long nowMs) {
+        for (AttemptView attempt : List.copyOf(attempts.values())) {
+            if (attempt.phase() != AttemptView.Phase.RUNNING || !attempt.gang()) {
+                continue;
+            }
+            for (Placement placement : attempt.placements()) {
+                if (placement.worker().equals(worker) && !attempt.ended(placement.part())) {
+                    tellFailed(attempt, placement.part(), TaskFailure.WORKER_LOST, nowMs);
+                }
+            }
+        }
+    }
+
+    /** Names the workers that hold, or may hold, a part that has not ended. */
+    Set<WorkerId> workers() {
+        Set<WorkerId> holders = new TreeSet<>();
+        for (AttemptView attempt : attempts.values()) {
+            attempt.placements().stream()
+                    .filter(placement -> !attempt.ended(placement.part()))
+                    .forEach(placement -> holders.add(placement.worker()));
+        }
+        return holders;
+    }
+
+    /** Says whether an attempt that lost a part on the worker has not ended yet. */
+    boolean holdsLost(WorkerId worker) {
+        return attempts.values().stream().anyMatch(attempt -> attempt.uses(worker) && attempt.lostOn(worker));
+    }
+
     void probe(WorkerId worker, long nowMs) {
+        if (!leases.grantable(nowMs)) {
+            return;
+        }
         probeCount++;
         JobId job = new JobId(PROBE_PREFIX + worker + ":" + epoch);
         TaskId task = new TaskId(new AttemptId(job, probeCount), 0);
@@ -199,7 +260,7 @@
                         "probe",
                         new byte[0],
                         startByMs,
-                        startByMs + settings.leaseMs()));
+                        leases.untilMs(nowMs)));
     }
 
     /**
@@ -253,8 +314,8 @@
 
     private void probeReported(WorkerId worker, TaskReport report, long nowMs) {
         boolean current = report.task().equals(probes.get(worker));
-        if (report.state() == TaskState.PREPARED && current) {
-            send(worker, new WorkerCommand.Release(settings.cell(), epoch, report.task(), nowMs + settings.leaseMs()));
+        if (report.state() == TaskState.PREPARED && current && leases.grantable(nowMs)) {
+            send(worker, new WorkerCommand.Release(settings.cell(), epoch, report.task(), leases.untilMs(nowMs)));
             return;
         }
         if (!report.state().ended()) {
@@ -299,7 +360,9 @@
         if (!settings.features().contains(ProtocolFeature.GANG_TRIAL)) {
             releasePrepared(attempt, nowMs);
         }
+        prepare(attempt, nowMs);
         if (attempt.allTaken()) {
+            attempt.releasePending(true);
             attempt.phase(AttemptView.Phase.RELEASING);
             outlet.append(new LogRecord.AttemptReleased(settings.cell(), epoch, attempt.id()), nowMs);
             return;
@@ -326,17 +389,23 @@
     }
 
     private void releasePrepared(AttemptView attempt, long nowMs) {
+        if (!leases.grantable(nowMs)) {
+            return;
+        }
         for (Placement placement : attempt.placements()) {
             Optional<TaskReport> report = attempt.report(placement.part());
-            if (report.filter(part -> part.state() == TaskState.PREPARED).isPresent()
-                    && !attempt.ended(placement.part())) {
+            boolean prepared =
+                    report.filter(part -> part.state() == TaskState.PREPARED).isPresent();
+            if (prepared
+                    && !attempt.ended(placement.part())
+                    && attempt.releaseDue(placement.part(), nowMs, RELEASE_EVERY_MS)) {
                 send(
                         placement.worker(),
                         new WorkerCommand.Release(
                                 settings.cell(),
                                 epoch,
                                 new TaskId(attempt.id(), placement.part()),
-                                nowMs + settings.leaseMs()));
+                                leases.untilMs(nowMs)));
             }
         }
     }
@@ -346,9 +415,8 @@
             complete(attempt, nowMs);
             return;
         }
-        if (attempt.allEnded()) {
-            attempt.phase(AttemptView.Phase.ENDING);
-            outlet.append(new LogRecord.AttemptEnded(settings.cell(), epoch, attempt.id(), endOf(attempt)), nowMs);
+        if (attempt.allEnded() && !attempt.releasePending()) {
+            end(attempt, nowMs);
             return;
         }
         if (!attempt.stopDue(nowMs, settings.renewEveryMs())) {
@@ -362,6 +430,20 @@
         }
     }
 
+    private void end(AttemptView attempt, long nowMs) {
+        attempt.phase(AttemptView.Phase.ENDING);
+        AttemptEnd end = endOf(attempt);
+        if (end == AttemptEnd.STOPPED && !attempt.job().idempotent()) {
+            JobOutcome broken = new JobOutcome.Broken(ReasonCode.END_BROKEN_NOT_REPEATABLE.name());
+            outlet.append(
+                    new LogRecord.JobFinished(
+                            settings.cell(), epoch, attempt.id().job(), broken),
+                    nowMs);
+            return;
+        }
+        outlet.append(new LogRecord.AttemptEnded(settings.cell(), epoch, attempt.id(), end), nowMs);
+    }
+
     private static AttemptEnd endOf(AttemptView attempt) {
         if (!attempt.released()) {
             return AttemptEnd.NOT_RELEASED;
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/AttemptView.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/AttemptView.java
@@ -38,6 +38,7 @@
     private final Map<Integer, TaskReport> reports = new HashMap<>();
     private final Map<Integer, Boolean> toldScheduler = new HashMap<>();
     private final Map<Integer, Boolean> gone = new HashMap<>();
+    private final Map<Integer, Long> releaseSentMs = new HashMap<>();
     private Phase phase;
     private long startByMs;
     private boolean announced;
@@ -45,6 +46,9 @@
     private boolean released;
     private boolean stopRequested;
     private long stopSentMs;
+    private long prepareSentMs;
+    private byte[] payload = new byte[0];
+    private boolean releasePending;
 
     AttemptView(AttemptId id, JobSpec job, List<Placement> placements, Phase phase) {
         this.id = id;
@@ -126,6 +130,66 @@
         reports.put(report.task().part(), report);
     }
 
+    byte[] payload() {
+        return payload;
+    }
+
+    void payload(byte[] value) {
+        payload = value;
+    }
+
+    /** Says whether its release record is on its way to the log. */
+    boolean releasePending() {
+        return releasePending;
+    }
+
+    void releasePending(boolean value) {
+        releasePending = value;
+    }
+
+    /** Says whether prepare commands are to be sent now, and notes that they are. */
+    boolean prepareDue(long nowMs, long everyMs) {
+        if (nowMs - prepareSentMs < everyMs) {
+            return false;
+        }
+        prepareSentMs = nowMs;
+        return true;
+    }
+
+    /** Says whether a part's release command is to be sent now, and notes that it is. */
+    boolean releaseDue(int part, long nowMs, long everyMs) {
+        Long sentMs = releaseSentMs.get(part);
+        if (sentMs != null && nowMs - sentMs < everyMs) {
+            return false;
+        }
+        releaseSentMs.put(part, nowMs);
+        return true;
+    }
+
+    /** Says whether a part may be on a worker and has not ended. */
+    boolean open(WorkerId worker) {
+        return placements.stream().anyMatch(placement -> placement.worker().equals(worker) && !ended(placement.part()));
+    }
+
+    boolean uses(WorkerId worker) {
+        return placements.stream().anyMatch(placement -> placement.worker().equals(worker));
+    }
+
+    /** Says whether a part on the worker was lost with it. */
+    boolean lostOn(WorkerId worker) {
+        return placements.stream()
+                .anyMatch(placement -> placement.worker().equals(worker) && gone.containsKey(placement.part()));
+    }
+
+    boolean gang() {
+        return placements.size() > 1;
+    }
+
+    /** Notes a stop that came too late to change how the attempt ends. */
+    void stopTooLate() {
+        stopRequested = true;
+    }
+
     /** Notes that a part does not exist on its worker, or that the worker is lost. */
     void gone(int part) {
         gone.put(part, Boolean.TRUE);
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/CellOwner.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/CellOwner.java
@@ -3,20 +3,20 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.function.Supplier;
 
 import org.fuchsiawinch.core.Decision;
 import org.fuchsiawinch.core.Reason;
+import org.fuchsiawinch.core.ReasonCode;
 import org.fuchsiawinch.core.Scheduler;
 import org.fuchsiawinch.core.SchedulerEvent;
 import org.fuchsiawinch.model.AttemptId;
 import org.fuchsiawinch.model.JobId;
 import org.fuchsiawinch.model.WorkerId;
 import org.fuchsiawinch.model.WorkerSpec;
+import org.fuchsiawinch.protocol.fold.CellEntry;
 import org.fuchsiawinch.protocol.fold.JobEntry;
 import org.fuchsiawinch.protocol.fold.JobStatus;
 import org.fuchsiawinch.protocol.fold.LogFold;
@@ -25,12 +25,11 @@
 import org.fuchsiawinch.protocol.node.NodeSettings;
 import org.fuchsiawinch.protocol.record.JobOutcome;
 import org.fuchsiawinch.protocol.record.LogRecord;
-import org.fuchsiawinch.protocol.worker.WorkerCommand;
 import org.fuchsiawinch.protocol.worker.WorkerReply;
 
 /**
- * Runs the scheduler of a cell while this node owns it: takes inventory, renews leases, and turns decisions into
- * records and records that were read back into worker commands. Not thread-safe.
+ * Runs the scheduler of a cell while this node owns it: takes inventory, turns decisions into records and records that
+ * were read back into worker commands. Not thread-safe.
  */
 public final class CellOwner {
 
@@ -46,15 +45,16 @@
     private final Supplier<Scheduler> schedulers;
     private final LogFold fold;
     private final Outlet outlet;
-    private final Map<WorkerId, WorkerView> workers = new TreeMap<>();
+    private final Leases leases;
     private final AttemptDriver attempts;
-    private List<WorkerSpec> listed = List.of();
-    private Set<WorkerId> listedLeaving = Set.of();
+    private final WorkerPool workers;
+    private final Set<JobId> finishing = new HashSet<>();
     private Phase phase = Phase.IDLE;
     private Scheduler scheduler;
     private long epoch;
     private long tookMs;
     private long schedulerTickMs;
+    private boolean handingOver;
 
     /**
      * Creates an owner that owns nothing yet.
@@ -69,7 +69,9 @@
         this.schedulers = schedulers;
         this.fold = fold;
         this.outlet = outlet;
-        this.attempts = new AttemptDriver(settings, outlet, this::decide);
+        this.leases = new Leases(settings);
+        this.attempts = new AttemptDriver(settings, outlet, this::decide, leases);
+        this.workers = new WorkerPool(settings, outlet, this::decide, attempts, leases);
     }
 
     /**
@@ -84,17 +86,36 @@
     /**
      * Starts the inventory after the node's claim was read back.
      *
-     * @param newEpoch epoch of the claim
+     * @param cell the cell as claimed
      * @param nowMs present time in ms since the epoch
      */
-    public void take(long newEpoch, long nowMs) {
+    public void take(CellEntry cell, long nowMs) {
         drop();
         phase = Phase.INVENTORY;
-        epoch = newEpoch;
+        epoch = cell.epoch();
         tookMs = nowMs;
-        attempts.begin(newEpoch);
-        listed.forEach(worker -> addWorker(worker, nowMs));
-        renewLeases(nowMs);
+        leases.begin(cell.heldMs());
+        attempts.begin(epoch);
+        workers.begin(epoch, earlierLeasesEndMs(cell), nowMs);
+    }
+
+    /**
+     * Takes a sign of life of this owner that was read back.
+     *
+     * @param writtenMs time in ms since the epoch at which it was written
+     */
+    public void held(long writtenMs) {
+        leases.held(writtenMs);
+    }
+
+    /**
+     * Starts no new work and grants no lease beyond one from now: the cell is given up.
+     *
+     * @param nowMs present time in ms since the epoch
+     */
+    public void handOver(long nowMs) {
+        handingOver = true;
+        leases.endAfterLease(nowMs);
     }
 
     /** Forgets everything after the cell was lost or given up. */
@@ -102,6 +123,7 @@
         phase = Phase.IDLE;
         workers.clear();
         attempts.clear();
+        finishing.clear();
         scheduler = null;
     }
 
@@ -113,16 +135,7 @@
      * @param nowMs present time in ms since the epoch
      */
     public void listed(List<WorkerSpec> all, List<WorkerId> leaving, long nowMs) {
-        listed = all;
-        listedLeaving = Set.copyOf(leaving);
-        if (phase == Phase.IDLE) {
-            return;
-        }
-        all.stream()
-                .filter(worker -> !workers.containsKey(worker.id()))
-                .toList()
-                .forEach(worker -> addWorker(worker, nowMs));
-        leaving.forEach(worker -> markLeaving(worker, nowMs));
+        workers.listed(all, leaving, phase != Phase.IDLE, nowMs);
     }
 
     /**
@@ -134,17 +147,15 @@
      * @param nowMs present time in ms since the epoch
      */
     public void replied(WorkerId id, long ofEpoch, WorkerReply reply, long nowMs) {
-        WorkerView worker = workers.get(id);
-        if (phase == Phase.IDLE || worker == null || ofEpoch != epoch || reply.fence() > epoch) {
+        if (phase == Phase.IDLE || ofEpoch != epoch) {
             return;
         }
-        worker.replied(nowMs);
-        boolean clean = attempts.reported(id, reply, phase == Phase.ACTIVE, nowMs);
-        if (clean) {
-            reach(worker, nowMs);
+        if (reply.fence() > epoch) {
+            leases.fenced();
+            return;
         }
-        if (reply.leaving()) {
-            markLeaving(id, nowMs);
+        if (!workers.replied(id, reply, nowMs)) {
+            return;
         }
         if (phase == Phase.INVENTORY) {
             activateWhenReady(nowMs);
@@ -174,7 +185,8 @@
         } else if (record instanceof LogRecord.AttemptEnded ended) {
             attempts.ended(ended.attempt(), ended.end(), nowMs);
         } else if (record instanceof LogRecord.JobFinished finished) {
-            attempts.finished(finished.job(), nowMs);
+            finishing.remove(finished.job());
+            attempts.finished(finished.job(), finished.outcome() instanceof JobOutcome.Completed, nowMs);
         }
     }
 
@@ -192,8 +204,11 @@
             attempts.neverPlaced(placed.attempt(), nowMs);
             return;
         }
-        if (record instanceof LogRecord.JobFinished finished
-                && finished.outcome() instanceof JobOutcome.NotRun notRun
+        if (!(record instanceof LogRecord.JobFinished finished)) {
+            return;
+        }
+        finishing.remove(finished.job());
+        if (finished.outcome() instanceof JobOutcome.NotRun notRun
                 && fold.job(finished.job()).filter(JobEntry::everReleased).isPresent()) {
             finish(finished.job(), new JobOutcome.Broken(notRun.code()), nowMs);
         }
@@ -222,12 +237,13 @@
         if (phase == Phase.IDLE) {
             return;
         }
-        renewLeases(nowMs);
+        workers.renewLeases(nowMs);
         if (phase == Phase.INVENTORY) {
             activateWhenReady(nowMs);
             return;
         }
-        checkSilence(nowMs);
+        workers.checkSilence(nowMs);
+        workers.removeGone(nowMs);
         attempts.advanceAll(nowMs);
         if (nowMs - schedulerTickMs >= SCHEDULER_TICK_MS) {
             schedulerTickMs = nowMs;
@@ -246,71 +262,14 @@
         return scheduler == null ? Optional.empty() : scheduler.waitReason(job, nowMs);
     }
 
-    private void addWorker(WorkerSpec spec, long nowMs) {
-        workers.put(spec.id(), new WorkerView(spec, nowMs, nowMs + settings.leaseMs()));
-    }
-
-    private void reach(WorkerView worker, long nowMs) {
-        WorkerView.Contact before = worker.contact();
-        worker.contact(WorkerView.Contact.REACHED);
-        if (phase != Phase.ACTIVE || before == WorkerView.Contact.REACHED) {
-            return;
-        }
-        decide(new SchedulerEvent.WorkerJoined(worker.spec()), nowMs);
-        if (worker.leaving()) {
-            decide(new SchedulerEvent.WorkerLeaving(worker.spec().id()), nowMs);
-        }
-    }
-
-    private void markLeaving(WorkerId id, long nowMs) {
-        WorkerView worker = workers.get(id);
-        if (worker == null || worker.leaving()) {
-            return;
-        }
-        worker.leaving(true);
-        if (phase == Phase.ACTIVE && worker.contact() == WorkerView.Contact.REACHED) {
-            decide(new SchedulerEvent.WorkerLeaving(id), nowMs);
-        }
-    }
-
-    private void renewLeases(long nowMs) {
-        for (WorkerView worker : workers.values()) {
-            if (!worker.renewalDue(nowMs, settings.renewEveryMs())) {
-                continue;
-            }
-            boolean doubtful =
-                    worker.contact() == WorkerView.Contact.IN_DOUBT || worker.contact() == WorkerView.Contact.LOST;
-            long untilMs = doubtful ? 0 : nowMs + settings.leaseMs();
-            worker.sent(nowMs, untilMs);
-            outlet.emit(new NodeEffect.Command(
-                    worker.spec().id(), new WorkerCommand.Renew(settings.cell(), epoch, untilMs)));
-        }
-    }
-
-    private void checkSilence(long nowMs) {
-        for (WorkerView worker : List.copyOf(workers.values())) {
-            WorkerId id = worker.spec().id();
-            boolean reached = worker.contact() == WorkerView.Contact.REACHED;
-            if (reached && worker.silentFor(nowMs, settings.leaseMs() / 2)) {
-                worker.contact(WorkerView.Contact.IN_DOUBT);
-                outlet.emit(new NodeEffect.Report(new NodeEvent.WorkerSilent(id)));
-                decide(new SchedulerEvent.WorkerInDoubt(id), nowMs);
-            }
-            if (worker.contact() == WorkerView.Contact.IN_DOUBT
-                    && worker.silentFor(nowMs, settings.leaseMs() / 2)
-                    && worker.leaseLapsed(nowMs, settings.clockDriftMs())) {
-                worker.contact(WorkerView.Contact.LOST);
-                attempts.workerLost(id);
-                decide(new SchedulerEvent.WorkerLost(id), nowMs);
-            }
-        }
+    private long earlierLeasesEndMs(CellEntry cell) {
+        long grantedUntilMs = Math.max(cell.earlierHeldMs() + settings.renewHorizonMs(), cell.releasedMs());
+        return grantedUntilMs + settings.leaseMs() + settings.clockDriftMs();
     }
 
     private void activateWhenReady(long nowMs) {
-        boolean allReached =
-                workers.values().stream().allMatch(worker -> worker.contact() == WorkerView.Contact.REACHED);
         boolean waited = nowMs - tookMs >= settings.inventoryWaitMs();
-        if (waited || (allReached && !workers.isEmpty())) {
+        if (waited || workers.allReached()) {
             activate(nowMs);
         }
     }
@@ -319,22 +278,8 @@
         phase = Phase.ACTIVE;
         scheduler = schedulers.get();
         schedulerTickMs = nowMs;
-        int reached = 0;
         documentChanged(nowMs);
-        for (WorkerView worker : workers.values()) {
-            WorkerId id = worker.spec().id();
-            decide(new SchedulerEvent.WorkerJoined(worker.spec()), nowMs);
-            if (worker.contact() == WorkerView.Contact.REACHED) {
-                reached++;
-            } else {
-                worker.contact(WorkerView.Contact.IN_DOUBT);
-                decide(new SchedulerEvent.WorkerInDoubt(id), nowMs);
-            }
-            if (worker.leaving() || listedLeaving.contains(id)) {
-                worker.leaving(true);
-                decide(new SchedulerEvent.WorkerLeaving(id), nowMs);
-            }
-        }
+        int reached = workers.activate(nowMs);
         recoverJobs(nowMs);
         outlet.emit(new NodeEffect.Report(
                 new NodeEvent.CellActive(settings.cell(), epoch, reached, workers.size() - reached)));
@@ -403,7 +348,17 @@
 
     private void startGang(Decision.StartGang start, long nowMs) {
         Optional<JobEntry> job = fold.job(start.attempt().job());
-        if (job.isEmpty()) {
+        if (job.isEmpty() || handingOver) {
+            return;
+        }
+        if (job.get().status() == JobStatus.FINISHED
+                || finishing.contains(job.get().spec().id())) {
+            decide(new SchedulerEvent.JobCancelled(start.attempt().job()), nowMs);
+            decide(new SchedulerEvent.AttemptStopped(start.attempt(), false), nowMs);
+            return;
+        }
+        if (!job.get().repeatable()) {
+            finish(job.get().spec().id(), new JobOutcome.Broken(ReasonCode.END_BROKEN_NOT_REPEATABLE.name()), nowMs);
             return;
         }
         attempts.start(start.attempt(), job.get().spec(), start.placements());
@@ -413,6 +368,12 @@
     }
 
     private void finish(JobId job, JobOutcome outcome, long nowMs) {
+        boolean finished = fold.job(job)
+                .filter(entry -> entry.status() == JobStatus.FINISHED)
+                .isPresent();
+        if (finished || !finishing.add(job)) {
+            return;
+        }
         outlet.append(new LogRecord.JobFinished(settings.cell(), epoch, job, outcome), nowMs);
     }
 }
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/RequestDesk.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/RequestDesk.java
@@ -5,8 +5,10 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Predicate;
 
 import org.fuchsiawinch.model.JobId;
 import org.fuchsiawinch.protocol.fold.JobEntry;
@@ -28,9 +30,10 @@
      * @param job the job
      * @param untilMs time in ms since the epoch at which it is answered in any case
      * @param outcome whether to wait for the outcome rather than for acceptance
+     * @param sameJob says whether an entry is the job that was requested; if not, its key was reused
      */
-    public void awaitJob(long requestId, JobId job, long untilMs, boolean outcome) {
-        byJob.computeIfAbsent(job, id -> new ArrayList<>()).add(new Waiter(requestId, untilMs, outcome));
+    public void awaitJob(long requestId, JobId job, long untilMs, boolean outcome, Predicate<JobEntry> sameJob) {
+        byJob.computeIfAbsent(job, id -> new ArrayList<>()).add(new Waiter(requestId, untilMs, outcome, sameJob));
     }
 
     /**
@@ -41,7 +44,7 @@
      * @param untilMs time in ms since the epoch at which it is answered in any case
      */
     public void awaitRecord(long requestId, RecordId record, long untilMs) {
-        byRecord.put(record, new Waiter(requestId, untilMs, false));
+        byRecord.put(record, new Waiter(requestId, untilMs, false, job -> true));
     }
 
     /**
@@ -57,10 +60,10 @@
         }
         boolean finished = job.status() == JobStatus.FINISHED;
         waiters.removeIf(waiter -> {
-            if (waiter.outcome() && !finished) {
+            if (waiter.outcome() && !finished && waiter.sameJob().test(job)) {
                 return false;
             }
-            effects.accept(new NodeEffect.Reply(waiter.requestId(), new NodeReply.Job(job)));
+            effects.accept(new NodeEffect.Reply(waiter.requestId(), waiter.replyOf(job)));
             return true;
         });
         if (waiters.isEmpty()) {
@@ -94,8 +97,10 @@
         while (entries.hasNext()) {
             Map.Entry<JobId, List<Waiter>> entry = entries.next();
             JobEntry job = jobs.apply(entry.getKey());
-            NodeReply reply = job == null ? new NodeReply.Pending() : new NodeReply.Job(job);
-            entry.getValue().removeIf(waiter -> expired(waiter, nowMs, reply, effects));
+            entry.getValue().removeIf(waiter -> {
+                NodeReply reply = job == null ? new NodeReply.Pending() : waiter.replyOf(job);
+                return expired(waiter, nowMs, reply, effects);
+            });
             if (entry.getValue().isEmpty()) {
                 entries.remove();
             }
@@ -119,8 +124,7 @@
                 continue;
             }
             entry.getValue()
-                    .forEach(
-                            waiter -> effects.accept(new NodeEffect.Reply(waiter.requestId(), new NodeReply.Job(job))));
+                    .forEach(waiter -> effects.accept(new NodeEffect.Reply(waiter.requestId(), waiter.replyOf(job))));
             entries.remove();
         }
     }
@@ -142,5 +146,13 @@
         return true;
     }
 
-    private record Waiter(long requestId, long untilMs, boolean outcome) {}
+    private record Waiter(long requestId, long untilMs, boolean outcome, Predicate<JobEntry> sameJob) {
+
+        private NodeReply replyOf(JobEntry job) {
+            if (sameJob.test(job)) {
+                return new NodeReply.Job(job);
+            }
+            return new NodeReply.Refused(NodeReply.RefusalCode.KEY_REUSED, OptionalLong.empty());
+        }
+    }
 }
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/WorkerView.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/WorkerView.java
@@ -20,6 +20,7 @@
     private final WorkerSpec spec;
     private Contact contact = Contact.UNSEEN;
     private boolean leaving;
+    private boolean seen;
     private long lastSentMs;
     private long lastReplyMs;
     private long leaseUntilMs;
@@ -42,6 +43,15 @@
         contact = value;
     }
 
+    /** Notes that the worker answers in this epoch: leases of earlier epochs end by the given time. */
+    void reached(long earlierLeasesEndMs) {
+        if (contact == Contact.UNSEEN || !seen) {
+            leaseUntilMs = earlierLeasesEndMs;
+        }
+        seen = true;
+        contact = Contact.REACHED;
+    }
+
     boolean leaving() {
         return leaving;
     }
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/record/LogRecord.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/record/LogRecord.java
@@ -83,7 +83,7 @@
 
     /**
      * The owner places an attempt; workers may prepare its parts after this is read back. Void unless written in the
-     * cell's epoch, for a waiting job, with the next attempt number.
+     * cell's epoch, for a waiting job that may be run again, with the next attempt number.
      *
      * @param cell the cell
      * @param epoch the owner's epoch
@@ -125,7 +125,7 @@
 
     /**
      * The job's final outcome. Void unless written in the cell's epoch for an unfinished job; {@code NotRun} is void
-     * once an attempt was released.
+     * unless the job waits and no attempt was released, {@code Completed} unless an attempt is released.
      *
      * @param cell the cell
      * @param epoch the owner's epoch
