--- a/node/src/main/java/org/fuchsiawinch/node/NodeProcess.java
+++ b/node/src/main/java/org/fuchsiawinch/node/NodeProcess.java
@@ -6,9 +6,8 @@
 
 import com.codahale.metrics.MetricRegistry;
 import org.fuchsiawinch.core.Decision;
-import org.fuchsiawinch.core.baseline.FirstFitScheduler;
+import org.fuchsiawinch.core.GuaranteeScheduler;
 import org.fuchsiawinch.document.Document;
-import org.fuchsiawinch.model.CellId;
 import org.fuchsiawinch.model.NodeId;
 import org.fuchsiawinch.node.adapter.LogClient;
 import org.fuchsiawinch.node.adapter.WorkerClient;
@@ -53,8 +52,7 @@
      */
     public NodeProcess(Settings settings, long startedMs) {
         this.name = settings.value(NodeFlags.NAME);
-        NodeMachine machine =
-                new NodeMachine(machineSettings(settings, startedMs), book, () -> new FirstFitScheduler(false));
+        NodeMachine machine = new NodeMachine(machineSettings(settings, startedMs), book, GuaranteeScheduler::new);
         this.loop = new NodeLoop(
                 machine,
                 this::carryOut,
@@ -113,21 +111,11 @@
 
     private static NodeSettings machineSettings(Settings settings, long startedMs) {
         NodeId id = new NodeId(settings.value(NodeFlags.NAME) + "-" + startedMs);
-        NodeSettings defaults =
-                NodeSettings.defaults(id, settings.value(NodeFlags.CLAIM_RANK).intValue());
-        return new NodeSettings(
-                id,
-                new CellId("main"),
-                settings.value(NodeFlags.HOLD_EVERY_MS),
-                settings.value(NodeFlags.CLAIM_AFTER_MS),
-                defaults.claimRank(),
-                defaults.renewEveryMs(),
-                settings.value(NodeFlags.LEASE_MS),
-                defaults.clockDriftMs(),
-                defaults.startWithinMs(),
-                defaults.inventoryWaitMs(),
-                defaults.appendLimit(),
-                defaults.pendingLimit());
+        return NodeSettings.defaults(id, settings.value(NodeFlags.CLAIM_RANK).intValue())
+                .withIntervals(
+                        settings.value(NodeFlags.HOLD_EVERY_MS),
+                        settings.value(NodeFlags.CLAIM_AFTER_MS),
+                        settings.value(NodeFlags.LEASE_MS));
     }
 
     private void carryOut(NodeEffect effect) {
@@ -201,13 +189,19 @@
         if (decision instanceof Decision.EndJob end) {
             return end.job();
         }
+        if (decision instanceof Decision.PromoteGang promote) {
+            return promote.attempt();
+        }
         if (decision instanceof Decision.ProbeWorker probe) {
             return probe.worker();
         }
         if (decision instanceof Decision.QuarantineWorker quarantine) {
             return quarantine.worker();
         }
-        return ((Decision.GuaranteeLost) decision).workspace();
+        if (decision instanceof Decision.GuaranteeLost lost) {
+            return lost.workspace();
+        }
+        return decision.getClass().getSimpleName();
     }
 
     private static void thread(String name, Runnable body) {
