Let a job that never began wait again, and blame no worker for a late start

Cause: under load a start that was not confirmed in time was reported as a refusal by the worker and the attempt's end as a stop. The scheduler then quarantined healthy workers and ended non-idempotent jobs that had never run (bin/quickstart on a machine with load 35: 18 of 70 reorders not run, 3 workers quarantined). Change: event AttemptWithdrawn for attempts ended before release, failure START_TIMEOUT that counts against neither worker nor job.

--- a/core/src/main/java/org/fuchsiawinch/core/SchedulerEvent.java
+++ b/core/src/main/java/org/fuchsiawinch/core/SchedulerEvent.java
@@ -114,6 +114,14 @@
      */
     record AttemptStopped(AttemptId attempt, boolean checkpointed) implements SchedulerEvent {}
 
+    /**
+     * An attempt ended before any of its parts was released, and its resources are free. The job did not run because of
+     * it and waits again, also if it may not be repeated.
+     *
+     * @param attempt the attempt
+     */
+    record AttemptWithdrawn(AttemptId attempt) implements SchedulerEvent {}
+
     /**
      * A worker reported what a part uses, with a lag.
      *
--- a/core/src/main/java/org/fuchsiawinch/core/baseline/QueueScheduler.java
+++ b/core/src/main/java/org/fuchsiawinch/core/baseline/QueueScheduler.java
@@ -75,6 +75,9 @@
         } else if (event instanceof SchedulerEvent.AttemptStopped stopped) {
             stopped(stopped.attempt(), decisions);
             return true;
+        } else if (event instanceof SchedulerEvent.AttemptWithdrawn withdrawn) {
+            withdrawn(withdrawn.attempt(), decisions);
+            return true;
         } else if (event instanceof SchedulerEvent.JobCancelled cancelled) {
             cancel(cancelled.job(), decisions);
             return true;
@@ -169,6 +172,19 @@
                         () -> waiting.put(arrivals.get(id.job()), gang.job));
     }
 
+    private void withdrawn(AttemptId id, List<Decision> decisions) {
+        Optional<RunningGang> running = fleet.gang(id);
+        if (running.isEmpty()) {
+            return;
+        }
+        fleet.release(running.get());
+        if (running.get().cancelled) {
+            decisions.add(new Decision.EndJob(id.job(), true, Reason.of(ReasonCode.END_CANCELLED)));
+            return;
+        }
+        waiting.put(arrivals.get(id.job()), running.get().job);
+    }
+
     private Optional<ReasonCode> endReason(RunningGang gang) {
         if (gang.cancelled) {
             return Optional.of(ReasonCode.END_CANCELLED);
--- a/core/src/main/java/org/fuchsiawinch/core/internal/Engine.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Engine.java
@@ -98,6 +98,8 @@
             endings.completed(completed.task());
         } else if (event instanceof SchedulerEvent.TaskFailed failed) {
             endings.failed(failed.task(), failed.failure());
+        } else if (event instanceof SchedulerEvent.AttemptWithdrawn withdrawn) {
+            endings.withdrawn(withdrawn);
         } else if (event instanceof SchedulerEvent.AttemptStopped stopped) {
             endings.stopped(stopped);
         } else if (event instanceof SchedulerEvent.AttemptRecovered recovered) {
--- a/core/src/main/java/org/fuchsiawinch/core/internal/JobEndings.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/JobEndings.java
@@ -114,6 +114,18 @@
         }
     }
 
+    void withdrawn(SchedulerEvent.AttemptWithdrawn event) {
+        state.attempt(event.attempt()).ifPresent(attempt -> {
+            StopCause cause = attempt.stopCause() == null ? StopCause.BROKEN : attempt.stopCause();
+            release(attempt);
+            if (cause.endsJob()) {
+                end(attempt.job(), Reason.of(cause.endCode()));
+            } else {
+                waiting.add(attempt.job());
+            }
+        });
+    }
+
     private void finish(Attempt attempt) {
         Job job = attempt.job();
         double workMs = job.savedWorkMs() + workMs(attempt);
@@ -154,7 +166,7 @@
         if (failure == TaskFailure.TIME_OVERRUN) {
             return StopCause.TIME_OVERRUN;
         }
-        if (failure == TaskFailure.WORKER_LOST) {
+        if (failure == TaskFailure.WORKER_LOST || failure == TaskFailure.START_TIMEOUT) {
             return StopCause.BROKEN;
         }
         Job job = attempt.job();
--- a/model/src/main/java/org/fuchsiawinch/model/TaskFailure.java
+++ b/model/src/main/java/org/fuchsiawinch/model/TaskFailure.java
@@ -6,6 +6,8 @@
     WORK_FAILED,
     /** The worker refused to start the task. */
     START_REFUSED,
+    /** The worker did not confirm the task before its start-by time. */
+    START_TIMEOUT,
     /** The task took more memory than the policy bears. */
     MEMORY_OVERRUN,
     /** The task ran longer than the policy bears. */
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/AttemptDriver.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/AttemptDriver.java
@@ -144,7 +144,7 @@
 
     void neverPlaced(AttemptId id, long nowMs) {
         if (attempts.remove(id) != null) {
-            scheduler.decide(new SchedulerEvent.AttemptStopped(id, false), nowMs);
+            scheduler.decide(new SchedulerEvent.AttemptWithdrawn(id), nowMs);
         }
     }
 
@@ -166,7 +166,10 @@
             return;
         }
         forgetAtMs.put(id, nowMs + settings.startWithinMs() + settings.clockDriftMs());
-        scheduler.decide(new SchedulerEvent.AttemptStopped(id, end == AttemptEnd.CHECKPOINTED), nowMs);
+        SchedulerEvent event = end == AttemptEnd.NOT_RELEASED
+                ? new SchedulerEvent.AttemptWithdrawn(id)
+                : new SchedulerEvent.AttemptStopped(id, end == AttemptEnd.CHECKPOINTED);
+        scheduler.decide(event, nowMs);
     }
 
     void finished(JobId job, boolean completed, long nowMs) {
@@ -370,8 +373,10 @@
         boolean late = nowMs > attempt.startByMs();
         for (Placement placement : attempt.placements()) {
             boolean prepared = attempt.report(placement.part()).isPresent();
-            if (attempt.ended(placement.part()) || (late && !prepared)) {
+            if (attempt.ended(placement.part())) {
                 tellFailed(attempt, placement.part(), TaskFailure.START_REFUSED, nowMs);
+            } else if (late && !prepared) {
+                tellFailed(attempt, placement.part(), TaskFailure.START_TIMEOUT, nowMs);
             }
         }
     }
