--- a/replay/src/main/java/org/fuchsiawinch/replay/cli/ResultPrinter.java
+++ b/replay/src/main/java/org/fuchsiawinch/replay/cli/ResultPrinter.java
@@ -1,9 +1,9 @@
 package org.fuchsiawinch.replay.cli;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.function.Function;
 
 import org.fuchsiawinch.replay.check.Promise;
 import org.fuchsiawinch.replay.measure.Measures;
@@ -15,42 +15,47 @@
     private static final double MS_PER_S = 1_000.0;
     private static final double ACCELERATOR_HOUR_MS = 3_600_000.0;
     private static final double MICROS = 1_000_000.0;
-    private static final String[] HEADINGS = {
-        "policy",
-        "completed",
-        "refused",
-        "impossible",
-        "broken",
-        "open",
-        "mean_s",
-        "p50_s",
-        "p95_s",
-        "p99_s",
-        "slowdown",
-        "fragmentation",
-        "guaranteed_max_s",
-        "reclaim_max_s",
-        "large_wait_s",
-        "lost_acc_h",
-        "spend",
-        "promises_broken"
-    };
+    private static final List<Column> COLUMNS = List.of(
+            new Column("policy", Measures::policy),
+            new Column("completed", measures -> Integer.toString(measures.jobs().completed())),
+            new Column("refused", measures -> Integer.toString(measures.jobs().refused())),
+            new Column(
+                    "impossible", measures -> Integer.toString(measures.jobs().impossible())),
+            new Column("broken", measures -> Integer.toString(measures.jobs().broken())),
+            new Column("open", measures -> Integer.toString(measures.jobs().open())),
+            new Column("mean_s", measures -> seconds(measures.completionMs().meanMs())),
+            new Column("p50_s", measures -> seconds(measures.completionMs().p50Ms())),
+            new Column("p95_s", measures -> seconds(measures.completionMs().p95Ms())),
+            new Column("p99_s", measures -> seconds(measures.completionMs().p99Ms())),
+            new Column("slowdown", measures -> decimal(measures.slowdownMean(), 2)),
+            new Column("fragmentation", measures -> decimal(measures.fragmentation(), 4)),
+            new Column("stranded_share", measures -> decimal(measures.strandedShare(), 4)),
+            new Column("stranded_acc", measures -> decimal(measures.strandedAccelerators(), 1)),
+            new Column(
+                    "guaranteed_max_s",
+                    measures -> seconds(measures.guaranteedStartMs().maxMs())),
+            new Column("reclaim_max_s", measures -> seconds(measures.reclaimMs().maxMs())),
+            new Column(
+                    "large_wait_s",
+                    measures -> seconds(measures.largestJobWaitMs().maxMs())),
+            new Column("lost_acc_h", measures -> decimal(measures.lostWorkAcceleratorMs() / ACCELERATOR_HOUR_MS, 2)),
+            new Column("spend", measures -> decimal(spendMicros(measures) / MICROS, 2)),
+            new Column("promises_broken", measures -> Integer.toString(measures.violations())));
+
+    /**
+     * One column of the table.
+     *
+     * @param heading its heading
+     * @param cell gives the text of one row's cell
+     */
+    private record Column(String heading, Function<Measures, String> cell) {}
 
     private ResultPrinter() {}
 
     static String table(String trace, List<Measures> all) {
-        List<String[]> rows = new ArrayList<>();
-        rows.add(HEADINGS);
-        all.forEach(measures -> rows.add(row(measures)));
         StringBuilder text = new StringBuilder("trace=" + trace + "\n");
-        for (String[] row : rows) {
-            for (int column = 0; column < row.length; column++) {
-                int width = width(rows, column);
-                String format = column == 0 ? "%-" + width + "s" : "  %" + width + "s";
-                text.append(String.format(format, row[column]));
-            }
-            text.append('\n');
-        }
+        text.append(line(all, Column::heading));
+        all.forEach(measures -> text.append(line(all, column -> column.cell().apply(measures))));
         all.forEach(measures -> text.append(promises(measures)));
         return text.toString();
     }
@@ -68,34 +73,27 @@
                 target.atMost());
     }
 
-    private static String[] row(Measures measures) {
-        Measures.JobCounts jobs = measures.jobs();
-        double spend = measures.spend().stream()
-                        .mapToLong(Measures.WorkspaceSpend::totalMicros)
-                        .sum()
-                / MICROS;
-        return new String[] {
-            measures.policy(),
-            Integer.toString(jobs.completed()),
-            Integer.toString(jobs.refused()),
-            Integer.toString(jobs.impossible()),
-            Integer.toString(jobs.broken()),
-            Integer.toString(jobs.open()),
-            seconds(measures.completionMs().meanMs()),
-            seconds(measures.completionMs().p50Ms()),
-            seconds(measures.completionMs().p95Ms()),
-            seconds(measures.completionMs().p99Ms()),
-            decimal(measures.slowdownMean(), 2),
-            decimal(measures.fragmentation(), 4),
-            decimal(measures.strandedShare(), 4),
-            decimal(measures.strandedAccelerators(), 1),
-            seconds(measures.guaranteedStartMs().maxMs()),
-            seconds(measures.reclaimMs().maxMs()),
-            seconds(measures.largestJobWaitMs().maxMs()),
-            decimal(measures.lostWorkAcceleratorMs() / ACCELERATOR_HOUR_MS, 2),
-            decimal(spend, 2),
-            Integer.toString(measures.violations())
-        };
+    private static String line(List<Measures> all, Function<Column, String> cell) {
+        StringBuilder text = new StringBuilder();
+        for (Column column : COLUMNS) {
+            String align = text.isEmpty() ? "%-" : "  %";
+            text.append(String.format(align + width(all, column) + "s", cell.apply(column)));
+        }
+        return text.append('\n').toString();
+    }
+
+    private static int width(List<Measures> all, Column column) {
+        int widest = all.stream()
+                .mapToInt(measures -> column.cell().apply(measures).length())
+                .max()
+                .orElse(1);
+        return Math.max(widest, column.heading().length());
+    }
+
+    private static double spendMicros(Measures measures) {
+        return measures.spend().stream()
+                .mapToLong(Measures.WorkspaceSpend::totalMicros)
+                .sum();
     }
 
     private static String promises(Measures measures) {
@@ -109,10 +107,6 @@
         return text.append('\n').toString();
     }
 
-    private static int width(List<String[]> rows, int column) {
-        return rows.stream().mapToInt(row -> row[column].length()).max().orElse(1);
-    }
-
     private static String seconds(double ms) {
         return decimal(ms / MS_PER_S, 1);
     }
