--- a/core/src/main/java/org/fuchsiawinch/core/baseline/Fleet.java
+++ b/core/src/main/java/org/fuchsiawinch/core/baseline/Fleet.java
@@ -49,7 +49,9 @@
         closed.add(worker);
     }
 
+    /** Forgets a worker; what gangs held there is gone with it, also if it joins again. */
     void lose(WorkerId worker) {
+        running.values().forEach(gang -> gang.lost.add(worker));
         workers.remove(worker);
         free.remove(worker);
         closed.remove(worker);
@@ -102,7 +104,9 @@
     static void giveBack(RunningGang gang, Map<WorkerId, Resources> amounts) {
         Resources part = gang.job.shape().perPart();
         for (Placement placement : gang.placements) {
-            amounts.computeIfPresent(placement.worker(), (id, amount) -> amount.plus(part));
+            if (!gang.lost.contains(placement.worker())) {
+                amounts.computeIfPresent(placement.worker(), (id, amount) -> amount.plus(part));
+            }
         }
     }
 
--- a/core/src/main/java/org/fuchsiawinch/core/baseline/RunningGang.java
+++ b/core/src/main/java/org/fuchsiawinch/core/baseline/RunningGang.java
@@ -18,6 +18,7 @@
     final List<Placement> placements;
     final long estimatedEndMs;
     final Set<Integer> done = new HashSet<>();
+    final Set<WorkerId> lost = new HashSet<>();
     boolean stopping;
     boolean cancelled;
 
--- a/core/src/test/java/org/fuchsiawinch/core/baseline/FirstFitSchedulerTest.java
+++ b/core/src/test/java/org/fuchsiawinch/core/baseline/FirstFitSchedulerTest.java
@@ -14,6 +14,7 @@
 import org.fuchsiawinch.model.WorkerId;
 import org.fuchsiawinch.model.WorkerSpec;
 import org.fuchsiawinch.model.WorkspaceId;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -23,7 +24,12 @@
 
     private static final Resources PART = new Resources(1000, 1024, 1, 1, 1);
 
-    private final FirstFitScheduler scheduler = new FirstFitScheduler(true);
+    private FirstFitScheduler scheduler;
+
+    @BeforeMethod
+    public void freshScheduler() {
+        scheduler = new FirstFitScheduler(true);
+    }
 
     @Test
     public void gangStartsOnlyWhenAllPartsFit() {
@@ -40,6 +46,21 @@
         assertEquals(start.placements().size(), 3);
     }
 
+    @Test
+    public void capacityOfAnAttemptOnALostWorkerIsNotGivenBackTwice() {
+        scheduler.decide(new SchedulerEvent.WorkerJoined(worker("w1", "r1")), 0);
+        Decision.StartGang start = (Decision.StartGang) scheduler
+                .decide(new SchedulerEvent.JobSubmitted(job("j1", 2)), 0)
+                .get(0);
+        scheduler.decide(new SchedulerEvent.WorkerLost(new WorkerId("w1")), 1);
+        scheduler.decide(new SchedulerEvent.WorkerJoined(worker("w1", "r1")), 2);
+        List<Decision> again = scheduler.decide(new SchedulerEvent.AttemptStopped(start.attempt(), false), 3);
+        assertEquals(again.size(), 1, "the job starts again");
+        assertTrue(scheduler
+                .decide(new SchedulerEvent.JobSubmitted(job("j2", 1)), 4)
+                .isEmpty());
+    }
+
     private static WorkerSpec worker(String id, String rack) {
         return new WorkerSpec(new WorkerId(id), "suva-1", rack, PART.times(2), 1.0);
     }
--- a/replay/src/main/java/org/fuchsiawinch/replay/measure/RequestLog.java
+++ b/replay/src/main/java/org/fuchsiawinch/replay/measure/RequestLog.java
@@ -141,9 +141,8 @@
         if (request.resultMs != Request.NEVER) {
             return request.resultMs - request.submitMs;
         }
-        boolean told =
-                request.code != null && !REFUSALS.contains(request.code) && request.code != ReasonCode.END_POISON;
-        return (told ? request.endedMs : horizonMs) - request.submitMs;
+        boolean brokenByWorker = request.code == ReasonCode.END_BROKEN_NOT_REPEATABLE && request.partFailed;
+        return (brokenByWorker ? request.endedMs : horizonMs) - request.submitMs;
     }
 
     private Request of(JobId id) {
