--- a/document/src/main/java/org/fuchsiawinch/document/ledger/DocumentLedger.java
+++ b/document/src/main/java/org/fuchsiawinch/document/ledger/DocumentLedger.java
@@ -22,6 +22,7 @@
 import org.fuchsiawinch.document.ledger.LedgerOutcome.NotNewer;
 import org.fuchsiawinch.document.ledger.LedgerOutcome.Pending;
 import org.fuchsiawinch.document.ledger.LedgerOutcome.Settled;
+import org.fuchsiawinch.document.ledger.LedgerRecord.DeltaProposal;
 import org.fuchsiawinch.document.ledger.LedgerRecord.Genesis;
 import org.fuchsiawinch.document.ledger.LedgerRecord.Proposal;
 import org.fuchsiawinch.document.ledger.LedgerRecord.Republication;
@@ -160,9 +161,7 @@
             return new LedgerStep(
                     new DocumentLedger(current, throughOffset, Optional.of(next), history), new Pending());
         }
-        LedgerStep step = record instanceof Genesis genesis
-                ? applyGenesis(offset, genesis)
-                : applyProposal(offset, (Proposal) record);
+        LedgerStep step = judge(offset, record);
         return new LedgerStep(step.ledger().readThrough(offset), step.outcome());
     }
 
@@ -231,6 +230,23 @@
         return new LedgerStep(ledger, new Adopted(adoptedVersion, settled));
     }
 
+    private LedgerStep judge(long offset, LedgerRecord record) {
+        if (record instanceof Genesis genesis) {
+            return applyGenesis(offset, genesis);
+        }
+        return record instanceof DeltaProposal delta
+                ? applyDelta(offset, delta)
+                : applyProposal(offset, (Proposal) record);
+    }
+
+    private LedgerStep applyDelta(long offset, DeltaProposal change) {
+        Optional<String> text =
+                current.map(base -> base.sectionTexts().get(change.section())).flatMap(change.delta()::applyTo);
+        Proposal whole = new Proposal(
+                change.team(), change.section(), change.baseVersion(), text.orElse(""), change.signature());
+        return applyProposal(offset, whole);
+    }
+
     private LedgerStep applyGenesis(long offset, Genesis genesis) {
         if (current.isPresent()) {
             return conflict();
--- a/document/src/main/java/org/fuchsiawinch/document/ledger/LedgerRecord.java
+++ b/document/src/main/java/org/fuchsiawinch/document/ledger/LedgerRecord.java
@@ -1,5 +1,6 @@
 package org.fuchsiawinch.document.ledger;
 
+import org.fuchsiawinch.document.Document;
 import org.fuchsiawinch.document.Section;
 
 /** A record of the document in the platform's log. */
@@ -22,6 +23,30 @@
      * @param signature Ed25519 signature in base64, see {@link SectionSigner}
      */
     record Proposal(String team, Section section, int baseVersion, String sectionText, String signature)
+            implements LedgerRecord {
+
+        /**
+         * Gives the same change in the form that takes the least of the log.
+         *
+         * @param base the document of the base version
+         * @return the change with the changed part of the text only
+         */
+        public DeltaProposal against(Document base) {
+            SectionDelta delta = SectionDelta.between(base.sectionTexts().get(section), sectionText);
+            return new DeltaProposal(team, section, baseVersion, delta, signature);
+        }
+    }
+
+    /**
+     * A change of one section as the difference from its base. The signature covers the whole text that results.
+     *
+     * @param team name of the team that signed
+     * @param section the section
+     * @param baseVersion version that the change was made from
+     * @param delta the changed part
+     * @param signature Ed25519 signature in base64, see {@link SectionSigner}
+     */
+    record DeltaProposal(String team, Section section, int baseVersion, SectionDelta delta, String signature)
             implements LedgerRecord {}
 
     /**
--- a/document/src/test/java/org/fuchsiawinch/document/ledger/LedgerConvergenceTest.java
+++ b/document/src/test/java/org/fuchsiawinch/document/ledger/LedgerConvergenceTest.java
@@ -12,6 +12,7 @@
 import org.fuchsiawinch.document.ledger.LedgerOutcome.NotNewer;
 import org.fuchsiawinch.document.ledger.LedgerOutcome.Pending;
 import org.fuchsiawinch.document.ledger.LedgerRecord.Genesis;
+import org.fuchsiawinch.document.ledger.LedgerRecord.Proposal;
 import org.fuchsiawinch.document.ledger.LedgerRecord.Republication;
 import org.testng.annotations.Test;
 
@@ -177,9 +178,10 @@
         if (kind == 2) {
             return author.republication(through).orElseThrow();
         }
-        return kind < 5
+        Proposal proposal = kind < 5
                 ? Editors.checkpoint(base, 1 + random.nextInt(80))
                 : Editors.planLimit(base, random.nextInt(9_000));
+        return random.nextBoolean() ? proposal : proposal.against(base);
     }
 
     private static Republication copyOf(String text, int version, long through) {
