--- a/core/src/main/java/org/fuchsiawinch/core/internal/Engine.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Engine.java
@@ -32,6 +32,8 @@
     private final Admission admission;
     private final Recovery recovery;
     private final Explainer explainer;
+    private final Defragmenter defragmenter;
+    private final Escalation escalation;
 
     /**
      * Creates an engine without workers, jobs or policy.
@@ -52,6 +54,8 @@
         admission = new Admission(state, claimer, waiting);
         recovery = new Recovery(state, starter, promoter, waiting, reservations);
         explainer = new Explainer(features);
+        defragmenter = new Defragmenter(state, starter, reservations);
+        escalation = new Escalation(state);
     }
 
     /**
@@ -138,7 +142,7 @@
                 .forEach((workspace, rules) -> state.ledger(workspace).rules(rules, state.nowMs()));
         state.keeper.policy(policy);
         state.promotable.addAll(policy.workspaces().keySet());
-        workers.raiseAlarms(GuaranteeUnit::lost);
+        workers.raiseAlarms(unit -> unit.lost() || state.pool.joinedCount() > 0);
         for (Job job : state.queue.jobs()) {
             if (!policy.workspaces().containsKey(job.spec().workspace())) {
                 endings.endWaiting(job, Reason.of(ReasonCode.END_UNKNOWN_WORKSPACE));
@@ -163,29 +167,41 @@
         overruns.tick();
         workers.sendDueProbes();
         workers.raiseAlarms(unit -> true);
+        escalation.tick();
+        defragmenter.tick();
+        state.faults.forgetStale(state.nowMs());
         reservations.review();
         state.capacityGrew();
     }
 
     private void settle() {
         workers.quarantineSuspects();
+        workers.raiseLossAlarms();
         promoter.run();
         starter.startClaimed();
-        boolean retryReserved = true;
-        while (true) {
+        boolean grew = true;
+        while (grew) {
             if (state.takeCapacityGrew()) {
                 state.queue.capacityGrew();
-                retryReserved = true;
             }
-            if (retryReserved) {
-                retryReserved = false;
-                startReserved();
+            startGuaranteed();
+            startReserved();
+            startOthers();
+            defragmenter.run();
+            grew = state.capacityHasGrown();
+        }
+    }
+
+    /** Starts what fits into guarantees before anything else takes the capacity. */
+    private void startGuaranteed() {
+        for (JobClass group : state.queue.ready()) {
+            if (!claimer.hasRoom(group.key().workspace())) {
+                continue;
             }
-            Optional<Job> next = state.queue.next();
-            if (next.isEmpty()) {
-                return;
+            boolean started = true;
+            while (started && !group.jobs().isEmpty()) {
+                started = starter.tryGuaranteed(group.first());
             }
-            startOrBlock(next.get());
         }
     }
 
@@ -198,6 +214,16 @@
                 .ifPresent(this::startOrBlock);
     }
 
+    private void startOthers() {
+        while (!state.capacityHasGrown()) {
+            Optional<Job> next = state.queue.next();
+            if (next.isEmpty()) {
+                return;
+            }
+            startOrBlock(next.get());
+        }
+    }
+
     private void startOrBlock(Job job) {
         JobClass group = job.jobClass();
         Optional<ReasonCode> wait = starter.tryStart(job);
@@ -207,6 +233,8 @@
         state.queue.block(group, wait.get());
         if (Reservations.forCapacity(wait.get())) {
             reservations.consider(job);
+        } else if (wait.get() != ReasonCode.WAIT_RESERVATION) {
+            reservations.drop(job);
         }
     }
 }
--- a/core/src/main/java/org/fuchsiawinch/core/internal/Starter.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Starter.java
@@ -13,6 +13,7 @@
 import org.fuchsiawinch.model.PricePolicy;
 import org.fuchsiawinch.model.Resources;
 import org.fuchsiawinch.model.Shape;
+import org.fuchsiawinch.model.StopMode;
 
 /** Starts waiting jobs, or says why one cannot start. Not thread-safe. */
 final class Starter {
@@ -41,18 +42,29 @@
         this.explainer = new Explainer(state.features);
     }
 
-    /** Starts or claims capacity for a waiting job; gives the reason to wait if neither is possible. */
+    /** Starts a waiting job outside its guarantees; gives the reason to wait if that is not possible. */
     Optional<ReasonCode> tryStart(Job job) {
-        WorkspaceLedger ledger = state.ledger(job.spec().workspace());
-        if (state.has(SchedulerFeature.QUOTA) && !ledger.quotaAllows(job.accelerators())) {
+        if (quotaBars(job)) {
             return Optional.of(ReasonCode.WAIT_QUOTA);
         }
-        Resources part = job.jobClass().key().part();
-        Optional<GuaranteeClaimer.Offer> offer = claimer.offer(job, part);
-        if (offer.isPresent()) {
-            return take(job, part, offer.get());
+        return startOutside(job, job.jobClass().key().part());
+    }
+
+    /** Starts a waiting job inside its workspace's guarantees or claims capacity there; says whether it did. */
+    boolean tryGuaranteed(Job job) {
+        if (quotaBars(job)) {
+            return false;
         }
-        return startOutside(job, part);
+        Resources part = job.jobClass().key().part();
+        return claimer.offer(job, part)
+                .filter(offer -> limitAllows(job, offer.gang(), rate(false)))
+                .map(offer -> take(job, part, offer))
+                .isPresent();
+    }
+
+    private boolean quotaBars(Job job) {
+        return state.has(SchedulerFeature.QUOTA)
+                && !state.ledger(job.spec().workspace()).quotaAllows(job.accelerators());
     }
 
     /** Starts each claimed job whose capacity has come free. */
@@ -73,21 +85,17 @@
         state.capacityGrew();
     }
 
-    private Optional<ReasonCode> take(Job job, Resources part, GuaranteeClaimer.Offer offer) {
-        if (!limitAllows(job, offer.gang(), prices().acceleratorHourMicros())) {
-            return Optional.of(ReasonCode.WAIT_SPEND_LIMIT);
-        }
+    private Job take(Job job, Resources part, GuaranteeClaimer.Offer offer) {
         if (!offer.mustWait()) {
             state.queue.remove(job);
             start(job, offer.gang(), part, Standing.GUARANTEED, offer.unit(), ReasonCode.START_GUARANTEED);
-            return Optional.empty();
+            return job;
         }
         int[] excess = offer.unit().take(offer.gang(), part);
         offer.unit().addPending(1);
-        claim(
-                new Claim(job, offer.unit(), offer.gang(), part, excess, offer.victims(), state.nowMs()),
-                StopCause.RECLAIM);
-        return Optional.empty();
+        List<Attempt> victims = offer.victims();
+        claim(new Claim(job, offer.unit(), offer.gang(), part, excess, victims, state.nowMs()), StopCause.RECLAIM);
+        return job;
     }
 
     /** Holds capacity for a waiting job and stops what is in the way. */
@@ -97,13 +105,20 @@
         claim.job().claim(claim);
         Occupancy.hold(claim.gang(), claim.part(), 1);
         state.ledger(claim.job().spec().workspace()).hold(claim.job().accelerators());
+        if (firm(claim)) {
+            Occupancy.commit(claim.gang(), claim.part(), 1);
+        }
         for (Attempt victim : claim.victims()) {
-            stopper.stop(victim, cause, state.victims.mode(victim));
+            boolean move = cause == StopCause.DEFRAGMENT;
+            stopper.stop(victim, cause, move ? StopMode.CHECKPOINT : state.victims.mode(victim));
         }
     }
 
     private void release(Claim claim) {
         Occupancy.hold(claim.gang(), claim.part(), -1);
+        if (firm(claim)) {
+            Occupancy.commit(claim.gang(), claim.part(), -1);
+        }
         if (claim.unit() != null) {
             claim.unit().addPending(-1);
             claim.unit().give(claim.gang(), claim.part(), claim.excessMemoryMb());
@@ -112,6 +127,10 @@
         state.ledger(claim.job().spec().workspace()).hold(-claim.job().accelerators());
     }
 
+    private boolean firm(Claim claim) {
+        return claim.unit() == null && !lendable(claim.job());
+    }
+
     private static boolean free(Claim claim) {
         Gang gang = claim.gang();
         for (int i = 0; i < gang.workers().length; i++) {
@@ -126,7 +145,7 @@
         Standing standing = Standing.GUARANTEED;
         ReasonCode code = ReasonCode.START_GUARANTEED;
         if (claim.unit() == null) {
-            standing = lendable(claim.job()) ? Standing.LENT : Standing.FIRM;
+            standing = firm(claim) ? Standing.FIRM : Standing.LENT;
             code = ReasonCode.START_SPARE;
         }
         start(claim.job(), claim.gang(), claim.part(), standing, claim.unit(), code);
@@ -150,6 +169,10 @@
         if (free.isPresent() && lent) {
             return startAt(job, part, free.get(), true, ReasonCode.START_LENT);
         }
+        Optional<Gang> cleared = free.isPresent() ? state.keeper.makeWay(request.within(Space.FREE)) : free;
+        if (cleared.isPresent()) {
+            return startAt(job, part, cleared.get(), false, ReasonCode.START_SPARE);
+        }
         if (free.isPresent()) {
             return Optional.of(
                     job.spec().reclaimable() ? ReasonCode.WAIT_PROTECTS_GUARANTEE : ReasonCode.WAIT_NOT_ON_LENT);
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeMachine.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeMachine.java
@@ -12,6 +12,7 @@
 import org.fuchsiawinch.core.Scheduler;
 import org.fuchsiawinch.model.JobId;
 import org.fuchsiawinch.model.JobSpec;
+import org.fuchsiawinch.protocol.ProtocolFeature;
 import org.fuchsiawinch.protocol.fold.CellEntry;
 import org.fuchsiawinch.protocol.fold.DocumentBook;
 import org.fuchsiawinch.protocol.fold.JobEntry;
@@ -20,6 +21,7 @@
 import org.fuchsiawinch.protocol.fold.VoidCode;
 import org.fuchsiawinch.protocol.node.internal.Appender;
 import org.fuchsiawinch.protocol.node.internal.CellOwner;
+import org.fuchsiawinch.protocol.node.internal.CommandPacer;
 import org.fuchsiawinch.protocol.node.internal.Outlet;
 import org.fuchsiawinch.protocol.node.internal.RequestDesk;
 import org.fuchsiawinch.protocol.record.Envelope;
@@ -40,11 +42,13 @@
     private final NodeSettings settings;
     private final LogFold fold;
     private final Appender appender;
+    private final CommandPacer pacer;
     private final RequestDesk desk = new RequestDesk();
     private final CellOwner owner;
     private final Set<JobId> submitting = new HashSet<>();
     private final Set<RecordId> documentChanges = new HashSet<>();
     private List<NodeEffect> effects = new ArrayList<>();
+    private long inputMs;
     private long endReachedMs = Long.MIN_VALUE / 2;
     private long ownerHeardMs;
     private long ownerHeardOffset = -2;
@@ -66,8 +70,9 @@
      */
     public NodeMachine(NodeSettings settings, DocumentBook document, Supplier<Scheduler> schedulers) {
         this.settings = settings;
-        this.fold = new LogFold(document);
+        this.fold = new LogFold(document, settings.features());
         this.appender = new Appender(settings.node(), settings.appendLimit());
+        this.pacer = new CommandPacer(settings.renewEveryMs() / 2);
         this.owner = new CellOwner(settings, schedulers, fold, new MachineOutlet());
     }
 
@@ -80,6 +85,7 @@
      */
     public List<NodeEffect> handle(NodeInput input, long nowMs) {
         effects = new ArrayList<>();
+        inputMs = nowMs;
         dispatch(input, nowMs);
         appender.next(nowMs).ifPresent(effects::add);
         return effects;
@@ -114,6 +120,16 @@
         return owner.waitReason(job, nowMs);
     }
 
+    /**
+     * Gives the reason of the last decision on a job, if this node took it.
+     *
+     * @param job the job
+     * @return the reason, or empty
+     */
+    public Optional<Reason> lastReason(JobId job) {
+        return owner.lastReason(job);
+    }
+
     private void dispatch(NodeInput input, long nowMs) {
         if (input instanceof NodeInput.RecordRead read) {
             recordRead(read.offset(), read.envelope(), nowMs);
@@ -158,6 +174,9 @@
         followOwner(nowMs);
         followDocument(nowMs);
         jobOf(record).flatMap(fold::job).ifPresent(job -> desk.jobChanged(job, effects::add));
+        if (own && actsBeforeReadBack(record)) {
+            return;
+        }
         if (jobOf(record).flatMap(fold::job).filter(this::inCell).isPresent()) {
             owner.recordApplied(record, nowMs);
         }
@@ -411,6 +430,11 @@
         effects.add(new NodeEffect.Reply(requestId, reply));
     }
 
+    private boolean actsBeforeReadBack(LogRecord record) {
+        boolean act = record instanceof LogRecord.AttemptPlaced || record instanceof LogRecord.AttemptReleased;
+        return act && !settings.features().contains(ProtocolFeature.READ_BACK);
+    }
+
     private boolean inCell(JobEntry job) {
         return job.cell().equals(settings.cell());
     }
@@ -441,11 +465,18 @@
 
         @Override
         public RecordId append(LogRecord record, long nowMs) {
-            return appender.add(record, nowMs);
+            RecordId id = appender.add(record, nowMs);
+            if (actsBeforeReadBack(record)) {
+                owner.recordApplied(record, nowMs);
+            }
+            return id;
         }
 
         @Override
         public void emit(NodeEffect effect) {
+            if (effect instanceof NodeEffect.Command command && !pacer.admit(command, inputMs)) {
+                return;
+            }
             effects.add(effect);
         }
     }
