Found the first document from the command line

Cause: the first document has to be put in force without a signature, once. Change: document found sends the checked file with the nodes' founding token.

--- a/ctl/src/main/java/org/fuchsiawinch/ctl/api/ControlApi.java
+++ b/ctl/src/main/java/org/fuchsiawinch/ctl/api/ControlApi.java
@@ -25,4 +25,15 @@
      * @throws UnreadableReplyException if the reply is no JSON
      */
     ApiReply send(String path, JsonNode body);
+
+    /**
+     * Sends a text that changes something. It is not repeated.
+     *
+     * @param path path with a leading slash
+     * @param text the text
+     * @return the reply, of any status
+     * @throws NodeUnreachableException if there is no reply within the timeout; the change may have taken effect
+     * @throws UnreadableReplyException if the reply is no JSON
+     */
+    ApiReply sendText(String path, String text);
 }
--- a/ctl/src/main/java/org/fuchsiawinch/ctl/api/HttpControlApi.java
+++ b/ctl/src/main/java/org/fuchsiawinch/ctl/api/HttpControlApi.java
@@ -47,15 +47,12 @@
 
     @Override
     public ApiReply send(String path, JsonNode body) {
-        String url = baseUrl + path;
-        byte[] bytes = body.toString().getBytes(StandardCharsets.UTF_8);
-        return await(
-                url,
-                client.headers(headers -> headers.set("Content-Type", "application/json"))
-                        .post()
-                        .uri(url)
-                        .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(bytes)))
-                        .responseSingle(HttpControlApi::reply));
+        return post(path, "application/json", body.toString());
+    }
+
+    @Override
+    public ApiReply sendText(String path, String text) {
+        return post(path, "text/plain; charset=utf-8", text);
     }
 
     /** Status and bytes of a reply. */
@@ -66,6 +63,18 @@
         return content.asByteArray().defaultIfEmpty(new byte[0]).map(bytes -> new RawReply(status, bytes));
     }
 
+    private ApiReply post(String path, String contentType, String body) {
+        String url = baseUrl + path;
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        return await(
+                url,
+                client.headers(headers -> headers.set("Content-Type", contentType))
+                        .post()
+                        .uri(url)
+                        .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(bytes)))
+                        .responseSingle(HttpControlApi::reply));
+    }
+
     private ApiReply await(String url, Mono<RawReply> pending) {
         RawReply raw = pending.timeout(timeout)
                 .onErrorMap(error -> new NodeUnreachableException(url, error))
--- a/ctl/src/main/java/org/fuchsiawinch/ctl/command/DocumentCommands.java
+++ b/ctl/src/main/java/org/fuchsiawinch/ctl/command/DocumentCommands.java
@@ -37,6 +37,13 @@
                         CommonSettings.ONLINE,
                         List.of("fuchsiawinch-ctl document get > base.yaml"),
                         DocumentCommands::get),
+                new Command(
+                        "document found",
+                        List.of("FILE"),
+                        "Puts the first document in force; refused if one is. Needs the nodes' founding token.",
+                        CommonSettings.ONLINE,
+                        List.of("FUCHSIAWINCH_TOKEN=... fuchsiawinch-ctl document found first.yaml"),
+                        DocumentCommands::found),
                 new Command(
                         "document check",
                         List.of("FILE"),
@@ -84,6 +91,16 @@
         return Program.EXIT_OK;
     }
 
+    private static int found(Invocation invocation) {
+        Optional<Document> document = InputFiles.document(invocation.arguments().get(0), invocation);
+        if (document.isEmpty()) {
+            return Program.EXIT_USAGE;
+        }
+        ApiReply reply =
+                invocation.api().sendText(DocumentInForce.PATH, document.get().text());
+        return Replies.print(reply, invocation);
+    }
+
     private static int check(Invocation invocation) {
         String file = invocation.arguments().get(0);
         Optional<Document> document = InputFiles.document(file, invocation);
--- a/ctl/src/test/java/org/fuchsiawinch/ctl/FakeNode.java
+++ b/ctl/src/test/java/org/fuchsiawinch/ctl/FakeNode.java
@@ -31,6 +31,13 @@
     private final List<Runnable> beforeProposals = new ArrayList<>();
 
     FakeNode() {
+        this(true);
+    }
+
+    FakeNode(boolean founded) {
+        if (!founded) {
+            return;
+        }
         append(new LedgerRecord.Genesis(read(SAMPLE.resolve("document.yaml"))));
     }
 
@@ -78,6 +85,16 @@
         return new ApiReply(404, body);
     }
 
+    @Override
+    public ApiReply sendText(String path, String text) {
+        LedgerOutcome outcome = append(new LedgerRecord.Genesis(text));
+        ObjectNode answer = JsonNodeFactory.instance.objectNode();
+        if (outcome instanceof LedgerOutcome.Accepted accepted) {
+            return new ApiReply(200, answer.put("outcome", "accepted").put("version", accepted.version()));
+        }
+        return new ApiReply(409, answer.put("error", "ALREADY_FOUNDED"));
+    }
+
     @Override
     public ApiReply send(String path, JsonNode body) {
         if (!beforeProposals.isEmpty()) {
