Find members at an address in constant time; add the burn report

Every message looked through all members for another process at the sender's address, so processor time per node grew with the group; an index answers it now. The report reads records (JSON Lines) and the document and renders burn rates, budget left and spend as text, JSON or one HTML page. Not yet tested or run on a sample; no figures.

--- a/membership/src/main/java/org/fuchsiawinch/membership/internal/MemberTable.java
+++ b/membership/src/main/java/org/fuchsiawinch/membership/internal/MemberTable.java
@@ -6,9 +6,12 @@
 import java.util.Map;
 import java.util.NavigableMap;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 
+import org.fuchsiawinch.membership.Endpoint;
 import org.fuchsiawinch.membership.Member;
 import org.fuchsiawinch.membership.MemberState;
 import org.fuchsiawinch.membership.MembershipChange;
@@ -24,6 +27,7 @@
 
     private final NavigableMap<NodeId, Member> members = new TreeMap<>();
     private final List<NodeId> reachable = new ArrayList<>();
+    private final Map<Endpoint, Set<NodeId>> reachableAt = new HashMap<>();
     private final Map<NodeId, Long> deadSinceMs = new HashMap<>();
     private long digest;
 
@@ -81,14 +85,25 @@
         boolean wasReachable = before != null && before.state().reachable();
         if (update.state().reachable() && !wasReachable) {
             reachable.add(update.id());
+            reachableAt
+                    .computeIfAbsent(update.endpoint(), endpoint -> new TreeSet<>())
+                    .add(update.id());
             deadSinceMs.remove(update.id());
         }
         if (!update.state().reachable() && wasReachable) {
             reachable.remove(update.id());
+            removeFromEndpoint(before);
             deadSinceMs.put(update.id(), nowMs);
         }
     }
 
+    private void removeFromEndpoint(Member member) {
+        reachableAt.computeIfPresent(member.endpoint(), (endpoint, ids) -> {
+            ids.remove(member.id());
+            return ids.isEmpty() ? null : ids;
+        });
+    }
+
     /**
      * Forgets members that have been dead for long.
      *
@@ -140,10 +155,9 @@
 
     /** Returns the members that are not dead at the same address as a node, without itself. */
     public List<Member> othersAtSameEndpoint(Member node) {
-        return reachable.stream()
+        return reachableAt.getOrDefault(node.endpoint(), Set.of()).stream()
+                .filter(id -> !id.equals(node.id()))
                 .map(members::get)
-                .filter(member -> member.endpoint().equals(node.endpoint()))
-                .filter(member -> !member.id().equals(node.id()))
                 .toList();
     }
 }
--- /dev/null
+++ b/report/src/main/java/org/fuchsiawinch/report/burn/BurnCalculator.java
@@ -0,0 +1,168 @@
+package org.fuchsiawinch.report.burn;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.fuchsiawinch.document.Document;
+import org.fuchsiawinch.document.ServiceLevel;
+import org.fuchsiawinch.model.WorkspaceId;
+import org.fuchsiawinch.model.WorkspacePolicy;
+import org.fuchsiawinch.report.records.JobOutcome;
+import org.fuchsiawinch.report.records.JobRecord;
+import org.fuchsiawinch.report.records.Records;
+import org.fuchsiawinch.report.records.SpendSample;
+import org.fuchsiawinch.report.records.SystemSample;
+
+/** Computes a report from records and the accepted document. Stateless. */
+public final class BurnCalculator {
+
+    private static final int HISTORY_POINTS = 60;
+    private static final int RECENT_PARTS = 10;
+    private static final double P95 = 0.95;
+    private static final double MEDIAN = 0.5;
+
+    private BurnCalculator() {}
+
+    /**
+     * Computes a report. Records after its moment do not count.
+     *
+     * @param records the records
+     * @param document the document with service levels and limits
+     * @param nowMs the moment of the report, in ms since the epoch
+     */
+    public static BurnReport compute(Records records, Document document, long nowMs) {
+        List<JobRecord> jobs =
+                records.jobs().stream().filter(job -> job.endedMs() <= nowMs).toList();
+        List<SystemSample> samples = records.samples().stream()
+                .filter(sample -> sample.atMs() <= nowMs)
+                .sorted(Comparator.comparingLong(SystemSample::atMs))
+                .toList();
+        List<ObjectiveBurn> objectives = document.serviceLevels().stream()
+                .map(level -> objective(level, jobs, nowMs))
+                .sorted(Comparator.comparingDouble(ObjectiveBurn::budgetLeft))
+                .toList();
+        List<SpendBurn> spends = new ArrayList<>();
+        new TreeMap<>(document.policy().workspaces())
+                .forEach((workspace, policy) -> spends.add(spend(workspace, policy, jobs, records.spends(), nowMs)));
+        return new BurnReport(
+                nowMs, document.currency(), objectives, spends, summaries(jobs), samples, meanFragmentation(samples));
+    }
+
+    private static ObjectiveBurn objective(ServiceLevel level, List<JobRecord> jobs, long nowMs) {
+        Events events = Events.of(level, jobs);
+        long startMs = nowMs - level.windowMs();
+        Events.Tally total = events.tally(startMs, nowMs);
+        double allowed = (1 - level.targetShare()) * (total.good() + total.bad());
+        double budgetLeft = total.bad() == 0 ? 1 : 1 - total.bad() / allowed;
+        List<WindowBurn> windows = new ArrayList<>();
+        for (BurnAlert alert : BurnAlert.values()) {
+            windows.add(window(alert, level, events, nowMs));
+        }
+        return new ObjectiveBurn(
+                level, total.good(), total.bad(), budgetLeft, windows, history(events, allowed, startMs, nowMs));
+    }
+
+    private static WindowBurn window(BurnAlert alert, ServiceLevel level, Events events, long nowMs) {
+        long longMs = alert.longWindowMs(level.windowMs());
+        long shortMs = alert.shortWindowMs(level.windowMs());
+        double longBurn = events.tally(nowMs - longMs, nowMs).burn(level.targetShare());
+        double shortBurn = events.tally(nowMs - shortMs, nowMs).burn(level.targetShare());
+        boolean firing = Math.min(longBurn, shortBurn) >= alert.threshold();
+        return new WindowBurn(alert, longMs, shortMs, longBurn, shortBurn, firing);
+    }
+
+    private static List<BudgetPoint> history(Events events, double allowed, long startMs, long nowMs) {
+        Optional<Long> firstMs = events.all().stream()
+                .map(Events.Event::atMs)
+                .filter(atMs -> atMs > startMs)
+                .findFirst();
+        List<BudgetPoint> points = new ArrayList<>();
+        if (firstMs.isEmpty()) {
+            return points;
+        }
+        long spanMs = nowMs - firstMs.get();
+        for (int i = 0; i <= HISTORY_POINTS; i++) {
+            long atMs = firstMs.get() + spanMs * i / HISTORY_POINTS;
+            points.add(new BudgetPoint(atMs, events.tally(startMs, atMs).bad() / allowed));
+        }
+        return points;
+    }
+
+    private static SpendBurn spend(
+            WorkspaceId workspace,
+            WorkspacePolicy policy,
+            List<JobRecord> jobs,
+            List<SpendSample> samples,
+            long nowMs) {
+        long periodMs = policy.spendPeriodMs();
+        Optional<SpendSample> sample = samples.stream()
+                .filter(each -> each.workspace().equals(workspace))
+                .filter(each -> each.atMs() <= nowMs && each.atMs() > nowMs - periodMs)
+                .max(Comparator.comparingLong(SpendSample::atMs));
+        long ended = endedSpend(workspace, jobs, nowMs - periodMs);
+        long recent = endedSpend(workspace, jobs, nowMs - periodMs / RECENT_PARTS);
+        double limit = policy.spendLimitMicros().orElse(0);
+        double recentRate = limit == 0 ? 0 : recent * RECENT_PARTS / limit;
+        return new SpendBurn(
+                workspace,
+                policy.spendLimitMicros(),
+                periodMs,
+                sample.map(SpendSample::periodSpendMicros).orElse(ended),
+                recentRate,
+                sample.isPresent());
+    }
+
+    private static long endedSpend(WorkspaceId workspace, List<JobRecord> jobs, long afterMs) {
+        return jobs.stream()
+                .filter(job -> job.workspace().equals(workspace) && job.endedMs() > afterMs)
+                .mapToLong(JobRecord::spendMicros)
+                .sum();
+    }
+
+    private static List<WorkspaceSummary> summaries(List<JobRecord> jobs) {
+        Map<WorkspaceId, List<JobRecord>> byWorkspace = new TreeMap<>();
+        jobs.forEach(job -> byWorkspace
+                .computeIfAbsent(job.workspace(), id -> new ArrayList<>())
+                .add(job));
+        List<WorkspaceSummary> summaries = new ArrayList<>();
+        byWorkspace.forEach((workspace, own) -> summaries.add(summary(workspace, own)));
+        return summaries;
+    }
+
+    private static WorkspaceSummary summary(WorkspaceId workspace, List<JobRecord> jobs) {
+        Map<JobOutcome, Integer> outcomes = new EnumMap<>(JobOutcome.class);
+        jobs.forEach(job -> outcomes.merge(job.outcome(), 1, Integer::sum));
+        List<Long> times = jobs.stream()
+                .filter(job -> job.outcome().ran())
+                .map(job -> job.endedMs() - job.submittedMs())
+                .sorted()
+                .toList();
+        return new WorkspaceSummary(workspace, outcomes, quantile(times, MEDIAN), quantile(times, P95));
+    }
+
+    private static long quantile(List<Long> sorted, double share) {
+        if (sorted.isEmpty()) {
+            return 0;
+        }
+        int rank = (int) Math.ceil(share * sorted.size());
+        return sorted.get(Math.max(0, rank - 1));
+    }
+
+    private static double meanFragmentation(List<SystemSample> samples) {
+        if (samples.isEmpty()) {
+            return 0;
+        }
+        double weighted = 0;
+        for (int i = 1; i < samples.size(); i++) {
+            SystemSample before = samples.get(i - 1);
+            weighted += before.fragmentation() * (samples.get(i).atMs() - before.atMs());
+        }
+        long spanMs = samples.get(samples.size() - 1).atMs() - samples.get(0).atMs();
+        return spanMs == 0 ? samples.get(0).fragmentation() : weighted / spanMs;
+    }
+}
--- /dev/null
+++ b/report/src/main/java/org/fuchsiawinch/report/burn/Events.java
@@ -0,0 +1,93 @@
+package org.fuchsiawinch.report.burn;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+import org.fuchsiawinch.document.ServiceLevel;
+import org.fuchsiawinch.report.records.JobOutcome;
+import org.fuchsiawinch.report.records.JobRecord;
+
+/** Good and bad events of one service level, in the order of time. Immutable. */
+final class Events {
+
+    private final List<Event> events;
+
+    /** One event; {@code atMs} is when it was known to be good or bad. */
+    record Event(long atMs, boolean good) {}
+
+    private Events(List<Event> events) {
+        this.events = events;
+    }
+
+    static Events of(ServiceLevel level, List<JobRecord> jobs) {
+        List<Event> events = new ArrayList<>();
+        for (JobRecord job : jobs) {
+            if (job.workspace().equals(level.workspace())) {
+                event(level, job).ifPresent(events::add);
+            }
+        }
+        events.sort(Comparator.comparingLong(Event::atMs));
+        return new Events(events);
+    }
+
+    private static Optional<Event> event(ServiceLevel level, JobRecord job) {
+        return switch (level.kind()) {
+            case GUARANTEED_START -> start(level, job);
+            case COMPLETION -> completion(level, job);
+            case WHOLE_ANSWERS ->
+                job.outcome().owedAnswer()
+                        ? Optional.of(new Event(job.endedMs(), job.wholeAnswer()))
+                        : Optional.empty();
+        };
+    }
+
+    private static Optional<Event> start(ServiceLevel level, JobRecord job) {
+        if (!job.guaranteed() || job.outcome() == JobOutcome.REFUSED) {
+            return Optional.empty();
+        }
+        long decidedMs = job.startedMs().orElse(job.endedMs());
+        boolean late = decidedMs - job.submittedMs() > level.thresholdMs().orElse(Long.MAX_VALUE);
+        if (job.startedMs().isPresent()) {
+            return Optional.of(new Event(decidedMs, !late));
+        }
+        boolean withdrawnInTime = job.outcome() == JobOutcome.CANCELLED && !late;
+        return withdrawnInTime ? Optional.empty() : Optional.of(new Event(decidedMs, false));
+    }
+
+    private static Optional<Event> completion(ServiceLevel level, JobRecord job) {
+        if (!job.outcome().owedAnswer()) {
+            return Optional.empty();
+        }
+        long tookMs = job.endedMs() - job.submittedMs();
+        boolean inTime = tookMs <= level.thresholdMs().orElse(Long.MAX_VALUE);
+        return Optional.of(new Event(job.endedMs(), job.outcome().ran() && inTime));
+    }
+
+    /** Counts events after one moment and not after another. */
+    Tally tally(long afterMs, long untilMs) {
+        long good = 0;
+        long bad = 0;
+        for (Event event : events) {
+            boolean inside = event.atMs() > afterMs && event.atMs() <= untilMs;
+            good += inside && event.good() ? 1 : 0;
+            bad += inside && !event.good() ? 1 : 0;
+        }
+        return new Tally(good, bad);
+    }
+
+    List<Event> all() {
+        return events;
+    }
+
+    /** Numbers of good and bad events. */
+    record Tally(long good, long bad) {
+
+        /** Returns the share of bad events as a multiple of the allowed share; 0 without events. */
+        double burn(double targetShare) {
+            long events = good + bad;
+            return events == 0 ? 0 : (double) bad / events / (1 - targetShare);
+        }
+    }
+}
--- /dev/null
+++ b/report/src/main/java/org/fuchsiawinch/report/burn/SpendBurn.java
@@ -0,0 +1,34 @@
+package org.fuchsiawinch.report.burn;
+
+import java.util.OptionalLong;
+
+import org.fuchsiawinch.model.WorkspaceId;
+
+/**
+ * Spend of one workspace against its limit.
+ *
+ * @param workspace the workspace
+ * @param limitMicros its limit for a period, in millionths of the currency unit; empty for none
+ * @param periodMs length of the period, in ms
+ * @param spentMicros spend in the period, in millionths of the currency unit
+ * @param recentRate spend of the period's last tenth, tenfold, as a share of the limit; above 1 the limit will be
+ * reached
+ *     if it goes on; 0 without a limit
+ * @param sampled whether the spend is the scheduler's own count with running jobs; otherwise only ended jobs count
+ */
+public record SpendBurn(
+        WorkspaceId workspace,
+        OptionalLong limitMicros,
+        long periodMs,
+        long spentMicros,
+        double recentRate,
+        boolean sampled) {
+
+    /** Returns the spend as a share of the limit; 0 without a limit, and 1 for any spend against a limit of nothing. */
+    public double shareOfLimit() {
+        if (limitMicros.isEmpty() || spentMicros == 0) {
+            return 0;
+        }
+        return limitMicros.getAsLong() == 0 ? 1 : (double) spentMicros / limitMicros.getAsLong();
+    }
+}
--- /dev/null
+++ b/report/src/main/java/org/fuchsiawinch/report/burn/package-info.java
@@ -0,0 +1,2 @@
+/** Burn of service levels and spend, computed from records; pure. */
+package org.fuchsiawinch.report.burn;
--- /dev/null
+++ b/report/src/main/java/org/fuchsiawinch/report/records/RecordLine.java
@@ -0,0 +1,140 @@
+package org.fuchsiawinch.report.records;
+
+import java.util.Iterator;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeSet;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.fuchsiawinch.model.IllegalIdException;
+import org.fuchsiawinch.model.WorkspaceId;
+import org.fuchsiawinch.report.records.RecordProblem.Code;
+
+/** Takes typed fields from one line and notes what is wrong with them. Not thread-safe; used for one line. */
+final class RecordLine {
+
+    /** Last moment of the year 9999, in ms since the epoch. */
+    private static final long MAX_TIME_MS = 253_402_300_799_999L;
+
+    private final JsonNode object;
+    private final String file;
+    private final long line;
+    private final List<RecordProblem> problems;
+    private final Set<String> taken = new TreeSet<>();
+
+    RecordLine(JsonNode object, String file, long line, List<RecordProblem> problems) {
+        this.object = object;
+        this.file = file;
+        this.line = line;
+        this.problems = problems;
+    }
+
+    void problem(String field, Code code, String detail) {
+        problems.add(new RecordProblem(file, line, field, code, detail));
+    }
+
+    String text(String field) {
+        JsonNode node = take(field);
+        if (node.isMissingNode()) {
+            return "";
+        }
+        if (!node.isTextual() || node.textValue().isBlank()) {
+            problem(field, Code.INVALID, found(node) + " is not non-blank text");
+            return "";
+        }
+        return node.textValue();
+    }
+
+    Optional<WorkspaceId> workspace() {
+        String text = text("workspace");
+        if (text.isEmpty()) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(new WorkspaceId(text));
+        } catch (IllegalIdException problem) {
+            problem("workspace", Code.INVALID, problem.getMessage());
+            return Optional.empty();
+        }
+    }
+
+    Optional<JobOutcome> outcome() {
+        String text = text("outcome");
+        Optional<JobOutcome> outcome = JobOutcome.byKey(text);
+        if (!text.isEmpty() && outcome.isEmpty()) {
+            problem("outcome", Code.INVALID, "'" + text + "' is no outcome");
+        }
+        return outcome;
+    }
+
+    boolean flag(String field) {
+        JsonNode node = take(field);
+        if (!node.isMissingNode() && !node.isBoolean()) {
+            problem(field, Code.INVALID, found(node) + " is not true or false");
+        }
+        return node.booleanValue();
+    }
+
+    long timeMs(String field) {
+        return number(field, MAX_TIME_MS);
+    }
+
+    long count(String field) {
+        return number(field, Long.MAX_VALUE);
+    }
+
+    OptionalLong optionalTimeMs(String field) {
+        if (!object.hasNonNull(field)) {
+            taken.add(field);
+            return OptionalLong.empty();
+        }
+        return OptionalLong.of(timeMs(field));
+    }
+
+    double share(String field) {
+        JsonNode node = take(field);
+        boolean valid = node.isNumber() && node.doubleValue() >= 0 && node.doubleValue() <= 1;
+        if (!node.isMissingNode() && !valid) {
+            problem(field, Code.INVALID, found(node) + " is not a number from 0 to 1");
+        }
+        return node.doubleValue();
+    }
+
+    void refuseOthers() {
+        for (Iterator<String> names = object.fieldNames(); names.hasNext(); ) {
+            String name = names.next();
+            if (!taken.contains(name)) {
+                problem(name, Code.UNKNOWN_FIELD, "no such field in this type of record");
+            }
+        }
+    }
+
+    private long number(String field, long max) {
+        JsonNode node = take(field);
+        boolean valid = node.canConvertToLong() && node.isIntegralNumber() && node.longValue() >= 0;
+        if (node.isMissingNode()) {
+            return 0;
+        }
+        if (!valid || node.longValue() > max) {
+            problem(field, Code.INVALID, found(node) + " is not a whole number from 0 to " + max);
+        }
+        return node.longValue();
+    }
+
+    private JsonNode take(String field) {
+        taken.add(field);
+        JsonNode node = object.path(field);
+        if (node.isMissingNode()) {
+            problem(field, Code.MISSING, "must be given");
+        }
+        return node;
+    }
+
+    private static String found(JsonNode node) {
+        String text = node.toString();
+        int longest = 60;
+        return text.length() <= longest ? text : text.substring(0, longest) + "...";
+    }
+}
--- /dev/null
+++ b/report/src/main/java/org/fuchsiawinch/report/records/RecordsReader.java
@@ -0,0 +1,157 @@
+package org.fuchsiawinch.report.records;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.Reader;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import org.fuchsiawinch.model.WorkspaceId;
+import org.fuchsiawinch.report.records.RecordProblem.Code;
+
+/** Reads a file of records. A file is accepted whole or rejected whole. Immutable and safe for use by many threads. */
+public final class RecordsReader {
+
+    private static final int MAX_PROBLEMS = 20;
+
+    private final ObjectMapper mapper = JsonMapper.builder()
+            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .build();
+
+    /** Creates a reader. */
+    public RecordsReader() {
+        // Nothing to prepare.
+    }
+
+    /**
+     * Reads all lines. Blank lines are skipped, and a job that stands twice with the same fields counts once, so that
+     * the records of several nodes may be joined.
+     *
+     * @param file name of the file, for the places of problems
+     * @param source the text
+     * @return the records, or the first problems
+     */
+    public RecordsResult read(String file, Reader source) {
+        Map<String, JobRecord> jobs = new LinkedHashMap<>();
+        List<SystemSample> samples = new ArrayList<>();
+        List<SpendSample> spends = new ArrayList<>();
+        List<RecordProblem> problems = new ArrayList<>();
+        long number = 0;
+        try (BufferedReader lines = new BufferedReader(source)) {
+            for (String text = lines.readLine(); text != null; text = lines.readLine()) {
+                number++;
+                Optional<RecordLine> line = parse(file, number, text, problems);
+                if (line.isPresent()) {
+                    bind(line.get(), jobs, samples, spends);
+                }
+                if (problems.size() >= MAX_PROBLEMS) {
+                    break;
+                }
+            }
+        } catch (IOException problem) {
+            problems.add(new RecordProblem(file, number + 1, "", Code.UNREADABLE, problem.toString()));
+        }
+        return problems.isEmpty()
+                ? new RecordsResult.Accepted(new Records(List.copyOf(jobs.values()), samples, spends))
+                : new RecordsResult.Rejected(problems);
+    }
+
+    private Optional<RecordLine> parse(String file, long number, String text, List<RecordProblem> problems) {
+        if (text.isBlank()) {
+            return Optional.empty();
+        }
+        try {
+            JsonNode node = mapper.readTree(text);
+            if (node.isObject()) {
+                return Optional.of(new RecordLine(node, file, number, problems));
+            }
+            problems.add(new RecordProblem(file, number, "", Code.MALFORMED, "not a JSON object"));
+        } catch (JsonProcessingException problem) {
+            problems.add(new RecordProblem(file, number, "", Code.MALFORMED, problem.getOriginalMessage()));
+        }
+        return Optional.empty();
+    }
+
+    private static void bind(
+            RecordLine line, Map<String, JobRecord> jobs, List<SystemSample> samples, List<SpendSample> spends) {
+        String type = line.text("type");
+        if (type.equals("job")) {
+            job(line).ifPresent(job -> addJob(line, job, jobs));
+        } else if (type.equals("sample")) {
+            samples.add(new SystemSample(
+                    line.timeMs("atMs"),
+                    line.share("fragmentation"),
+                    line.count("queueLength"),
+                    line.count("spendMicros")));
+        } else if (type.equals("spend")) {
+            spend(line).ifPresent(spends::add);
+        } else {
+            if (!type.isEmpty()) {
+                line.problem("type", Code.UNKNOWN_TYPE, "'" + type + "' is not job, sample or spend");
+            }
+            return;
+        }
+        line.refuseOthers();
+    }
+
+    private static void addJob(RecordLine line, JobRecord job, Map<String, JobRecord> jobs) {
+        JobRecord before = jobs.putIfAbsent(job.job(), job);
+        if (before != null && !before.equals(job)) {
+            line.problem("job", Code.CONFLICT, "'" + job.job() + "' stands in an earlier line with other fields");
+        }
+    }
+
+    private static Optional<JobRecord> job(RecordLine line) {
+        String job = line.text("job");
+        Optional<WorkspaceId> workspace = line.workspace();
+        String kind = line.text("kind");
+        boolean guaranteed = line.flag("guaranteed");
+        long submittedMs = line.timeMs("submittedMs");
+        OptionalLong startedMs = line.optionalTimeMs("startedMs");
+        long endedMs = line.timeMs("endedMs");
+        Optional<JobOutcome> outcome = line.outcome();
+        boolean wholeAnswer = line.flag("wholeAnswer");
+        long spendMicros = line.count("spendMicros");
+        if (startedMs.isPresent() && startedMs.getAsLong() < submittedMs) {
+            line.problem("startedMs", Code.INVALID, "before submittedMs");
+        }
+        if (endedMs < startedMs.orElse(submittedMs)) {
+            line.problem("endedMs", Code.INVALID, "before the start or the submit");
+        }
+        if (startedMs.isEmpty() && outcome.filter(JobOutcome::ran).isPresent()) {
+            line.problem("startedMs", Code.MISSING, "must be given for a job that ran");
+        }
+        if (workspace.isEmpty() || outcome.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(new JobRecord(
+                job,
+                workspace.get(),
+                kind,
+                guaranteed,
+                submittedMs,
+                startedMs,
+                endedMs,
+                outcome.get(),
+                wholeAnswer,
+                spendMicros));
+    }
+
+    private static Optional<SpendSample> spend(RecordLine line) {
+        long atMs = line.timeMs("atMs");
+        Optional<WorkspaceId> workspace = line.workspace();
+        long spentMicros = line.count("periodSpendMicros");
+        return workspace.map(id -> new SpendSample(atMs, id, spentMicros));
+    }
+}
--- /dev/null
+++ b/report/src/main/java/org/fuchsiawinch/report/render/HtmlRenderer.java
@@ -0,0 +1,266 @@
+package org.fuchsiawinch.report.render;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.fuchsiawinch.model.WorkspaceId;
+import org.fuchsiawinch.report.burn.BudgetPoint;
+import org.fuchsiawinch.report.burn.BurnReport;
+import org.fuchsiawinch.report.burn.ObjectiveBurn;
+import org.fuchsiawinch.report.burn.SpendBurn;
+import org.fuchsiawinch.report.burn.WindowBurn;
+import org.fuchsiawinch.report.burn.WorkspaceSummary;
+import org.fuchsiawinch.report.records.JobOutcome;
+import org.fuchsiawinch.report.records.SystemSample;
+
+/** Renders one HTML page with its plots inside; it loads nothing and runs no script. Stateless. */
+public final class HtmlRenderer implements ReportRenderer {
+
+    private static final int MAX_BUDGET_PLOTS = 8;
+    private static final double LOW_BUDGET = 0.25;
+    private static final double HIGH_SPEND = 0.8;
+    private static final String STYLE = """
+            body { font: 15px/1.45 system-ui, sans-serif; color: #1d2330; margin: 0 auto; max-width: 1300px;
+              padding: 24px; background: #f6f7f9; }
+            h1 { font-size: 24px; margin: 0; }
+            h2 { font-size: 18px; margin: 32px 0 8px; }
+            p { margin: 4px 0; color: #4a5262; }
+            table { border-collapse: collapse; width: 100%; background: #fff; border: 1px solid #dfe2e8; }
+            th, td { padding: 6px 10px; border-bottom: 1px solid #e9ebef; text-align: left; white-space: nowrap; }
+            th { font-weight: 600; background: #eef0f4; }
+            td.n, th.n { text-align: right; font-variant-numeric: tabular-nums; }
+            .scroll { overflow-x: auto; }
+            .bar { display: inline-block; width: 90px; height: 9px; background: #e3e5ea; margin-right: 8px; }
+            .bar span { display: block; height: 9px; background: #2e7d4f; }
+            .warn .bar span { background: #c77700; }
+            .bad .bar span { background: #b3261e; }
+            .state { font-weight: 600; color: #2e7d4f; }
+            .warn .state { color: #9a5b00; }
+            .bad .state { color: #b3261e; }
+            .plots { display: grid; grid-template-columns: repeat(auto-fit, minmax(420px, 1fr)); gap: 16px; }
+            .plots img { width: 100%; background: #fff; border: 1px solid #dfe2e8; box-sizing: border-box; }
+            """;
+
+    /** Creates the renderer. */
+    public HtmlRenderer() {
+        // Stateless.
+    }
+
+    @Override
+    public String render(BurnReport report) {
+        StringBuilder page = new StringBuilder(
+                        "<!DOCTYPE html>\n<html lang=\"en\">\n<head>\n<meta charset=\"utf-8\">\n")
+                .append("<meta name=\"viewport\" content=\"width=device-width, initial-scale=1\">\n")
+                .append("<title>Service-level burn</title>\n<style>\n")
+                .append(STYLE)
+                .append("</style>\n</head>\n<body>\n<h1>Service-level burn</h1>\n");
+        page.append("<p>").append(Units.time(report.nowMs())).append(". ").append(headline(report));
+        page.append("</p>\n");
+        objectives(page, report);
+        spends(page, report);
+        system(page, report);
+        budgets(page, report);
+        workspaces(page, report);
+        return page.append("</body>\n</html>\n").toString();
+    }
+
+    private static String headline(BurnReport report) {
+        long firing = report.objectives().stream().filter(ObjectiveBurn::firing).count();
+        long overspent = report.objectives().stream()
+                .filter(burn -> burn.budgetLeft() < 0)
+                .count();
+        return firing + " of " + report.objectives().size() + " service levels burn too fast, " + overspent
+                + " have no error budget left.";
+    }
+
+    private static void objectives(StringBuilder page, BurnReport report) {
+        page.append("<h2>Service levels</h2>\n<p>Burn is the rate at which the error budget is spent, over a long and")
+                .append(" a short window; 1 spends it just at the end of the objective's window. An alert fires when")
+                .append(" both are high.</p>\n");
+        open(page, "Workspace", "Objective", "Target", "#Good", "#Bad", "#Reached", "Budget left");
+        for (WindowBurn window : firstWindows(report)) {
+            head(
+                    page,
+                    "#Burn " + Units.duration(window.longWindowMs()) + " / " + Units.duration(window.shortWindowMs()));
+        }
+        head(page, "State");
+        page.append("</tr>\n");
+        for (ObjectiveBurn burn : report.objectives()) {
+            page.append("<tr class=\"").append(severity(burn)).append("\">");
+            cell(page, burn.level().workspace().value());
+            cell(page, burn.level().kind().key());
+            cell(page, Units.target(burn.level()));
+            number(page, Long.toString(burn.good()));
+            number(page, Long.toString(burn.bad()));
+            number(page, burn.events() == 0 ? "-" : Units.finePercent(burn.goodShare()));
+            bar(page, burn.budgetLeft(), Units.percent(burn.budgetLeft()));
+            burn.windows()
+                    .forEach(window ->
+                            number(page, Units.rate(window.longBurn()) + " / " + Units.rate(window.shortBurn())));
+            page.append("<td class=\"state\">").append(Units.alerts(burn)).append("</td></tr>\n");
+        }
+        close(page);
+    }
+
+    private static List<WindowBurn> firstWindows(BurnReport report) {
+        return report.objectives().stream()
+                .findFirst()
+                .map(ObjectiveBurn::windows)
+                .orElse(List.of());
+    }
+
+    private static String severity(ObjectiveBurn burn) {
+        if (burn.firing() || burn.budgetLeft() < 0) {
+            return "bad";
+        }
+        return burn.budgetLeft() < LOW_BUDGET ? "warn" : "good";
+    }
+
+    private static void spends(StringBuilder page, BurnReport report) {
+        page.append("<h2>Spend against limit</h2>\n<p>Amounts in ").append(escape(report.currency()));
+        page.append(". Rate is the spend of the period's last tenth, tenfold, over the limit.</p>\n");
+        open(page, "Workspace", "Period", "#Spent", "#Limit", "Of limit", "#Rate", "Counted");
+        page.append("</tr>\n");
+        for (SpendBurn spend : report.spends()) {
+            boolean limited = spend.limitMicros().isPresent();
+            page.append("<tr class=\"").append(severity(spend)).append("\">");
+            cell(page, spend.workspace().value());
+            cell(page, Units.duration(spend.periodMs()));
+            number(page, Units.money(spend.spentMicros()));
+            number(page, Units.limit(spend));
+            bar(page, spend.shareOfLimit(), limited ? Units.percent(spend.shareOfLimit()) : "-");
+            number(page, limited ? Units.rate(spend.recentRate()) : "-");
+            cell(page, spend.sampled() ? "all jobs" : "ended jobs");
+            page.append("</tr>\n");
+        }
+        close(page);
+    }
+
+    private static String severity(SpendBurn spend) {
+        if (spend.shareOfLimit() >= 1) {
+            return "bad";
+        }
+        return spend.shareOfLimit() >= HIGH_SPEND ? "warn" : "good";
+    }
+
+    private static void system(StringBuilder page, BurnReport report) {
+        page.append("<h2>Fragmentation and queue</h2>\n");
+        if (report.samples().isEmpty()) {
+            page.append("<p>No samples.</p>\n");
+            return;
+        }
+        page.append("<p>Fragmentation averaged over time: ")
+                .append(Units.percent(report.meanFragmentation()))
+                .append("</p>\n<div class=\"plots\">\n");
+        Plot fragmentation = new Plot("Fragmentation", "Free accelerators unusable, %", "0");
+        fragmentation.line(
+                "fragmentation", report.samples(), SystemSample::atMs, sample -> 100 * sample.fragmentation());
+        picture(page, fragmentation, "Fragmentation over time");
+        Plot queue = new Plot("Queue", "Waiting jobs", "0");
+        queue.line("waiting jobs", report.samples(), SystemSample::atMs, SystemSample::queueLength);
+        picture(page, queue, "Waiting jobs over time");
+        page.append("</div>\n");
+    }
+
+    private static void budgets(StringBuilder page, BurnReport report) {
+        Map<WorkspaceId, List<ObjectiveBurn>> byWorkspace = new LinkedHashMap<>();
+        for (ObjectiveBurn burn : report.objectives()) {
+            if (!burn.history().isEmpty()) {
+                byWorkspace
+                        .computeIfAbsent(burn.level().workspace(), id -> new ArrayList<>())
+                        .add(burn);
+            }
+        }
+        page.append("<h2>Error budget used</h2>\n<p>At 100% the budget of the objective's window is spent. The ")
+                .append(Math.min(MAX_BUDGET_PLOTS, byWorkspace.size()))
+                .append(" of ")
+                .append(byWorkspace.size())
+                .append(" workspaces with the least left.</p>\n<div class=\"plots\">\n");
+        byWorkspace.entrySet().stream()
+                .limit(MAX_BUDGET_PLOTS)
+                .forEach(entry -> budget(page, entry.getKey(), entry.getValue()));
+        page.append("</div>\n");
+    }
+
+    private static void budget(StringBuilder page, WorkspaceId workspace, List<ObjectiveBurn> burns) {
+        Plot plot = new Plot(workspace.value(), "Budget used, %", "0");
+        for (ObjectiveBurn burn : burns) {
+            plot.line(burn.level().kind().key(), burn.history(), BudgetPoint::atMs, point -> 100 * point.used());
+        }
+        picture(page, plot, "Error budget used by " + workspace.value());
+    }
+
+    private static void workspaces(StringBuilder page, BurnReport report) {
+        page.append("<h2>Jobs</h2>\n");
+        open(page, "Workspace");
+        for (JobOutcome outcome : JobOutcome.values()) {
+            head(page, "#" + outcome.key());
+        }
+        head(page, "#Completion median");
+        head(page, "#Completion p95");
+        page.append("</tr>\n");
+        for (WorkspaceSummary summary : report.workspaces()) {
+            page.append("<tr>");
+            cell(page, summary.workspace().value());
+            for (JobOutcome outcome : JobOutcome.values()) {
+                number(page, Integer.toString(summary.count(outcome)));
+            }
+            number(page, Units.duration(summary.completionMedianMs()));
+            number(page, Units.duration(summary.completionP95Ms()));
+            page.append("</tr>\n");
+        }
+        close(page);
+    }
+
+    private static void picture(StringBuilder page, Plot plot, String description) {
+        if (!plot.isEmpty()) {
+            page.append("<img alt=\"").append(escape(description)).append("\" src=\"");
+            page.append(plot.dataUri()).append("\">\n");
+        }
+    }
+
+    private static void open(StringBuilder page, String... heads) {
+        page.append("<div class=\"scroll\"><table>\n<tr>");
+        for (String text : heads) {
+            head(page, text);
+        }
+    }
+
+    private static void close(StringBuilder page) {
+        page.append("</table></div>\n");
+    }
+
+    /** Adds a column head; a leading number sign aligns it right. */
+    private static void head(StringBuilder page, String text) {
+        boolean number = text.startsWith("#");
+        page.append(number ? "<th class=\"n\">" : "<th>");
+        page.append(escape(number ? text.substring(1) : text)).append("</th>");
+    }
+
+    private static void cell(StringBuilder page, String text) {
+        page.append("<td>").append(escape(text)).append("</td>");
+    }
+
+    private static void number(StringBuilder page, String text) {
+        page.append("<td class=\"n\">").append(escape(text)).append("</td>");
+    }
+
+    private static void bar(StringBuilder page, double share, String text) {
+        double width = 100 * Math.max(0, Math.min(1, share));
+        page.append("<td><span class=\"bar\"><span style=\"width:")
+                .append(Units.format("%.1f", width))
+                .append("%\"></span></span>")
+                .append(escape(text))
+                .append("</td>");
+    }
+
+    private static String escape(String text) {
+        return text.replace("&", "&amp;")
+                .replace("<", "&lt;")
+                .replace(">", "&gt;")
+                .replace("\"", "&quot;")
+                .replace("'", "&#39;");
+    }
+}
--- /dev/null
+++ b/report/src/main/java/org/fuchsiawinch/report/render/Plot.java
@@ -0,0 +1,102 @@
+package org.fuchsiawinch.report.render;
+
+import java.awt.Color;
+import java.awt.Font;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.Date;
+import java.util.List;
+import java.util.TimeZone;
+import java.util.function.ToDoubleFunction;
+import java.util.function.ToLongFunction;
+
+import org.knowm.xchart.VectorGraphicsEncoder;
+import org.knowm.xchart.XYChart;
+import org.knowm.xchart.XYChartBuilder;
+import org.knowm.xchart.XYSeries;
+import org.knowm.xchart.style.Styler;
+import org.knowm.xchart.style.markers.SeriesMarkers;
+
+/** One plot of values over time as an SVG picture. Not thread-safe. */
+final class Plot {
+
+    private static final int WIDTH_PX = 620;
+    private static final int HEIGHT_PX = 300;
+    private static final int MAX_POINTS = 400;
+    private static final long MS_PER_DAY = 86_400_000;
+    private static final float LINE_WIDTH = 2f;
+    private static final Color GRID = new Color(0xE3E5EA);
+    private static final Color[] COLOURS = {new Color(0xB4237A), new Color(0x1F6FB2), new Color(0x2E7D4F)};
+    private static final Font PLAIN = new Font(Font.SANS_SERIF, Font.PLAIN, 12);
+    private static final Font BOLD = new Font(Font.SANS_SERIF, Font.BOLD, 14);
+
+    private final XYChart chart;
+    private final List<Date> times = new ArrayList<>();
+
+    Plot(String title, String yTitle, String valuePattern) {
+        chart = new XYChartBuilder()
+                .width(WIDTH_PX)
+                .height(HEIGHT_PX)
+                .title(title)
+                .yAxisTitle(yTitle)
+                .build();
+        chart.getStyler()
+                .setLegendPosition(Styler.LegendPosition.OutsideS)
+                .setLegendLayout(Styler.LegendLayout.Horizontal)
+                .setLegendBorderColor(Color.WHITE)
+                .setLegendFont(PLAIN)
+                .setChartBackgroundColor(Color.WHITE)
+                .setPlotBackgroundColor(Color.WHITE)
+                .setPlotBorderVisible(false)
+                .setChartTitleFont(BOLD)
+                .setChartTitleBoxVisible(false);
+        chart.getStyler()
+                .setPlotGridLinesColor(GRID)
+                .setAxisTitleFont(PLAIN)
+                .setAxisTickLabelsFont(PLAIN)
+                .setYAxisDecimalPattern(valuePattern)
+                .setTimezone(TimeZone.getTimeZone("UTC"))
+                .setSeriesColors(COLOURS);
+        chart.getStyler().setYAxisMin(0.0);
+    }
+
+    /** Adds a line; of many points, the greatest of each stretch is drawn. Nothing is drawn without points. */
+    <T> void line(String name, List<T> points, ToLongFunction<T> atMs, ToDoubleFunction<T> value) {
+        if (points.isEmpty()) {
+            return;
+        }
+        List<Date> x = new ArrayList<>();
+        List<Double> y = new ArrayList<>();
+        int stretch = (points.size() + MAX_POINTS - 1) / MAX_POINTS;
+        for (int from = 0; from < points.size(); from += stretch) {
+            List<T> part = points.subList(from, Math.min(points.size(), from + stretch));
+            x.add(new Date(atMs.applyAsLong(part.get(0))));
+            y.add(part.stream().mapToDouble(value).max().orElse(0));
+        }
+        XYSeries series = chart.addSeries(name, x, y);
+        series.setMarker(SeriesMarkers.NONE);
+        series.setLineWidth(LINE_WIDTH);
+        times.addAll(x);
+    }
+
+    boolean isEmpty() {
+        return times.isEmpty();
+    }
+
+    /** Returns the picture as a data URI, which keeps the ids inside one picture apart from those of others. */
+    String dataUri() {
+        long firstMs = times.stream().mapToLong(Date::getTime).min().orElse(0);
+        long lastMs = times.stream().mapToLong(Date::getTime).max().orElse(0);
+        chart.getStyler().setDatePattern(lastMs - firstMs > MS_PER_DAY ? "dd MMM" : "HH:mm");
+        ByteArrayOutputStream picture = new ByteArrayOutputStream();
+        try {
+            VectorGraphicsEncoder.saveVectorGraphic(chart, picture, VectorGraphicsEncoder.VectorGraphicsFormat.SVG);
+        } catch (IOException problem) {
+            throw new UncheckedIOException(problem);
+        }
+        return "data:image/svg+xml;base64," + Base64.getEncoder().encodeToString(picture.toByteArray());
+    }
+}
--- /dev/null
+++ b/report/src/main/java/org/fuchsiawinch/report/render/TextRenderer.java
@@ -0,0 +1,117 @@
+package org.fuchsiawinch.report.render;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.fuchsiawinch.report.burn.BurnReport;
+import org.fuchsiawinch.report.burn.ObjectiveBurn;
+import org.fuchsiawinch.report.burn.SpendBurn;
+import org.fuchsiawinch.report.burn.WindowBurn;
+import org.fuchsiawinch.report.burn.WorkspaceSummary;
+import org.fuchsiawinch.report.records.JobOutcome;
+
+/** Renders tables for a terminal. Stateless. */
+public final class TextRenderer implements ReportRenderer {
+
+    private static final String GAP = "  ";
+
+    /** Creates the renderer. */
+    public TextRenderer() {
+        // Stateless.
+    }
+
+    @Override
+    public String render(BurnReport report) {
+        StringBuilder text = new StringBuilder();
+        text.append("Report of ").append(Units.time(report.nowMs())).append("\n\nService levels\n");
+        table(text, objectiveRows(report));
+        text.append("\nSpend in ").append(report.currency()).append('\n');
+        table(text, spendRows(report));
+        text.append("\nJobs\n");
+        table(text, workspaceRows(report));
+        text.append("\nFragmentation, averaged over time: ")
+                .append(report.samples().isEmpty() ? "no samples" : Units.percent(report.meanFragmentation()))
+                .append('\n');
+        return text.toString();
+    }
+
+    private static List<List<String>> objectiveRows(BurnReport report) {
+        List<List<String>> rows = new ArrayList<>();
+        rows.add(List.of("workspace", "objective", "target", "good", "bad", "reached", "budget left", "burn", "state"));
+        for (ObjectiveBurn burn : report.objectives()) {
+            rows.add(List.of(
+                    burn.level().workspace().value(),
+                    burn.level().kind().key(),
+                    Units.target(burn.level()),
+                    Long.toString(burn.good()),
+                    Long.toString(burn.bad()),
+                    burn.events() == 0 ? "-" : Units.finePercent(burn.goodShare()),
+                    Units.percent(burn.budgetLeft()),
+                    burnRates(burn),
+                    Units.alerts(burn)));
+        }
+        return rows;
+    }
+
+    private static String burnRates(ObjectiveBurn burn) {
+        List<String> parts = new ArrayList<>();
+        for (WindowBurn window : burn.windows()) {
+            parts.add(Units.duration(window.longWindowMs()) + " " + Units.rate(window.longBurn()) + "/"
+                    + Units.rate(window.shortBurn()));
+        }
+        return String.join(", ", parts);
+    }
+
+    private static List<List<String>> spendRows(BurnReport report) {
+        List<List<String>> rows = new ArrayList<>();
+        rows.add(List.of("workspace", "period", "spent", "limit", "of limit", "rate", "counted"));
+        for (SpendBurn spend : report.spends()) {
+            rows.add(List.of(
+                    spend.workspace().value(),
+                    Units.duration(spend.periodMs()),
+                    Units.money(spend.spentMicros()),
+                    Units.limit(spend),
+                    spend.limitMicros().isPresent() ? Units.percent(spend.shareOfLimit()) : "-",
+                    spend.limitMicros().isPresent() ? Units.rate(spend.recentRate()) : "-",
+                    spend.sampled() ? "all jobs" : "ended jobs"));
+        }
+        return rows;
+    }
+
+    private static List<List<String>> workspaceRows(BurnReport report) {
+        List<List<String>> rows = new ArrayList<>();
+        List<String> header = new ArrayList<>(List.of("workspace"));
+        for (JobOutcome outcome : JobOutcome.values()) {
+            header.add(outcome.key());
+        }
+        header.addAll(List.of("median", "p95"));
+        rows.add(header);
+        for (WorkspaceSummary workspace : report.workspaces()) {
+            List<String> row = new ArrayList<>(List.of(workspace.workspace().value()));
+            for (JobOutcome outcome : JobOutcome.values()) {
+                row.add(Integer.toString(workspace.count(outcome)));
+            }
+            row.add(Units.duration(workspace.completionMedianMs()));
+            row.add(Units.duration(workspace.completionP95Ms()));
+            rows.add(row);
+        }
+        return rows;
+    }
+
+    private static void table(StringBuilder text, List<List<String>> rows) {
+        int columns = rows.get(0).size();
+        int[] widths = new int[columns];
+        for (List<String> row : rows) {
+            for (int i = 0; i < columns; i++) {
+                widths[i] = Math.max(widths[i], row.get(i).length());
+            }
+        }
+        for (List<String> row : rows) {
+            StringBuilder line = new StringBuilder();
+            for (int i = 0; i < columns; i++) {
+                line.append(Units.format("%-" + widths[i] + "s", row.get(i))).append(GAP);
+            }
+            text.append(line.toString().stripTrailing()).append('\n');
+        }
+    }
+}
