--- a/membership/src/main/java/org/fuchsiawinch/membership/internal/ViewSync.java
+++ b/membership/src/main/java/org/fuchsiawinch/membership/internal/ViewSync.java
@@ -20,17 +20,18 @@
 public final class ViewSync {
 
     private static final int INTERVAL_GROWTH = 2;
+    private static final int MAX_ATTEMPTS = 4;
 
     private final Group group;
     private List<Endpoint> seeds = List.of();
-    private Optional<Cursor> cursor = Optional.empty();
+    private Optional<Pull> pull = Optional.empty();
     private long nextSyncMs = Long.MIN_VALUE;
     private boolean seedNext = true;
     private long intervalMs;
     private boolean joined;
 
-    /** Where to go on pulling pages. */
-    private record Cursor(Endpoint peer, NodeId after) {}
+    /** The next page to ask for; asked again if it does not come. */
+    private record Pull(Endpoint peer, NodeId after, int attempts, long dueMs) {}
 
     /** Creates the comparison without seeds. */
     public ViewSync(Group group) {
@@ -51,10 +52,9 @@
             nextSyncMs = nowMs + group.random().nextLong(settings.joinIntervalMs());
             intervalMs = settings.joinIntervalMs();
         }
-        cursor.ifPresent(
-                at -> out.send(at.peer(), new SyncRequest(group.self(), group.digest(), Optional.of(at.after()))));
-        cursor = Optional.empty();
-        if (nowMs < nextSyncMs) {
+        pull = pull.filter(page -> page.attempts() < MAX_ATTEMPTS || page.dueMs() > nowMs);
+        pull.filter(page -> page.dueMs() <= nowMs).ifPresent(page -> ask(page, nowMs, out));
+        if (nowMs < nextSyncMs || pull.isPresent()) {
             return;
         }
         target().ifPresent(peer -> out.send(peer, new SyncRequest(group.self(), group.digest(), Optional.empty())));
@@ -63,6 +63,12 @@
         intervalMs = Math.min(settings.syncIntervalMs(), INTERVAL_GROWTH * intervalMs);
     }
 
+    private void ask(Pull page, long nowMs, MembershipOutput.Builder out) {
+        out.send(page.peer(), new SyncRequest(group.self(), group.digest(), Optional.of(page.after())));
+        long dueMs = nowMs + group.settings().ackTimeoutMs();
+        pull = Optional.of(new Pull(page.peer(), page.after(), page.attempts() + 1, dueMs));
+    }
+
     private Optional<Endpoint> target() {
         boolean useSeed = seedNext || group.table().reachableCount() == 0;
         seedNext = !useSeed;
@@ -89,14 +95,22 @@
         out.send(request.from().endpoint(), new SyncPage(group.self(), updates, next));
     }
 
-    /** Takes in a page; the next one is asked for on the next tick. */
+    /** Takes in a page and notes the next one to ask for, unless the page came late. */
     public void onPage(SyncPage page, long nowMs, MembershipOutput.Builder out) {
         int before = group.table().reachableCount();
         page.updates().forEach(update -> group.merge(update, joined, nowMs, out));
         if (group.table().reachableCount() > before) {
             intervalMs = group.settings().joinIntervalMs();
         }
-        cursor = page.next().map(after -> new Cursor(page.from().endpoint(), after));
-        joined = joined || cursor.isEmpty();
+        joined = joined || page.next().isEmpty();
+        Endpoint peer = page.from().endpoint();
+        boolean late = pull.filter(asked -> !asked.peer().equals(peer)
+                        || page.next()
+                                .filter(next -> next.compareTo(asked.after()) <= 0)
+                                .isPresent())
+                .isPresent();
+        if (!late) {
+            pull = page.next().map(after -> new Pull(peer, after, 0, nowMs));
+        }
     }
 }
--- a/report/src/main/java/org/fuchsiawinch/report/render/HtmlRenderer.java
+++ b/report/src/main/java/org/fuchsiawinch/report/render/HtmlRenderer.java
@@ -1,6 +1,7 @@
 package org.fuchsiawinch.report.render;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -19,6 +20,8 @@
 public final class HtmlRenderer implements ReportRenderer {
 
     private static final int MAX_BUDGET_PLOTS = 8;
+    private static final double WHOLE_PERCENT = 100;
+    private static final double MAX_BUDGET_PERCENT = 200;
     private static final double LOW_BUDGET = 0.25;
     private static final double HIGH_SPEND = 0.8;
     private static final String STYLE = """
@@ -154,7 +157,7 @@
         page.append("<p>Fragmentation averaged over time: ")
                 .append(Units.percent(report.meanFragmentation()))
                 .append("</p>\n<div class=\"plots\">\n");
-        Plot fragmentation = new Plot("Fragmentation", "Free accelerators unusable, %", "0");
+        Plot fragmentation = new Plot("Fragmentation", "Free accelerators unusable, %", "0").upTo(WHOLE_PERCENT);
         fragmentation.line(
                 "fragmentation", report.samples(), SystemSample::atMs, sample -> 100 * sample.fragmentation());
         picture(page, fragmentation, "Fragmentation over time");
@@ -177,7 +180,8 @@
                 .append(Math.min(MAX_BUDGET_PLOTS, byWorkspace.size()))
                 .append(" of ")
                 .append(byWorkspace.size())
-                .append(" workspaces with the least left.</p>\n<div class=\"plots\">\n");
+                .append(" workspaces with the least left; values above 200% are drawn at 200%.</p>\n")
+                .append("<div class=\"plots\">\n");
         byWorkspace.entrySet().stream()
                 .limit(MAX_BUDGET_PLOTS)
                 .forEach(entry -> budget(page, entry.getKey(), entry.getValue()));
@@ -185,8 +189,11 @@
     }
 
     private static void budget(StringBuilder page, WorkspaceId workspace, List<ObjectiveBurn> burns) {
-        Plot plot = new Plot(workspace.value(), "Budget used, %", "0");
-        for (ObjectiveBurn burn : burns) {
+        Plot plot = new Plot(workspace.value(), "Budget used, %", "0").upTo(MAX_BUDGET_PERCENT);
+        List<ObjectiveBurn> byKind = burns.stream()
+                .sorted(Comparator.comparing(burn -> burn.level().kind()))
+                .toList();
+        for (ObjectiveBurn burn : byKind) {
             plot.line(burn.level().kind().key(), burn.history(), BudgetPoint::atMs, point -> 100 * point.used());
         }
         picture(page, plot, "Error budget used by " + workspace.value());
--- a/report/src/main/java/org/fuchsiawinch/report/render/Plot.java
+++ b/report/src/main/java/org/fuchsiawinch/report/render/Plot.java
@@ -1,7 +1,11 @@
 package org.fuchsiawinch.report.render;
 
+import javax.imageio.ImageIO;
+
 import java.awt.Color;
 import java.awt.Font;
+import java.awt.Graphics2D;
+import java.awt.image.BufferedImage;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -13,18 +17,18 @@
 import java.util.function.ToDoubleFunction;
 import java.util.function.ToLongFunction;
 
-import org.knowm.xchart.VectorGraphicsEncoder;
 import org.knowm.xchart.XYChart;
 import org.knowm.xchart.XYChartBuilder;
 import org.knowm.xchart.XYSeries;
 import org.knowm.xchart.style.Styler;
 import org.knowm.xchart.style.markers.SeriesMarkers;
 
-/** One plot of values over time as an SVG picture. Not thread-safe. */
+/** One plot of values over time as a PNG picture. Not thread-safe. */
 final class Plot {
 
     private static final int WIDTH_PX = 620;
     private static final int HEIGHT_PX = 300;
+    private static final int SCALE = 2;
     private static final int MAX_POINTS = 400;
     private static final long MS_PER_DAY = 86_400_000;
     private static final float LINE_WIDTH = 2f;
@@ -35,6 +39,7 @@
 
     private final XYChart chart;
     private final List<Date> times = new ArrayList<>();
+    private double greatestValue = Double.MAX_VALUE;
 
     Plot(String title, String yTitle, String valuePattern) {
         chart = new XYChartBuilder()
@@ -63,6 +68,13 @@
         chart.getStyler().setYAxisMin(0.0);
     }
 
+    /** Sets the end of the value axis; greater values are drawn there. */
+    Plot upTo(double greatest) {
+        greatestValue = greatest;
+        chart.getStyler().setYAxisMax(greatest);
+        return this;
+    }
+
     /** Adds a line; of many points, the greatest of each stretch is drawn. Nothing is drawn without points. */
     <T> void line(String name, List<T> points, ToLongFunction<T> atMs, ToDoubleFunction<T> value) {
         if (points.isEmpty()) {
@@ -74,7 +86,7 @@
         for (int from = 0; from < points.size(); from += stretch) {
             List<T> part = points.subList(from, Math.min(points.size(), from + stretch));
             x.add(new Date(atMs.applyAsLong(part.get(0))));
-            y.add(part.stream().mapToDouble(value).max().orElse(0));
+            y.add(Math.min(greatestValue, part.stream().mapToDouble(value).max().orElse(0)));
         }
         XYSeries series = chart.addSeries(name, x, y);
         series.setMarker(SeriesMarkers.NONE);
@@ -86,17 +98,26 @@
         return times.isEmpty();
     }
 
-    /** Returns the picture as a data URI, which keeps the ids inside one picture apart from those of others. */
+    /** Returns the picture as a data URI. */
     String dataUri() {
         long firstMs = times.stream().mapToLong(Date::getTime).min().orElse(0);
         long lastMs = times.stream().mapToLong(Date::getTime).max().orElse(0);
         chart.getStyler().setDatePattern(lastMs - firstMs > MS_PER_DAY ? "dd MMM" : "HH:mm");
-        ByteArrayOutputStream picture = new ByteArrayOutputStream();
+        return "data:image/png;base64," + Base64.getEncoder().encodeToString(png());
+    }
+
+    private byte[] png() {
+        BufferedImage image = new BufferedImage(SCALE * WIDTH_PX, SCALE * HEIGHT_PX, BufferedImage.TYPE_INT_RGB);
+        Graphics2D graphics = image.createGraphics();
+        graphics.scale(SCALE, SCALE);
+        chart.paint(graphics, WIDTH_PX, HEIGHT_PX);
+        graphics.dispose();
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         try {
-            VectorGraphicsEncoder.saveVectorGraphic(chart, picture, VectorGraphicsEncoder.VectorGraphicsFormat.SVG);
+            ImageIO.write(image, "png", bytes);
         } catch (IOException problem) {
             throw new UncheckedIOException(problem);
         }
-        return "data:image/svg+xml;base64," + Base64.getEncoder().encodeToString(picture.toByteArray());
+        return bytes.toByteArray();
     }
 }
