Look a shape that fits nowhere up instead of searching again

Cause: each event that freed capacity searched all workers for every class of waiting jobs, and each join repacked all guarantees without a place.

Change: misfits are remembered by shape and looked at again only around workers that grew; a join tries the joined worker's domain alone, and the repacking of guarantees waits for the next tick.

--- /dev/null
+++ b/bench/src/main/java/org/fuchsiawinch/bench/SchedulerBenchmark.java
@@ -0,0 +1,71 @@
+package org.fuchsiawinch.bench;
+
+import java.util.concurrent.TimeUnit;
+
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/** Microseconds for each decision of the scheduler over numbers of workers and lengths of the queue. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+@Fork(value = 1, jvmArgsAppend = "-Xmx1g")
+@Warmup(iterations = 2, time = 1)
+@Measurement(iterations = 3, time = 1)
+public class SchedulerBenchmark {
+
+    /** Number of workers. */
+    @Param({"30", "300", "3000", "7600"})
+    public int workers;
+
+    /** Number of waiting jobs. */
+    @Param({"0", "1000", "10000"})
+    public int queue;
+
+    private LoadedCell cell;
+
+    /** Fills the workers and the queue. */
+    @Setup
+    public void load() {
+        cell = new LoadedCell(workers).fill().queue(queue);
+    }
+
+    /**
+     * Submits a job that waits and cancels it: two decisions.
+     *
+     * @return number of decisions
+     */
+    @Benchmark
+    public int submitAndCancel() {
+        return cell.submitAndCancel();
+    }
+
+    /**
+     * Completes the ten parts of a gang and starts another: eleven events.
+     *
+     * @return number of decisions
+     */
+    @Benchmark
+    public int completeAndStart() {
+        return cell.completeAndStart();
+    }
+
+    /**
+     * Takes the clock event that comes once a second.
+     *
+     * @return number of decisions
+     */
+    @Benchmark
+    public int tick() {
+        return cell.tick();
+    }
+}
--- a/core/src/main/java/org/fuchsiawinch/core/internal/Engine.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Engine.java
@@ -166,6 +166,7 @@
         }
         overruns.tick();
         workers.sendDueProbes();
+        state.keeper.placeMissing();
         workers.raiseAlarms(unit -> true);
         escalation.tick();
         defragmenter.tick();
--- a/core/src/main/java/org/fuchsiawinch/core/internal/GangPlacer.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/GangPlacer.java
@@ -56,6 +56,21 @@
             best.offer(fill(pool.joinedWorkers(), request));
             return best.gang();
         }
+        if (request.space() == Space.ANY) {
+            return search(request, best);
+        }
+        FitMemo.Key key = FitMemo.Key.of(request);
+        if (pool.memo().knownMisfit(key, this::fitsAround)) {
+            return Optional.empty();
+        }
+        Optional<Gang> found = search(request, best);
+        if (found.isEmpty() && request.unlimited()) {
+            pool.memo().misfit(key);
+        }
+        return found;
+    }
+
+    private Optional<Gang> search(PlaceRequest request, Best best) {
         switch (request.adjacency()) {
             case WORKER -> placeOnWorkers(request, best);
             case RACK -> placeInRacks(request, best);
@@ -83,6 +98,55 @@
         return best.gang();
     }
 
+    /** Says whether a shape fits into the domain of a worker. */
+    private boolean fitsAround(FitMemo.Key key, Worker worker) {
+        if (!worker.open()) {
+            return false;
+        }
+        PlaceRequest request = PlaceRequest.of(key.parts(), key.part(), key.adjacency(), key.space());
+        return switch (key.adjacency()) {
+            case WORKER -> room(worker, request) >= key.parts();
+            case RACK -> total(worker.rack(), request) >= key.parts();
+            default -> total(worker.rack().dataCentre(), request) >= key.parts();
+        };
+    }
+
+    private int total(DataCentre dataCentre, PlaceRequest request) {
+        int total = 0;
+        for (Rack rack : dataCentre.racks()) {
+            total += total(rack, request);
+            if (total >= request.parts()) {
+                return total;
+            }
+        }
+        return total;
+    }
+
+    private int total(Rack rack, PlaceRequest request) {
+        if (!rack.mayHold(request.space(), request.part(), acceleratorsOnly)) {
+            return 0;
+        }
+        int total = 0;
+        for (Worker worker : rack.workers()) {
+            total += room(worker, request);
+        }
+        return total;
+    }
+
+    /** Places a gang in the domain of a worker. */
+    Optional<Gang> placeAround(Worker worker, PlaceRequest request) {
+        if (!fitsAround(FitMemo.Key.of(request), worker)) {
+            return Optional.empty();
+        }
+        List<Worker> domain = new ArrayList<>();
+        switch (request.adjacency()) {
+            case WORKER -> domain.add(worker);
+            case RACK -> domain.addAll(worker.rack().workers());
+            default -> worker.rack().dataCentre().racks().forEach(rack -> domain.addAll(rack.workers()));
+        }
+        return placeOn(domain, request);
+    }
+
     private void placeOnWorkers(PlaceRequest request, Best best) {
         for (DataCentre dataCentre : pool.dataCentres()) {
             for (Rack rack : dataCentre.racks()) {
--- a/core/src/main/java/org/fuchsiawinch/core/internal/GuaranteeClaimer.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/GuaranteeClaimer.java
@@ -65,7 +65,7 @@
     }
 
     Optional<Offer> offer(Job job, Resources part) {
-        List<GuaranteeUnit> units = candidates(job);
+        List<GuaranteeUnit> units = candidates(job, part);
         Optional<Offer> free = free(job, part, units);
         if (free.isPresent() || !state.has(SchedulerFeature.RECLAIM)) {
             return free;
@@ -73,11 +73,16 @@
         return cheapest(job, part, units);
     }
 
-    private List<GuaranteeUnit> candidates(Job job) {
+    private boolean mayHold(GuaranteeUnit unit, Job job, Resources part) {
+        return unit.empty() && covers(unit.shape(), job.spec().shape())
+                || pack(unit, job, part, false).isPresent();
+    }
+
+    private List<GuaranteeUnit> candidates(Job job, Resources part) {
         List<GuaranteeUnit> used = new ArrayList<>();
         List<GuaranteeUnit> empty = new ArrayList<>();
         for (GuaranteeUnit unit : state.keeper.units(job.spec().workspace())) {
-            if (!unit.placed() || unit.full()) {
+            if (!unit.placed() || unit.full() || !mayHold(unit, job, part)) {
                 continue;
             }
             (unit.empty() ? empty : used).add(unit);
--- a/core/src/main/java/org/fuchsiawinch/core/internal/GuaranteeKeeper.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/GuaranteeKeeper.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 
 import org.fuchsiawinch.core.SchedulerFeature;
@@ -71,17 +73,39 @@
         placeMissing();
     }
 
+    /** Finds a place around a worker that has opened for units that have none. */
+    void placeAround(Worker worker) {
+        Set<Shape> misfits = new HashSet<>();
+        for (GuaranteeUnit unit : missing()) {
+            Shape shape = unit.shape();
+            if (misfits.contains(shape)) {
+                continue;
+            }
+            PlaceRequest request = PlaceRequest.of(shape.parts(), shape.perPart(), shape.adjacency(), Space.CLAIMABLE);
+            Optional<Gang> gang = placer.placeAround(worker, request);
+            gang.ifPresent(unit::place);
+            if (gang.isEmpty()) {
+                misfits.add(shape);
+            }
+        }
+    }
+
     /** Finds a place for each unit that has none, moving empty ones if need be. */
     void placeMissing() {
-        List<GuaranteeUnit> missing = all().stream()
+        boolean anyLeft = false;
+        for (GuaranteeUnit unit : missing()) {
+            anyLeft |= !place(unit);
+        }
+        if (anyLeft) {
+            repack();
+        }
+    }
+
+    private List<GuaranteeUnit> missing() {
+        return all().stream()
                 .filter(unit -> !unit.placed())
                 .sorted(LARGEST_FIRST)
                 .toList();
-        for (GuaranteeUnit unit : missing) {
-            if (!unit.placed() && !place(unit)) {
-                repack();
-            }
-        }
     }
 
     /** Finds a new place for each unit on a worker that has closed or shrunk; work inside becomes firm. */
--- a/core/src/main/java/org/fuchsiawinch/core/internal/GuaranteeUnit.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/GuaranteeUnit.java
@@ -103,7 +103,7 @@
             Worker worker = location.workers()[i];
             worker.committed().add(shape.perPart(), -location.counts()[i]);
             worker.units().remove(this);
-            worker.changed();
+            worker.grew();
         }
         location = null;
         inUse = null;
@@ -177,7 +177,7 @@
             inUse[at].add(part, -gang.counts()[i]);
             inUse[at].addMemory(over);
             worker.committed().addMemory(-over);
-            worker.changed();
+            worker.changed(over > 0 ? -1 : 1);
         }
     }
 
--- a/core/src/main/java/org/fuchsiawinch/core/internal/Occupancy.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Occupancy.java
@@ -63,7 +63,7 @@
         for (int i = 0; i < gang.workers().length; i++) {
             Worker worker = gang.workers()[i];
             worker.committed().add(part, sign * gang.counts()[i]);
-            worker.changed();
+            worker.changed(sign);
         }
     }
 
@@ -94,7 +94,7 @@
         for (int i = 0; i < gang.workers().length; i++) {
             Worker worker = gang.workers()[i];
             worker.held().add(part, sign * gang.counts()[i]);
-            worker.changed();
+            worker.changed(sign);
         }
     }
 
@@ -104,7 +104,7 @@
             Worker worker = gang.workers()[i];
             worker.used().add(attempt.part(), sign * gang.counts()[i]);
             worker.used().addMemory(sign * gang.counts()[i] * attempt.addedMemoryMb());
-            worker.changed();
+            worker.changed(sign);
         }
     }
 }
--- a/core/src/main/java/org/fuchsiawinch/core/internal/PlaceRequest.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/PlaceRequest.java
@@ -50,6 +50,11 @@
         return new PlaceRequest(parts, part, adjacency, space, Set.of(), RoomLimit.NONE, Surcharge.NONE);
     }
 
+    /** Says whether the search covers all workers and all of their space. */
+    boolean unlimited() {
+        return limit == RoomLimit.NONE && avoid.isEmpty();
+    }
+
     PlaceRequest avoiding(Set<WorkerId> workers) {
         return new PlaceRequest(parts, part, adjacency, space, workers, limit, surcharge);
     }
--- a/core/src/main/java/org/fuchsiawinch/core/internal/Reservations.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Reservations.java
@@ -202,6 +202,9 @@
         }
 
         private void offer(List<Worker> workers) {
+            if (!couldHold(workers)) {
+                return;
+            }
             TreeSet<Long> ends = new TreeSet<>();
             ends.add(state.nowMs());
             for (Worker worker : workers) {
@@ -226,6 +229,17 @@
             }
         }
 
+        private boolean couldHold(List<Worker> workers) {
+            Amounts nothing = new Amounts();
+            int total = 0;
+            for (Worker worker : workers) {
+                if (worker.open()) {
+                    total += Math.min(shape.parts(), nothing.room(worker.capacity(), part));
+                }
+            }
+            return total >= shape.parts();
+        }
+
         private boolean fits(List<Worker> workers, long atMs) {
             int total = 0;
             for (Worker worker : workers) {
--- a/core/src/main/java/org/fuchsiawinch/core/internal/Starter.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Starter.java
@@ -161,6 +161,11 @@
         PlaceRequest request = PlaceRequest.of(shape.parts(), part, shape.adjacency(), Space.SPARE)
                 .avoiding(job.failedOn())
                 .limitedBy(reservations.limitFor(job, part));
+        if (state.placer
+                .place(request.within(Space.FREE).limitedBy(PlaceRequest.RoomLimit.NONE))
+                .isEmpty()) {
+            return Optional.of(ReasonCode.WAIT_CAPACITY);
+        }
         Optional<Gang> spare = state.placer.place(request);
         if (spare.isPresent()) {
             return startAt(job, part, spare.get(), lent, ReasonCode.START_SPARE);
--- a/core/src/main/java/org/fuchsiawinch/core/internal/Worker.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Worker.java
@@ -15,6 +15,7 @@
 final class Worker {
 
     private final WorkerId id;
+    private final FitMemo memo;
     private final List<Attempt> attempts = new ArrayList<>(4);
     private final List<GuaranteeUnit> units = new ArrayList<>(2);
     private final Amounts used = new Amounts();
@@ -28,8 +29,9 @@
     private boolean inDoubt;
     private boolean quarantined;
 
-    Worker(WorkerId id) {
+    Worker(WorkerId id, FitMemo memo) {
         this.id = id;
+        this.memo = memo;
     }
 
     WorkerId id() {
@@ -90,7 +92,7 @@
         capacity = newSpec.capacity();
         leaving = false;
         inDoubt = false;
-        changed();
+        grew();
     }
 
     void lose() {
@@ -112,7 +114,7 @@
 
     void quarantine(boolean on) {
         quarantined = on;
-        changed();
+        changed(on ? 1 : -1);
     }
 
     /** Tells the rack that its bounds are stale. */
@@ -122,6 +124,21 @@
         }
     }
 
+    /** Tells that there may be more room than before. */
+    void grew() {
+        changed();
+        memo.grew(this);
+    }
+
+    /** Tells of less room for a positive sign and of more for a negative one. */
+    void changed(int sign) {
+        if (sign > 0) {
+            changed();
+        } else {
+            grew();
+        }
+    }
+
     /** Accelerators that nothing uses and that are held for nothing. */
     int freeAccelerators() {
         return capacity.accelerators() - used.accelerators() - held.accelerators();
--- a/core/src/main/java/org/fuchsiawinch/core/internal/WorkerEvents.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/WorkerEvents.java
@@ -32,7 +32,7 @@
         if (worker.overCommitted()) {
             vacate(worker);
         }
-        opened();
+        opened(worker);
     }
 
     void leaving(WorkerId id) {
@@ -77,7 +77,7 @@
         }
         state.pool.find(id).ifPresent(worker -> {
             worker.quarantine(false);
-            opened();
+            opened(worker);
         });
     }
 
@@ -108,8 +108,8 @@
         }
     }
 
-    private void opened() {
-        state.keeper.placeMissing();
+    private void opened(Worker worker) {
+        state.keeper.placeAround(worker);
         state.capacityGrew();
     }
 
--- a/core/src/main/java/org/fuchsiawinch/core/internal/WorkerPool.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/WorkerPool.java
@@ -20,6 +20,7 @@
     private static final int MAX_SHAPES_KEPT = 1024;
 
     private final Map<WorkerId, Worker> workers = new HashMap<>();
+    private final FitMemo memo = new FitMemo();
     private final TreeMap<String, DataCentre> dataCentres = new TreeMap<>();
     private final Map<WorkerId, WorkerSpec> departed = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
@@ -42,6 +43,10 @@
         return dataCentres.values();
     }
 
+    FitMemo memo() {
+        return memo;
+    }
+
     int joinedCount() {
         return joinedCount;
     }
@@ -57,7 +62,7 @@
 
     /** Finds a worker, or makes a closed one for work that was recovered before its worker joined. */
     Worker resolve(WorkerId id) {
-        return workers.computeIfAbsent(id, Worker::new);
+        return workers.computeIfAbsent(id, key -> new Worker(key, memo));
     }
 
     Worker join(WorkerSpec spec) {
