Make a repeated propose succeed when its change is in force

Cause: after a lost answer the operator repeats the call and was told of a conflict with the own change. Change: document propose reports already-in-force with status 0 if the section has the edited text.

--- a/ctl/src/main/java/org/fuchsiawinch/ctl/command/ProposeCommand.java
+++ b/ctl/src/main/java/org/fuchsiawinch/ctl/command/ProposeCommand.java
@@ -82,6 +82,9 @@
         }
         Section section = invocation.settings().value(SECTION);
         String inForce = current.get().sectionTexts().get(section);
+        if (inForce.equals(edited.sectionTexts().get(section))) {
+            return Optional.of(alreadyInForce(current.get(), invocation));
+        }
         if (!inForce.equals(base.sectionTexts().get(section))) {
             return Optional.of(sectionConflict(base, current.get(), section, invocation));
         }
@@ -97,6 +100,14 @@
         return Optional.of(Replies.print(answer, invocation));
     }
 
+    /** Reports a section that has the edited text, as after an earlier call whose answer was lost. */
+    private static int alreadyInForce(Document current, Invocation invocation) {
+        ObjectNode report = JsonNodeFactory.instance.objectNode();
+        report.put("outcome", "already-in-force").put("version", current.version());
+        invocation.console().out().print(JsonView.render(report, invocation.format()));
+        return Program.EXIT_OK;
+    }
+
     private static int sectionConflict(Document base, Document current, Section section, Invocation invocation) {
         List<SectionDiff> others = DocumentDiff.between(base, current).stream()
                 .filter(diff -> diff.section() == section)
--- a/ctl/src/test/java/org/fuchsiawinch/ctl/ProposeCommandTest.java
+++ b/ctl/src/test/java/org/fuchsiawinch/ctl/ProposeCommandTest.java
@@ -58,6 +58,16 @@
         assertTrue(node.current().text().contains("amount: 100,"));
     }
 
+    /** A second call, as after a lost answer, makes no second version and succeeds. */
+    @Test
+    public void succeedsWhenTheSectionIsInForceAlready() {
+        propose(FINANCE_KEY);
+        CtlRun again = propose(FINANCE_KEY);
+        assertEquals(again.status(), 0, again.err());
+        assertEquals(again.out(), "outcome  already-in-force\nversion  2\n");
+        assertEquals(node.current().version(), 2);
+    }
+
     /** A rival's change of the same section is a conflict that shows the change; nothing is overwritten. */
     @Test
     public void showsTheConflictInTheSection() {
