--- a/node/src/main/java/org/fuchsiawinch/node/loop/NodeLoop.java
+++ b/node/src/main/java/org/fuchsiawinch/node/loop/NodeLoop.java
@@ -3,12 +3,14 @@
 import java.util.function.BiFunction;
 import java.util.function.LongSupplier;
 
+import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
 import com.lmax.disruptor.BlockingWaitStrategy;
 import com.lmax.disruptor.RingBuffer;
 import com.lmax.disruptor.dsl.Disruptor;
 import com.lmax.disruptor.dsl.ProducerType;
+import org.fuchsiawinch.protocol.node.NodeEffect;
 import org.fuchsiawinch.protocol.node.NodeInput;
 import org.fuchsiawinch.protocol.node.NodeMachine;
 import org.fuchsiawinch.runtime.EventLog;
@@ -29,6 +31,7 @@
     private final Disruptor<Slot> disruptor;
     private final RingBuffer<Slot> ring;
     private final Timer handled;
+    private final Counter failed;
 
     /**
      * Creates a loop that does not run yet.
@@ -53,6 +56,7 @@
         disruptor.handleEventsWith(this::run);
         this.ring = disruptor.getRingBuffer();
         this.handled = metrics.timer("loop.handled");
+        this.failed = metrics.counter("loop.failed");
         metrics.gauge("loop.waiting", () -> () -> ring.getBufferSize() - ring.remainingCapacity());
     }
 
@@ -111,7 +115,17 @@
     }
 
     private Task feed(NodeInput input) {
-        return (owned, nowMs) -> owned.handle(input, nowMs).forEach(effects::handle);
+        return (owned, nowMs) -> owned.handle(input, nowMs).forEach(this::carryOut);
+    }
+
+    /** Keeps a failure of one effect from dropping those behind it. */
+    private void carryOut(NodeEffect effect) {
+        try {
+            effects.handle(effect);
+        } catch (RuntimeException e) {
+            failed.inc();
+            LOG.warn("effect_failed", "effect", effect.getClass().getSimpleName(), "error", e);
+        }
     }
 
     private void run(Slot slot, long sequence, boolean endOfBatch) {
@@ -121,7 +135,8 @@
         try {
             task.run(machine, clock.getAsLong());
         } catch (RuntimeException e) {
-            LOG.warn("input_failed", "error", e);
+            failed.inc();
+            LOG.warn("input_failed", "error", e, "at", e.getStackTrace().length > 0 ? e.getStackTrace()[0] : "");
         } finally {
             timing.stop();
         }
--- a/quickstart/src/main/java/org/fuchsiawinch/quickstart/SampleMorning.java
+++ b/quickstart/src/main/java/org/fuchsiawinch/quickstart/SampleMorning.java
@@ -13,6 +13,7 @@
 final class SampleMorning {
 
     private static final long DEADLINE_MS = 600_000;
+    private static final long DECLARED_FLOOR_MS = 5000;
     private static final int PLAN_EVERY = 8;
     private static final int REORDER_EVERY = 3;
 
@@ -55,7 +56,7 @@
                 parts,
                 new Resources(2000, 8192, 1, 1, 2),
                 adjacency,
-                aroundMs,
+                DECLARED_FLOOR_MS + aroundMs,
                 !once,
                 !once,
                 Urgency.NORMAL,
