Measure membership after the start has settled, and the start by itself

The steady phase began as soon as views agreed, while statements of the start were still spreading, so its figure grew with the group (755 B/s at 25 nodes, 2104 B/s at 100, 1% loss). It now begins 120 s later, and the start's traffic has a column. The command takes its settings as the other binaries do.

--- a/explore/src/main/java/org/fuchsiawinch/explore/membership/MembershipExperiment.java
+++ b/explore/src/main/java/org/fuchsiawinch/explore/membership/MembershipExperiment.java
@@ -1,110 +1,147 @@
 package org.fuchsiawinch.explore.membership;
 
 import java.io.PrintStream;
-import java.util.ArrayList;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 
-import org.apache.commons.cli.CommandLine;
-import org.apache.commons.cli.DefaultParser;
-import org.apache.commons.cli.Options;
-import org.apache.commons.cli.ParseException;
+import org.fuchsiawinch.runtime.EventLog;
+import org.fuchsiawinch.runtime.Program;
+import org.fuchsiawinch.runtime.Setting;
+import org.fuchsiawinch.runtime.Settings;
+import org.fuchsiawinch.runtime.SettingsReader;
 
 /** Command that measures membership protocols and prints a table of their figures. */
 public final class MembershipExperiment {
 
-    private static final int EXIT_USAGE = 2;
+    private static final EventLog LOG = new EventLog(MembershipExperiment.class);
     private static final double MS_PER_S = 1_000.0;
     private static final String HEADER = "| protocol | nodes | loss % | sent B/s | sent+received B/s | busiest B/s "
-            + "| join s | detect median s | detect max s | missed | spread median s | arrival median s | leave s "
+            + "| join s | join busiest B/s | detect median s | detect max s | missed | spread median s "
+            + "| arrival median s | leave s "
             + "| false deaths /node/h | dead in 2 s pause | dead in 10 s pause | others dead | agreed after s "
             + "| equal times, other views | equal views, other times |";
 
+    /** Numbers of nodes. */
+    public static final Setting<List<Integer>> NODES =
+            numbers("nodes", "numbers of nodes", 2, 10_000).withDefault("8");
+
+    /** Shares of lost messages. */
+    public static final Setting<List<Integer>> LOSS =
+            numbers("loss", "lost messages in percent", 0, 99).withDefault("0");
+
+    /** Protocols. */
+    public static final Setting<List<ProtocolKind>> PROTOCOL = new Setting<>(
+            "protocol",
+            "protocols to measure",
+            Optional.of("heartbeat,gossip"),
+            text -> all(text, ProtocolKind::byLabel),
+            "some of "
+                    + Arrays.stream(ProtocolKind.values())
+                            .map(ProtocolKind::label)
+                            .collect(Collectors.joining(",")));
+
+    /** Seed of all trials. */
+    public static final Setting<Long> SEED = Setting.number(
+                    "seed", "seed of loss, delay and choices", 0, Long.MAX_VALUE)
+            .withDefault("7");
+
+    /** Length of the steady phase. */
+    public static final Setting<Long> STEADY = Setting.number(
+                    "steady", "virtual seconds without faults but loss", 1, 1_000_000)
+            .withDefault("120");
+
+    /** Rounds of faults. */
+    public static final Setting<Long> ROUNDS = Setting.number("rounds", "crashes, and pauses of each length", 0, 10_000)
+            .withDefault("10");
+
     private MembershipExperiment() {}
 
     /**
-     * Runs each combination of the given values.
+     * Runs the command and ends the process with its exit status.
      *
-     * @param args the command line; see {@code --help}
+     * @param arguments the command line; see {@code --help}
      */
-    public static void main(String[] args) {
-        Options options = options();
-        try {
-            CommandLine line = new DefaultParser().parse(options, args);
-            if (line.hasOption("help")) {
-                usage(System.out);
-                return;
-            }
-            run(line, System.out);
-        } catch (ParseException | IllegalArgumentException problem) {
-            System.err.println(problem.getMessage());
-            usage(System.err);
-            System.exit(EXIT_USAGE);
-        }
+    public static void main(String[] arguments) {
+        System.exit(run(arguments, System.out, System.err));
     }
 
-    private static Options options() {
-        Options options = new Options();
-        options.addOption(null, "nodes", true, "numbers of nodes");
-        options.addOption(null, "loss", true, "lost messages in percent");
-        options.addOption(null, "seed", true, "seed");
-        options.addOption(null, "protocol", true, "protocols");
-        options.addOption(null, "steady-seconds", true, "virtual seconds of the steady phase");
-        options.addOption(null, "rounds", true, "crashes, and pauses of each length");
-        options.addOption(null, "help", false, "print the usage");
-        return options;
-    }
-
-    private static void usage(PrintStream out) {
-        out.println("usage: fuchsiawinch-membership [--nodes N,..] [--loss PERCENT,..] [--protocol NAME,..]"
-                + " [--seed S] [--steady-seconds S] [--rounds R]");
-        out.println("protocols: "
-                + String.join(
-                        ", ",
-                        Arrays.stream(ProtocolKind.values())
-                                .map(ProtocolKind::label)
-                                .toList()));
-        out.println("example: fuchsiawinch-membership --nodes 8,50 --loss 0,5 --protocol gossip --seed 7");
+    /**
+     * Runs each combination of the given values and prints a table.
+     *
+     * @param arguments the command line
+     * @param out takes the table or the help text
+     * @param err takes the problems
+     * @return 0, or 2 if the settings are wrong
+     */
+    public static int run(String[] arguments, PrintStream out, PrintStream err) {
+        SettingsReader reader = new SettingsReader(
+                "fuchsiawinch-membership",
+                "Measures membership protocols on a virtual clock, each combination of nodes, loss and protocol.",
+                List.of(NODES, LOSS, PROTOCOL, SEED, STEADY, ROUNDS));
+        return Program.run(reader, arguments, out, err, settings -> measure(settings, out));
     }
 
-    private static void run(CommandLine line, PrintStream out) {
-        List<TrialSettings> trials = new ArrayList<>();
-        long seed = Long.parseLong(line.getOptionValue("seed", "7"));
-        long steadyMs = number(line, "steady-seconds", "120", 1, 1_000_000).get(0) * 1_000L;
-        int rounds = number(line, "rounds", "10", 0, 10_000).get(0);
-        for (String name : line.getOptionValue("protocol", "heartbeat,gossip").split(",")) {
-            ProtocolKind kind = ProtocolKind.byLabel(name)
-                    .orElseThrow(() -> new IllegalArgumentException("--protocol: unknown: " + name));
-            for (int nodes : number(line, "nodes", "8", 2, 10_000)) {
-                for (int loss : number(line, "loss", "0", 0, 99)) {
-                    trials.add(new TrialSettings(kind, nodes, loss, seed, steadyMs, rounds));
+    private static int measure(Settings settings, PrintStream out) {
+        out.println(HEADER);
+        out.println(HEADER.replaceAll("[^|]+", "---"));
+        for (ProtocolKind kind : settings.value(PROTOCOL)) {
+            for (int nodes : settings.value(NODES)) {
+                for (int loss : settings.value(LOSS)) {
+                    measureOne(
+                            new TrialSettings(
+                                    kind,
+                                    nodes,
+                                    loss,
+                                    settings.value(SEED),
+                                    settings.value(STEADY) * (long) MS_PER_S,
+                                    Math.toIntExact(settings.value(ROUNDS))),
+                            out);
                 }
             }
         }
-        out.println(HEADER);
-        out.println(HEADER.replaceAll("[^|]+", "---"));
-        trials.forEach(trial -> out.println(row(new MembershipTrial(trial).run())));
+        return Program.EXIT_OK;
     }
 
-    private static List<Integer> number(CommandLine line, String option, String fallback, int least, int most) {
-        List<Integer> numbers = new ArrayList<>();
-        for (String text : line.getOptionValue(option, fallback).split(",")) {
-            int value = parse(option, text);
-            if (value < least || value > most) {
-                throw new IllegalArgumentException("--" + option + ": outside " + least + ".." + most + ": " + text);
-            }
-            numbers.add(value);
-        }
-        return numbers;
+    private static void measureOne(TrialSettings trial, PrintStream out) {
+        ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+        long beforeNs = threads.getCurrentThreadCpuTime();
+        MembershipTrial run = new MembershipTrial(trial);
+        TrialResult result = run.run();
+        double microsPerNodeSecond =
+                (threads.getCurrentThreadCpuTime() - beforeNs) / (double) (trial.nodes() * run.virtualMs());
+        out.println(row(result));
+        LOG.info(
+                "membership-trial",
+                "protocol",
+                trial.kind().label(),
+                "nodes",
+                trial.nodes(),
+                "loss_percent",
+                trial.lossPercent(),
+                "processor_us_per_node_s",
+                String.format(Locale.ROOT, "%.1f", microsPerNodeSecond));
     }
 
-    private static int parse(String option, String text) {
-        try {
-            return Integer.parseInt(text.trim());
-        } catch (NumberFormatException problem) {
-            throw new IllegalArgumentException("--" + option + ": not a whole number: " + text, problem);
-        }
+    private static Setting<List<Integer>> numbers(String flag, String description, int least, int most) {
+        Setting<Long> one = Setting.number(flag, description, least, most);
+        return new Setting<>(
+                flag,
+                description,
+                Optional.empty(),
+                text -> all(text, part -> one.parser().apply(part).map(Math::toIntExact)),
+                one.expected() + ", or several with commas");
+    }
+
+    private static <T> Optional<List<T>> all(String text, Function<String, Optional<T>> parser) {
+        List<Optional<T>> values = Arrays.stream(text.split(",")).map(parser).toList();
+        boolean valid = values.stream().allMatch(Optional::isPresent);
+        return valid ? Optional.of(values.stream().map(Optional::orElseThrow).toList()) : Optional.empty();
     }
 
     private static String row(TrialResult result) {
@@ -112,7 +149,7 @@
         TrialResult.Convergence convergence = result.convergence();
         return String.format(
                 Locale.ROOT,
-                "| %s | %d | %d | %.0f | %.0f | %.0f | %.1f | %.1f | %.1f | %d | %.1f | %.1f | %.1f | %.3f"
+                "| %s | %d | %d | %.0f | %.0f | %.0f | %.1f | %.0f | %.1f | %.1f | %d | %.1f | %.1f | %.1f | %.3f"
                         + " | %d/%d | %d/%d | %d | %.1f | %s | %s |",
                 settings.kind().label(),
                 settings.nodes(),
@@ -121,6 +158,7 @@
                 result.traffic().bothMean(),
                 result.traffic().bothMax(),
                 result.joinMs() / MS_PER_S,
+                result.joinTraffic().bothMax(),
                 result.detection().medianMs() / MS_PER_S,
                 result.detection().maxMs() / MS_PER_S,
                 result.missedVerdicts(),
--- a/explore/src/main/java/org/fuchsiawinch/explore/membership/MembershipTrial.java
+++ b/explore/src/main/java/org/fuchsiawinch/explore/membership/MembershipTrial.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicLong;
 
 import org.fuchsiawinch.membership.Endpoint;
 import org.fuchsiawinch.membership.MemberState;
@@ -16,6 +17,7 @@
 public final class MembershipTrial {
 
     private static final long JOIN_LIMIT_MS = 120_000;
+    private static final long SETTLE_MS = 120_000;
     private static final long CRASH_ROUND_MS = 40_000;
     private static final long ARRIVAL_ROUND_MS = 20_000;
     private static final long PAUSE_ROUND_MS = 30_000;
@@ -64,10 +66,13 @@
 
     /** Runs all phases and returns the figures. */
     public TrialResult run() {
-        long joinMs = join();
+        start();
+        AtomicLong joinMs = new AtomicLong();
+        TrialResult.Traffic joinTraffic = measure(() -> joinMs.set(group.runUntilAgreed(JOIN_LIMIT_MS)));
+        group.run(SETTLE_MS);
         network.listener(this::changed);
         long startMs = network.nowMs();
-        TrialResult.Traffic traffic = steady();
+        TrialResult.Traffic traffic = measure(() -> group.run(settings.steadyMs()));
         for (int i = 0; i < settings.rounds(); i++) {
             crashAndReplace();
         }
@@ -78,7 +83,8 @@
         return new TrialResult(
                 settings,
                 traffic,
-                joinMs,
+                joinMs.get(),
+                joinTraffic,
                 detection,
                 missedVerdicts,
                 spread,
@@ -90,25 +96,30 @@
                 convergence.result());
     }
 
-    private long join() {
+    /** Returns the virtual time that ran so far, in ms. */
+    public long virtualMs() {
+        return network.nowMs();
+    }
+
+    private void start() {
         for (int host = 0; host < settings.nodes(); host++) {
             hosts.add(VirtualGroup.endpoint(host));
         }
         for (int host = 0; host < settings.nodes(); host++) {
             byHost.put(host, group.start(host, hosts));
         }
-        return group.runUntilAgreed(JOIN_LIMIT_MS);
     }
 
-    private TrialResult.Traffic steady() {
+    private TrialResult.Traffic measure(Runnable phase) {
         Map<NodeId, Long> sentBefore = new HashMap<>();
         Map<NodeId, Long> bothBefore = new HashMap<>();
         for (SimulatedNode node : network.nodes()) {
             sentBefore.put(node.id(), node.sentBytes());
             bothBefore.put(node.id(), node.sentBytes() + node.receivedBytes());
         }
-        group.run(settings.steadyMs());
-        double seconds = settings.steadyMs() / MS_PER_S;
+        long startMs = network.nowMs();
+        phase.run();
+        double seconds = Math.max(VirtualNetwork.TICK_MS, network.nowMs() - startMs) / MS_PER_S;
         double sent = 0;
         double both = 0;
         double busiest = 0;
--- a/explore/src/main/java/org/fuchsiawinch/explore/membership/TrialResult.java
+++ b/explore/src/main/java/org/fuchsiawinch/explore/membership/TrialResult.java
@@ -6,6 +6,7 @@
  * @param settings what was run
  * @param traffic bytes in the steady phase
  * @param joinMs time until all nodes knew all others after a common start
+ * @param joinTraffic bytes until then
  * @param detection times from a crash to each observer's verdict
  * @param missedVerdicts verdicts that did not come within a round
  * @param spread times from the first to the last observer's verdict on a crash
@@ -20,6 +21,7 @@
         TrialSettings settings,
         Traffic traffic,
         long joinMs,
+        Traffic joinTraffic,
         Samples detection,
         int missedVerdicts,
         Samples spread,
@@ -31,7 +33,7 @@
         Convergence convergence) {
 
     /**
-     * Bytes a second in the steady phase.
+     * Bytes a second in one phase.
      *
      * @param sentMean sent by a node, mean
      * @param bothMean sent and received by a node, mean
--- /dev/null
+++ b/explore/src/test/java/org/fuchsiawinch/explore/membership/MembershipExperimentTest.java
@@ -0,0 +1,60 @@
+package org.fuchsiawinch.explore.membership;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** The measuring command and the bounds that the protocols are measured against. */
+public class MembershipExperimentTest {
+
+    private static final int CONTROL_LIMIT_BYTES_PER_S = 8_000;
+
+    @Test
+    public void theSameSeedGivesTheSameTable() {
+        String[] arguments = {"--nodes", "3,8", "--loss", "5", "--protocol", "gossip", "--rounds", "1", "--steady", "10"
+        };
+        String first = output(arguments, 0);
+        assertEquals(output(arguments, 0), first);
+        assertEquals(first.lines().count(), 4);
+    }
+
+    @Test
+    public void allWrongSettingsAreNamed() {
+        String problems = output(new String[] {"--nodes", "1", "--loss", "5,x", "--protocol", "token-ring"}, 2);
+        assertTrue(problems.contains("--nodes: INVALID"), problems);
+        assertTrue(problems.contains("--loss: INVALID"), problems);
+        assertTrue(problems.contains("--protocol: INVALID"), problems);
+    }
+
+    @Test
+    public void gossipStaysUnderTheLimitWhereHeartbeatsDoNot() {
+        TrialResult gossip = trial(ProtocolKind.GOSSIP, 50);
+        assertTrue(gossip.traffic().bothMax() < CONTROL_LIMIT_BYTES_PER_S, gossip.toString());
+        assertEquals(gossip.missedVerdicts(), 0);
+        TrialResult heartbeat = trial(ProtocolKind.HEARTBEAT, 50);
+        assertTrue(heartbeat.traffic().bothMean() > CONTROL_LIMIT_BYTES_PER_S, heartbeat.toString());
+    }
+
+    @Test
+    public void gossipCostsTheSameInALargerGroup() {
+        double small = trial(ProtocolKind.GOSSIP, 25).traffic().bothMean();
+        double large = trial(ProtocolKind.GOSSIP, 100).traffic().bothMean();
+        assertTrue(large < 2 * small, small + " and " + large);
+    }
+
+    private static TrialResult trial(ProtocolKind kind, int nodes) {
+        return new MembershipTrial(new TrialSettings(kind, nodes, 1, 7, 60_000, 1)).run();
+    }
+
+    private static String output(String[] arguments, int status) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        PrintStream stream = new PrintStream(out, true, StandardCharsets.UTF_8);
+        assertEquals(MembershipExperiment.run(arguments, stream, stream), status);
+        return out.toString(StandardCharsets.UTF_8);
+    }
+}
--- a/report/src/main/java/org/fuchsiawinch/report/burn/BurnCalculator.java
+++ b/report/src/main/java/org/fuchsiawinch/report/burn/BurnCalculator.java
@@ -36,21 +36,33 @@
      * @param nowMs the moment of the report, in ms since the epoch
      */
     public static BurnReport compute(Records records, Document document, long nowMs) {
-        List<JobRecord> jobs =
-                records.jobs().stream().filter(job -> job.endedMs() <= nowMs).toList();
+        Map<WorkspaceId, List<JobRecord>> jobs = byWorkspace(records, nowMs);
         List<SystemSample> samples = records.samples().stream()
                 .filter(sample -> sample.atMs() <= nowMs)
                 .sorted(Comparator.comparingLong(SystemSample::atMs))
                 .toList();
         List<ObjectiveBurn> objectives = document.serviceLevels().stream()
-                .map(level -> objective(level, jobs, nowMs))
+                .map(level -> objective(level, jobs.getOrDefault(level.workspace(), List.of()), nowMs))
                 .sorted(Comparator.comparingDouble(ObjectiveBurn::budgetLeft))
                 .toList();
         List<SpendBurn> spends = new ArrayList<>();
         new TreeMap<>(document.policy().workspaces())
-                .forEach((workspace, policy) -> spends.add(spend(workspace, policy, jobs, records.spends(), nowMs)));
+                .forEach((workspace, policy) -> spends.add(
+                        spend(workspace, policy, jobs.getOrDefault(workspace, List.of()), records.spends(), nowMs)));
+        List<WorkspaceSummary> summaries = new ArrayList<>();
+        jobs.forEach((workspace, own) -> summaries.add(summary(workspace, own)));
         return new BurnReport(
-                nowMs, document.currency(), objectives, spends, summaries(jobs), samples, meanFragmentation(samples));
+                nowMs, document.currency(), objectives, spends, summaries, samples, meanFragmentation(samples));
+    }
+
+    private static Map<WorkspaceId, List<JobRecord>> byWorkspace(Records records, long nowMs) {
+        Map<WorkspaceId, List<JobRecord>> jobs = new TreeMap<>();
+        for (JobRecord job : records.jobs()) {
+            if (job.endedMs() <= nowMs) {
+                jobs.computeIfAbsent(job.workspace(), id -> new ArrayList<>()).add(job);
+            }
+        }
+        return jobs;
     }
 
     private static ObjectiveBurn objective(ServiceLevel level, List<JobRecord> jobs, long nowMs) {
@@ -104,8 +116,8 @@
                 .filter(each -> each.workspace().equals(workspace))
                 .filter(each -> each.atMs() <= nowMs && each.atMs() > nowMs - periodMs)
                 .max(Comparator.comparingLong(SpendSample::atMs));
-        long ended = endedSpend(workspace, jobs, nowMs - periodMs);
-        long recent = endedSpend(workspace, jobs, nowMs - periodMs / RECENT_PARTS);
+        long ended = endedSpend(jobs, nowMs - periodMs);
+        long recent = endedSpend(jobs, nowMs - periodMs / RECENT_PARTS);
         double limit = policy.spendLimitMicros().orElse(0);
         double recentRate = limit == 0 ? 0 : recent * RECENT_PARTS / limit;
         return new SpendBurn(
@@ -117,23 +129,13 @@
                 sample.isPresent());
     }
 
-    private static long endedSpend(WorkspaceId workspace, List<JobRecord> jobs, long afterMs) {
+    private static long endedSpend(List<JobRecord> jobs, long afterMs) {
         return jobs.stream()
-                .filter(job -> job.workspace().equals(workspace) && job.endedMs() > afterMs)
+                .filter(job -> job.endedMs() > afterMs)
                 .mapToLong(JobRecord::spendMicros)
                 .sum();
     }
 
-    private static List<WorkspaceSummary> summaries(List<JobRecord> jobs) {
-        Map<WorkspaceId, List<JobRecord>> byWorkspace = new TreeMap<>();
-        jobs.forEach(job -> byWorkspace
-                .computeIfAbsent(job.workspace(), id -> new ArrayList<>())
-                .add(job));
-        List<WorkspaceSummary> summaries = new ArrayList<>();
-        byWorkspace.forEach((workspace, own) -> summaries.add(summary(workspace, own)));
-        return summaries;
-    }
-
     private static WorkspaceSummary summary(WorkspaceId workspace, List<JobRecord> jobs) {
         Map<JobOutcome, Integer> outcomes = new EnumMap<>(JobOutcome.class);
         jobs.forEach(job -> outcomes.merge(job.outcome(), 1, Integer::sum));
--- a/report/src/main/java/org/fuchsiawinch/report/burn/Events.java
+++ b/report/src/main/java/org/fuchsiawinch/report/burn/Events.java
@@ -21,13 +21,10 @@
         this.events = events;
     }
 
+    /** Gives the events of a service level, from jobs of its workspace. */
     static Events of(ServiceLevel level, List<JobRecord> jobs) {
         List<Event> events = new ArrayList<>();
-        for (JobRecord job : jobs) {
-            if (job.workspace().equals(level.workspace())) {
-                event(level, job).ifPresent(events::add);
-            }
-        }
+        jobs.forEach(job -> event(level, job).ifPresent(events::add));
         events.sort(Comparator.comparingLong(Event::atMs));
         return new Events(events);
     }
--- a/report/src/main/java/org/fuchsiawinch/report/render/HtmlRenderer.java
+++ b/report/src/main/java/org/fuchsiawinch/report/render/HtmlRenderer.java
@@ -8,10 +8,10 @@
 
 import org.fuchsiawinch.model.WorkspaceId;
 import org.fuchsiawinch.report.burn.BudgetPoint;
+import org.fuchsiawinch.report.burn.BurnAlert;
 import org.fuchsiawinch.report.burn.BurnReport;
 import org.fuchsiawinch.report.burn.ObjectiveBurn;
 import org.fuchsiawinch.report.burn.SpendBurn;
-import org.fuchsiawinch.report.burn.WindowBurn;
 import org.fuchsiawinch.report.burn.WorkspaceSummary;
 import org.fuchsiawinch.report.records.JobOutcome;
 import org.fuchsiawinch.report.records.SystemSample;
@@ -79,14 +79,13 @@
     }
 
     private static void objectives(StringBuilder page, BurnReport report) {
-        page.append("<h2>Service levels</h2>\n<p>Burn is the rate at which the error budget is spent, over a long and")
-                .append(" a short window; 1 spends it just at the end of the objective's window. An alert fires when")
-                .append(" both are high.</p>\n");
+        page.append("<h2>Service levels</h2>\n<p>Burn is the rate at which the error budget is spent; 1 spends it just")
+                .append(" at the end of the objective's window. Fast, slow and creeping burn are taken over 1/720,")
+                .append(" 1/120 and 1/10 of that window and over a twelfth of each; an alert fires at 14.4, 6 and 1")
+                .append(" in both.</p>\n");
         open(page, "Workspace", "Objective", "Target", "#Good", "#Bad", "#Reached", "Budget left");
-        for (WindowBurn window : firstWindows(report)) {
-            head(
-                    page,
-                    "#Burn " + Units.duration(window.longWindowMs()) + " / " + Units.duration(window.shortWindowMs()));
+        for (BurnAlert alert : BurnAlert.values()) {
+            head(page, "#" + Units.label(alert) + " burn");
         }
         head(page, "State");
         page.append("</tr>\n");
@@ -107,13 +106,6 @@
         close(page);
     }
 
-    private static List<WindowBurn> firstWindows(BurnReport report) {
-        return report.objectives().stream()
-                .findFirst()
-                .map(ObjectiveBurn::windows)
-                .orElse(List.of());
-    }
-
     private static String severity(ObjectiveBurn burn) {
         if (burn.firing() || burn.budgetLeft() < 0) {
             return "bad";
--- a/report/src/main/java/org/fuchsiawinch/report/render/Units.java
+++ b/report/src/main/java/org/fuchsiawinch/report/render/Units.java
@@ -7,6 +7,7 @@
 import java.util.stream.Collectors;
 
 import org.fuchsiawinch.document.ServiceLevel;
+import org.fuchsiawinch.report.burn.BurnAlert;
 import org.fuchsiawinch.report.burn.ObjectiveBurn;
 import org.fuchsiawinch.report.burn.SpendBurn;
 import org.fuchsiawinch.report.burn.WindowBurn;
@@ -72,7 +73,7 @@
     static String alerts(ObjectiveBurn burn) {
         String firing = burn.windows().stream()
                 .filter(WindowBurn::firing)
-                .map(window -> window.alert().name().toLowerCase(Locale.ROOT))
+                .map(window -> label(window.alert()).toLowerCase(Locale.ROOT))
                 .collect(Collectors.joining(" "));
         if (!firing.isEmpty()) {
             return firing;
@@ -83,6 +84,11 @@
         return burn.budgetLeft() < 0 ? "overspent" : "ok";
     }
 
+    static String label(BurnAlert alert) {
+        String name = alert.name();
+        return name.charAt(0) + name.substring(1).toLowerCase(Locale.ROOT);
+    }
+
     static String limit(SpendBurn spend) {
         return spend.limitMicros().isPresent() ? money(spend.limitMicros().getAsLong()) : "none";
     }
