--- a/protocol/src/main/java/org/fuchsiawinch/protocol/fold/LogFold.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/fold/LogFold.java
@@ -6,10 +6,13 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.fuchsiawinch.model.CellId;
 import org.fuchsiawinch.model.JobId;
 import org.fuchsiawinch.model.NodeId;
+import org.fuchsiawinch.protocol.ProtocolFeature;
+import org.fuchsiawinch.protocol.record.AttemptEnd;
 import org.fuchsiawinch.protocol.record.Envelope;
 import org.fuchsiawinch.protocol.record.JobOutcome;
 import org.fuchsiawinch.protocol.record.LogRecord;
@@ -21,6 +24,7 @@
 public final class LogFold {
 
     private final DocumentBook document;
+    private final boolean deduplicates;
     private final Map<NodeId, Long> lastSequence = new HashMap<>();
     private final Map<CellId, CellEntry> cells = new HashMap<>();
     private final Map<JobId, JobEntry> jobs = new LinkedHashMap<>();
@@ -33,7 +37,18 @@
      * @param document folds the document's records
      */
     public LogFold(DocumentBook document) {
+        this(document, ProtocolFeature.defaults());
+    }
+
+    /**
+     * Creates the state before the first record.
+     *
+     * @param document folds the document's records
+     * @param features enabled safety mechanisms
+     */
+    public LogFold(DocumentBook document, Set<ProtocolFeature> features) {
         this.document = document;
+        this.deduplicates = features.contains(ProtocolFeature.DEDUPLICATION);
     }
 
     /**
@@ -46,7 +61,7 @@
     public Optional<VoidCode> apply(long offset, Envelope envelope) {
         nextOffset = offset + 1;
         NodeId writer = envelope.id().writer();
-        if (envelope.id().sequence() <= lastSequence.getOrDefault(writer, 0L)) {
+        if (deduplicates && envelope.id().sequence() <= lastSequence.getOrDefault(writer, 0L)) {
             return Optional.of(VoidCode.DUPLICATE_RECORD);
         }
         lastSequence.put(writer, envelope.id().sequence());
@@ -114,13 +129,13 @@
         NodeId writer = envelope.id().writer();
         long nowMs = envelope.writtenMs();
         if (record instanceof LogRecord.CellClaimed claimed) {
-            return claim(offset, writer, claimed);
+            return claim(offset, writer, claimed, nowMs);
         }
         if (record instanceof LogRecord.CellHeld held) {
-            return hold(offset, writer, held);
+            return hold(offset, writer, held, nowMs);
         }
         if (record instanceof LogRecord.CellReleased released) {
-            return release(writer, released);
+            return release(writer, released, nowMs);
         }
         if (record instanceof LogRecord.JobAccepted accepted) {
             return accept(accepted, nowMs);
@@ -147,36 +162,36 @@
         return documentRefusal.map(refusal -> VoidCode.DOCUMENT_REFUSED);
     }
 
-    private Optional<VoidCode> claim(long offset, NodeId writer, LogRecord.CellClaimed claimed) {
+    private Optional<VoidCode> claim(long offset, NodeId writer, LogRecord.CellClaimed claimed, long nowMs) {
         CellEntry cell = cell(claimed.cell());
         if (claimed.epoch() != cell.epoch() + 1 || !writer.equals(claimed.owner())) {
             return Optional.of(VoidCode.STALE_EPOCH);
         }
-        cells.put(claimed.cell(), new CellEntry(claimed.epoch(), Optional.of(writer), offset));
+        cells.put(claimed.cell(), cell.claimed(claimed.epoch(), writer, offset, nowMs));
         return Optional.empty();
     }
 
-    private Optional<VoidCode> hold(long offset, NodeId writer, LogRecord.CellHeld held) {
+    private Optional<VoidCode> hold(long offset, NodeId writer, LogRecord.CellHeld held, long nowMs) {
         CellEntry cell = cell(held.cell());
         if (!cell.ownedBy(writer, held.epoch())) {
             return Optional.of(VoidCode.STALE_EPOCH);
         }
-        cells.put(held.cell(), new CellEntry(cell.epoch(), cell.owner(), offset));
+        cells.put(held.cell(), cell.held(offset, nowMs));
         return Optional.empty();
     }
 
-    private Optional<VoidCode> release(NodeId writer, LogRecord.CellReleased released) {
+    private Optional<VoidCode> release(NodeId writer, LogRecord.CellReleased released, long nowMs) {
         CellEntry cell = cell(released.cell());
         if (!cell.ownedBy(writer, released.epoch())) {
             return Optional.of(VoidCode.STALE_EPOCH);
         }
-        cells.put(released.cell(), new CellEntry(cell.epoch(), Optional.empty(), cell.lastHeardOffset()));
+        cells.put(released.cell(), cell.released(nowMs));
         return Optional.empty();
     }
 
     private Optional<VoidCode> accept(LogRecord.JobAccepted accepted, long nowMs) {
         JobId id = accepted.job().id();
-        if (jobs.containsKey(id)) {
+        if (deduplicates && jobs.containsKey(id)) {
             return Optional.of(VoidCode.DUPLICATE_JOB);
         }
         jobs.put(id, JobEntry.accepted(accepted.cell(), accepted.job(), accepted.payload(), nowMs));
@@ -204,6 +219,9 @@
         if (job.status() != JobStatus.WAITING) {
             return Optional.of(VoidCode.WRONG_STATUS);
         }
+        if (!job.repeatable()) {
+            return Optional.of(VoidCode.NOT_REPEATABLE);
+        }
         if (placed.attempt().number() != job.attemptNumber() + 1) {
             return Optional.of(VoidCode.WRONG_ATTEMPT);
         }
@@ -239,7 +257,7 @@
         if (!ended.attempt().equals(job.attempt())) {
             return Optional.of(VoidCode.WRONG_ATTEMPT);
         }
-        jobs.put(ended.attempt().job(), job.waiting());
+        jobs.put(ended.attempt().job(), job.waiting(ended.end() == AttemptEnd.CHECKPOINTED));
         return Optional.empty();
     }
 
@@ -252,7 +270,11 @@
         if (job.status() == JobStatus.FINISHED) {
             return Optional.of(VoidCode.WRONG_STATUS);
         }
-        if (finished.outcome() instanceof JobOutcome.NotRun && job.everReleased()) {
+        boolean notRun = finished.outcome() instanceof JobOutcome.NotRun;
+        if (notRun && (job.everReleased() || job.status() != JobStatus.WAITING)) {
+            return Optional.of(VoidCode.WRONG_STATUS);
+        }
+        if (finished.outcome() instanceof JobOutcome.Completed && job.status() != JobStatus.RELEASED) {
             return Optional.of(VoidCode.WRONG_STATUS);
         }
         jobs.put(finished.job(), job.finished(finished.outcome(), nowMs));
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeMachine.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeMachine.java
@@ -6,20 +6,24 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 import org.fuchsiawinch.core.Reason;
 import org.fuchsiawinch.core.Scheduler;
 import org.fuchsiawinch.model.JobId;
 import org.fuchsiawinch.model.JobSpec;
+import org.fuchsiawinch.protocol.ProtocolFeature;
 import org.fuchsiawinch.protocol.fold.CellEntry;
 import org.fuchsiawinch.protocol.fold.DocumentBook;
 import org.fuchsiawinch.protocol.fold.JobEntry;
 import org.fuchsiawinch.protocol.fold.JobStatus;
 import org.fuchsiawinch.protocol.fold.LogFold;
+import org.fuchsiawinch.protocol.fold.Sha256;
 import org.fuchsiawinch.protocol.fold.VoidCode;
 import org.fuchsiawinch.protocol.node.internal.Appender;
 import org.fuchsiawinch.protocol.node.internal.CellOwner;
+import org.fuchsiawinch.protocol.node.internal.CommandPacer;
 import org.fuchsiawinch.protocol.node.internal.Outlet;
 import org.fuchsiawinch.protocol.node.internal.RequestDesk;
 import org.fuchsiawinch.protocol.record.Envelope;
@@ -40,11 +44,13 @@
     private final NodeSettings settings;
     private final LogFold fold;
     private final Appender appender;
+    private final CommandPacer pacer;
     private final RequestDesk desk = new RequestDesk();
     private final CellOwner owner;
     private final Set<JobId> submitting = new HashSet<>();
     private final Set<RecordId> documentChanges = new HashSet<>();
     private List<NodeEffect> effects = new ArrayList<>();
+    private long inputMs;
     private long endReachedMs = Long.MIN_VALUE / 2;
     private long ownerHeardMs;
     private long ownerHeardOffset = -2;
@@ -66,8 +72,9 @@
      */
     public NodeMachine(NodeSettings settings, DocumentBook document, Supplier<Scheduler> schedulers) {
         this.settings = settings;
-        this.fold = new LogFold(document);
+        this.fold = new LogFold(document, settings.features());
         this.appender = new Appender(settings.node(), settings.appendLimit());
+        this.pacer = new CommandPacer(settings.renewEveryMs() / 2);
         this.owner = new CellOwner(settings, schedulers, fold, new MachineOutlet());
     }
 
@@ -80,6 +87,7 @@
      */
     public List<NodeEffect> handle(NodeInput input, long nowMs) {
         effects = new ArrayList<>();
+        inputMs = nowMs;
         dispatch(input, nowMs);
         appender.next(nowMs).ifPresent(effects::add);
         return effects;
@@ -114,6 +122,16 @@
         return owner.waitReason(job, nowMs);
     }
 
+    /**
+     * Gives the reason of the last decision on a job, if this node took it.
+     *
+     * @param job the job
+     * @return the reason, or empty
+     */
+    public Optional<Reason> lastReason(JobId job) {
+        return owner.lastReason(job);
+    }
+
     private void dispatch(NodeInput input, long nowMs) {
         if (input instanceof NodeInput.RecordRead read) {
             recordRead(read.offset(), read.envelope(), nowMs);
@@ -158,6 +176,9 @@
         followOwner(nowMs);
         followDocument(nowMs);
         jobOf(record).flatMap(fold::job).ifPresent(job -> desk.jobChanged(job, effects::add));
+        if (own && actsBeforeReadBack(record)) {
+            return;
+        }
         if (jobOf(record).flatMap(fold::job).filter(this::inCell).isPresent()) {
             owner.recordApplied(record, nowMs);
         }
@@ -178,6 +199,12 @@
             submitting.remove(accepted.job().id());
             fold.job(accepted.job().id()).ifPresent(job -> desk.jobChanged(job, effects::add));
         }
+        if (record instanceof LogRecord.JobCancelled cancelled) {
+            NodeReply reply = fold.job(cancelled.job())
+                    .map(job -> (NodeReply) new NodeReply.Job(job))
+                    .orElse(new NodeReply.UnknownJob());
+            desk.recordRead(envelope.id(), reply, effects::add);
+        }
         if (documentChanges.remove(envelope.id())) {
             answerDocumentChange(envelope, refused);
         }
@@ -204,9 +231,12 @@
         if (mine && cell.epoch() != ownedEpoch) {
             ownedEpoch = cell.epoch();
             effects.add(new NodeEffect.Report(new NodeEvent.CellTaken(settings.cell(), ownedEpoch)));
-            owner.take(ownedEpoch, nowMs);
+            owner.take(cell, nowMs);
             return;
         }
+        if (mine) {
+            owner.held(cell.heldMs());
+        }
         if (!mine && ownedEpoch > 0) {
             ownedEpoch = 0;
             effects.add(new NodeEffect.Report(new NodeEvent.CellLost(settings.cell(), cell.epoch())));
@@ -276,30 +306,35 @@
             return;
         }
         Optional<NodeReply.Refused> refusal = refuse(job, nowMs);
+        if (refusal.isPresent() && submitting.contains(job.id())) {
+            reply(submit.requestId(), new NodeReply.Pending());
+            return;
+        }
         if (refusal.isPresent()) {
             effects.add(new NodeEffect.Reply(submit.requestId(), refusal.get()));
             return;
         }
         boolean outcome = submit.waitMs() > 0;
         long untilMs = nowMs + Math.max(submit.waitMs(), ACCEPT_TIMEOUT_MS);
-        desk.awaitJob(submit.requestId(), job.id(), untilMs, outcome);
+        String digest = Sha256.hex(submit.payload());
+        desk.awaitJob(submit.requestId(), job.id(), untilMs, outcome, entry -> entry.sameAs(job, digest));
         if (submitting.add(job.id())) {
             appender.add(new LogRecord.JobAccepted(settings.cell(), job, submit.payload()), nowMs);
         }
     }
 
     private void answerKnown(NodeInput.JobSubmit submit, JobEntry known, long nowMs) {
-        if (!known.spec().equals(submit.job())) {
+        if (!known.sameAs(submit.job(), Sha256.hex(submit.payload()))) {
             reply(submit.requestId(), refused(NodeReply.RefusalCode.KEY_REUSED));
             return;
         }
-        answerOrWait(submit.requestId(), known, submit.waitMs(), nowMs);
+        answerOrWait(submit.requestId(), known, submit.waitMs(), job -> true, nowMs);
     }
 
     private void lookup(NodeInput.JobLookup lookup, long nowMs) {
         Optional<JobEntry> known = fold.job(lookup.job());
         if (known.isPresent()) {
-            answerOrWait(lookup.requestId(), known.get(), lookup.waitMs(), nowMs);
+            answerOrWait(lookup.requestId(), known.get(), lookup.waitMs(), job -> true, nowMs);
             return;
         }
         boolean fresh = nowMs - endReachedMs <= READ_FRESH_MS;
@@ -307,12 +342,12 @@
         reply(lookup.requestId(), unsure ? new NodeReply.Pending() : new NodeReply.UnknownJob());
     }
 
-    private void answerOrWait(long requestId, JobEntry job, long waitMs, long nowMs) {
+    private void answerOrWait(long requestId, JobEntry job, long waitMs, Predicate<JobEntry> sameJob, long nowMs) {
         if (job.status() == JobStatus.FINISHED || waitMs <= 0 || draining) {
             reply(requestId, new NodeReply.Job(job));
             return;
         }
-        desk.awaitJob(requestId, job.spec().id(), nowMs + waitMs, true);
+        desk.awaitJob(requestId, job.spec().id(), nowMs + waitMs, true, sameJob);
     }
 
     private void cancel(NodeInput.JobCancel cancel, long nowMs) {
@@ -329,8 +364,8 @@
             reply(cancel.requestId(), logUnavailable());
             return;
         }
-        desk.awaitJob(cancel.requestId(), cancel.job(), nowMs + ACCEPT_TIMEOUT_MS, false);
-        appender.add(new LogRecord.JobCancelled(cancel.job()), nowMs);
+        RecordId id = appender.add(new LogRecord.JobCancelled(cancel.job()), nowMs);
+        desk.awaitRecord(cancel.requestId(), id, nowMs + ACCEPT_TIMEOUT_MS);
     }
 
     private void changeDocument(NodeInput.DocumentChange change, long nowMs) {
@@ -381,6 +416,7 @@
         draining = true;
         if (ownedEpoch > 0) {
             releasePending = true;
+            owner.handOver(nowMs);
             appender.add(new LogRecord.CellReleased(settings.cell(), ownedEpoch), nowMs);
         }
         desk.answerAccepted(job -> fold.job(job).orElse(null), effects::add);
@@ -411,6 +447,11 @@
         effects.add(new NodeEffect.Reply(requestId, reply));
     }
 
+    private boolean actsBeforeReadBack(LogRecord record) {
+        boolean act = record instanceof LogRecord.AttemptPlaced || record instanceof LogRecord.AttemptReleased;
+        return act && !settings.features().contains(ProtocolFeature.READ_BACK);
+    }
+
     private boolean inCell(JobEntry job) {
         return job.cell().equals(settings.cell());
     }
@@ -441,11 +482,18 @@
 
         @Override
         public RecordId append(LogRecord record, long nowMs) {
-            return appender.add(record, nowMs);
+            RecordId id = appender.add(record, nowMs);
+            if (actsBeforeReadBack(record)) {
+                owner.recordApplied(record, nowMs);
+            }
+            return id;
         }
 
         @Override
         public void emit(NodeEffect effect) {
+            if (effect instanceof NodeEffect.Command command && !pacer.admit(command, inputMs)) {
+                return;
+            }
             effects.add(effect);
         }
     }
