--- a/explore/src/main/java/org/fuchsiawinch/explore/SimNode.java
+++ b/explore/src/main/java/org/fuchsiawinch/explore/SimNode.java
@@ -162,12 +162,12 @@
 
     private void observe(NodeEvent event) {
         if (event instanceof NodeEvent.DocumentInForce document) {
-            String text = machine.fold()
+            machine.fold()
                     .document()
                     .inForce()
-                    .map(inForce -> inForce.text())
-                    .orElse("");
-            world.observe(new Observation.DocumentInForce(loop.nowMs(), id, document.version(), text));
+                    .filter(inForce -> inForce.version() == document.version())
+                    .ifPresent(inForce -> world.observe(
+                            new Observation.DocumentInForce(loop.nowMs(), id, document.version(), inForce.text())));
         } else if (event instanceof NodeEvent.CellActive) {
             world.observe(new Observation.CellActive(loop.nowMs(), id));
         }
@@ -197,6 +197,9 @@
 
     private void took(LogStore.Slice slice) {
         long offset = slice.startOffset();
+        if (offset > readOffset) {
+            deliver(new NodeInput.LogGap(offset));
+        }
         for (byte[] stored : slice.records()) {
             deliver(new NodeInput.RecordRead(offset, world.log().record(stored)));
             offset++;
--- a/explore/src/main/java/org/fuchsiawinch/explore/World.java
+++ b/explore/src/main/java/org/fuchsiawinch/explore/World.java
@@ -33,7 +33,8 @@
     static final WorkspaceId WORKSPACE = new WorkspaceId("plans");
 
     private static final long EPOCH_MS = 1_700_000_000_000L;
-    private static final long RETENTION_MS = 3_600_000;
+    private static final long RETENTION_MS = 30_000;
+    private static final long SNAPSHOT_EVERY_MS = 4000;
     private static final long WORKER_STEP_MS = 250;
     private static final long LIST_LAG_MS = 1500;
     private static final long LIST_SAMPLE_MS = 500;
@@ -155,7 +156,7 @@
         NodeId id = new NodeId("n" + slot + "-" + nodeCount);
         boolean checksBase = features.contains(ProtocolFeature.DOCUMENT_BASE_CHECK);
         NodeMachine machine = new NodeMachine(
-                settings(id, slot), new FakeDocumentBook(checksBase), () -> new FirstFitScheduler(false));
+                settings(id, slot), () -> new FakeDocumentBook(checksBase), () -> new FirstFitScheduler(false));
         SimNode node = new SimNode(id, this, machine, clockOffset());
         nodes.set(slot, node);
         node.start();
@@ -163,7 +164,8 @@
 
     private NodeSettings settings(NodeId id, int slot) {
         NodeSettings settings = NodeSettings.defaults(id, slot).withFeatures(features);
-        return schedule.seed() % 4 == 0 ? settings.withRenewHorizonMs(SHORT_HORIZON_MS) : settings;
+        NodeSettings snapshotting = settings.withSnapshotEveryMs(SNAPSHOT_EVERY_MS);
+        return schedule.seed() % 4 == 0 ? snapshotting.withRenewHorizonMs(SHORT_HORIZON_MS) : snapshotting;
     }
 
     private long clockOffset() {
--- a/explore/src/test/java/org/fuchsiawinch/explore/DisabledFeatureTest.java
+++ b/explore/src/test/java/org/fuchsiawinch/explore/DisabledFeatureTest.java
@@ -3,11 +3,12 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import org.fuchsiawinch.explore.Violation.Promise;
 import org.fuchsiawinch.protocol.ProtocolFeature;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 /** Shows that the explorer notices each safety mechanism that is switched off. */
 public class DisabledFeatureTest {
@@ -17,20 +18,22 @@
 
     @DataProvider
     public Object[][] features() {
-        List<Object[]> rows = new ArrayList<>();
-        for (ProtocolFeature feature : ProtocolFeature.values()) {
-            rows.add(new Object[] {feature});
-        }
-        return rows.toArray(new Object[0][]);
+        return new Object[][] {
+            {ProtocolFeature.READ_BACK, Promise.AT_MOST_ONCE},
+            {ProtocolFeature.DEDUPLICATION, Promise.AT_MOST_ONCE},
+            {ProtocolFeature.GANG_TRIAL, Promise.GANG_WHOLE},
+            {ProtocolFeature.FENCING, Promise.NO_OVERCOMMIT},
+            {ProtocolFeature.DOCUMENT_BASE_CHECK, Promise.DOCUMENT_ONE_WINNER},
+        };
     }
 
     @Test(dataProvider = "features")
-    public void explorerFindsItsAbsence(ProtocolFeature feature) {
-        List<Violation> found = new ArrayList<>();
+    public void explorerFindsItsAbsence(ProtocolFeature feature, Promise broken) {
+        List<Promise> found = new ArrayList<>();
         new Explorer(ProtocolFeature.without(feature)).explore(1, SEEDS, THREADS, result -> {
-            found.addAll(result.violations());
-            return found.isEmpty();
+            result.violations().forEach(violation -> found.add(violation.promise()));
+            return !found.contains(broken);
         });
-        assertFalse(found.isEmpty(), feature + " off went unnoticed over " + SEEDS + " seeds");
+        assertTrue(found.contains(broken), feature + " off broke no " + broken + " over " + SEEDS + " seeds");
     }
 }
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/fold/CellEntry.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/fold/CellEntry.java
@@ -2,7 +2,9 @@
 
 import java.util.Optional;
 
+import org.fuchsiawinch.model.CellId;
 import org.fuchsiawinch.model.NodeId;
+import org.fuchsiawinch.protocol.record.CellSnapshot;
 
 /**
  * A cell by the log.
@@ -31,6 +33,20 @@
         return epoch == claimedEpoch && owner.filter(writer::equals).isPresent();
     }
 
+    CellSnapshot snapshot(CellId cell) {
+        return new CellSnapshot(cell, epoch, owner, lastHeardOffset, heldMs, earlierHeldMs, releasedMs);
+    }
+
+    static CellEntry of(CellSnapshot cell) {
+        return new CellEntry(
+                cell.epoch(),
+                cell.owner(),
+                cell.lastHeardOffset(),
+                cell.heldMs(),
+                cell.earlierHeldMs(),
+                cell.releasedMs());
+    }
+
     CellEntry claimed(long newEpoch, NodeId writer, long offset, long nowMs) {
         long earlier = owner.isPresent() ? Math.max(earlierHeldMs, heldMs) : earlierHeldMs;
         return new CellEntry(newEpoch, Optional.of(writer), offset, nowMs, earlier, releasedMs);
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/fold/JobEntry.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/fold/JobEntry.java
@@ -8,6 +8,7 @@
 import org.fuchsiawinch.model.JobSpec;
 import org.fuchsiawinch.model.Placement;
 import org.fuchsiawinch.protocol.record.JobOutcome;
+import org.fuchsiawinch.protocol.record.JobSnapshot;
 
 /**
  * A job by the log. Immutable; each record makes a new entry.
@@ -94,6 +95,44 @@
         return spec.equals(other) && payloadSha256.equals(digest);
     }
 
+    JobSnapshot snapshot() {
+        return new JobSnapshot(
+                cell,
+                spec,
+                payload,
+                payloadSha256,
+                submittedMs,
+                status.name(),
+                attemptNumber,
+                placements,
+                lent,
+                attemptMs,
+                everReleased,
+                resumable,
+                cancelled,
+                finishedMs,
+                outcome);
+    }
+
+    static JobEntry of(JobSnapshot job) {
+        return new JobEntry(
+                job.cell(),
+                job.spec(),
+                job.payload(),
+                job.payloadSha256(),
+                job.submittedMs(),
+                JobStatus.valueOf(job.status()),
+                job.attemptNumber(),
+                job.placements(),
+                job.lent(),
+                job.attemptMs(),
+                job.everReleased(),
+                job.resumable(),
+                job.cancelled(),
+                job.finishedMs(),
+                job.outcome());
+    }
+
     JobEntry placed(List<Placement> where, boolean onLent, long nowMs) {
         Builder entry = new Builder(this);
         entry.status = JobStatus.PLACED;
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/fold/LogFold.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/fold/LogFold.java
@@ -1,11 +1,15 @@
 package org.fuchsiawinch.protocol.fold;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.fuchsiawinch.model.CellId;
@@ -13,9 +17,12 @@
 import org.fuchsiawinch.model.NodeId;
 import org.fuchsiawinch.protocol.ProtocolFeature;
 import org.fuchsiawinch.protocol.record.AttemptEnd;
+import org.fuchsiawinch.protocol.record.CellSnapshot;
 import org.fuchsiawinch.protocol.record.Envelope;
 import org.fuchsiawinch.protocol.record.JobOutcome;
+import org.fuchsiawinch.protocol.record.JobSnapshot;
 import org.fuchsiawinch.protocol.record.LogRecord;
+import org.fuchsiawinch.protocol.record.WriterSnapshot;
 
 /**
  * The state that every node derives from the log, record by record. Two nodes that have read the same records have the
@@ -23,13 +30,19 @@
  */
 public final class LogFold {
 
+    private static final long WRITER_KEEP_MS = 24 * 3_600_000L;
+
     private final DocumentBook document;
     private final boolean deduplicates;
-    private final Map<NodeId, Long> lastSequence = new HashMap<>();
+    private final Map<NodeId, WriterSnapshot> writers = new HashMap<>();
+    private final SnapshotBook snapshots = new SnapshotBook();
+    private final Forgetting forgetting = new Forgetting();
     private final Map<CellId, CellEntry> cells = new HashMap<>();
     private final Map<JobId, JobEntry> jobs = new LinkedHashMap<>();
     private Optional<DocumentBook.Refusal> documentRefusal = Optional.empty();
     private long nextOffset;
+    private long logTimeMs;
+    private long snapshotMs;
 
     /**
      * Creates the state before the first record.
@@ -61,13 +74,92 @@
     public Optional<VoidCode> apply(long offset, Envelope envelope) {
         nextOffset = offset + 1;
         NodeId writer = envelope.id().writer();
-        if (deduplicates && envelope.id().sequence() <= lastSequence.getOrDefault(writer, 0L)) {
+        WriterSnapshot last = writers.get(writer);
+        if (deduplicates && last != null && envelope.id().sequence() <= last.lastSequence()) {
             return Optional.of(VoidCode.DUPLICATE_RECORD);
         }
-        lastSequence.put(writer, envelope.id().sequence());
+        writers.put(writer, new WriterSnapshot(writer, envelope.id().sequence(), envelope.writtenMs()));
+        logTimeMs = Math.max(logTimeMs, envelope.writtenMs());
+        forgetting.due(logTimeMs).forEach(jobs::remove);
         return applyRecord(offset, envelope);
     }
 
+    /**
+     * Takes over the state of a snapshot, in place of the records before it. Only before the first record.
+     *
+     * @param snapshot the whole snapshot
+     */
+    public void load(SnapshotBook.Whole snapshot) {
+        LogRecord.SnapshotDone done = snapshot.done();
+        nextOffset = done.upToOffset();
+        logTimeMs = done.logTimeMs();
+        if (done.documentVersion() > 0) {
+            document.apply(new LogRecord.DocumentRepublished(done.documentVersion(), done.documentText()));
+        }
+        for (LogRecord.SnapshotChunk chunk : snapshot.chunks()) {
+            chunk.writers().forEach(writer -> writers.put(writer.writer(), writer));
+            chunk.cells().forEach(cell -> cells.put(cell.cell(), CellEntry.of(cell)));
+            chunk.jobs().forEach(job -> loadJob(JobEntry.of(job)));
+        }
+    }
+
+    /**
+     * Describes the state before the next record.
+     *
+     * @param number number of the snapshot
+     * @param chunkBytes size in bytes that a chunk is to stay under, if its first job does
+     * @return the records of the snapshot, its end last
+     */
+    public List<LogRecord> snapshot(long number, int chunkBytes) {
+        List<LogRecord> records = new ArrayList<>();
+        List<WriterSnapshot> liveWriters = writers.values().stream()
+                .filter(writer -> writer.lastMs() + WRITER_KEEP_MS > logTimeMs)
+                .sorted(Comparator.comparing(writer -> writer.writer().value()))
+                .toList();
+        List<CellSnapshot> allCells = cells.entrySet().stream()
+                .map(entry -> entry.getValue().snapshot(entry.getKey()))
+                .sorted(Comparator.comparing(cell -> cell.cell().value()))
+                .toList();
+        records.add(new LogRecord.SnapshotChunk(number, 0, liveWriters, allCells, List.of()));
+        List<JobSnapshot> some = new ArrayList<>();
+        int bytes = 0;
+        for (JobEntry job : jobs.values()) {
+            JobSnapshot next = job.snapshot();
+            if (!some.isEmpty() && bytes + next.estimatedBytes() > chunkBytes) {
+                records.add(new LogRecord.SnapshotChunk(number, records.size(), List.of(), List.of(), some));
+                some = new ArrayList<>();
+                bytes = 0;
+            }
+            some.add(next);
+            bytes += next.estimatedBytes();
+        }
+        if (!some.isEmpty()) {
+            records.add(new LogRecord.SnapshotChunk(number, records.size(), List.of(), List.of(), some));
+        }
+        int version = document.inForce().map(DocumentBook.InForce::version).orElse(0);
+        String text = document.inForce().map(DocumentBook.InForce::text).orElse("");
+        records.add(new LogRecord.SnapshotDone(number, records.size(), nextOffset, logTimeMs, version, text));
+        return records;
+    }
+
+    /**
+     * Says when the last whole snapshot ended.
+     *
+     * @return its writer's time in ms since the epoch; 0 if none was read
+     */
+    public long snapshotMs() {
+        return snapshotMs;
+    }
+
+    /**
+     * Gives the latest writer's time in the log.
+     *
+     * @return time in ms since the epoch; 0 before the first record
+     */
+    public long logTimeMs() {
+        return logTimeMs;
+    }
+
     /**
      * Gives the offset that is to be read next.
      *
@@ -155,6 +247,13 @@
         if (record instanceof LogRecord.JobFinished finished) {
             return finish(writer, finished, nowMs);
         }
+        if (record instanceof LogRecord.SnapshotChunk chunk) {
+            snapshots.add(writer, chunk);
+            return Optional.empty();
+        }
+        if (record instanceof LogRecord.SnapshotDone done) {
+            return finishSnapshot(writer, done, nowMs);
+        }
         if (record instanceof LogRecord.Unrecognised) {
             return Optional.of(VoidCode.UNRECOGNISED);
         }
@@ -162,6 +261,21 @@
         return documentRefusal.map(refusal -> VoidCode.DOCUMENT_REFUSED);
     }
 
+    private Optional<VoidCode> finishSnapshot(NodeId writer, LogRecord.SnapshotDone done, long nowMs) {
+        if (snapshots.finish(writer, done).isEmpty()) {
+            return Optional.of(VoidCode.INCOMPLETE_SNAPSHOT);
+        }
+        snapshotMs = nowMs;
+        return Optional.empty();
+    }
+
+    private void loadJob(JobEntry job) {
+        jobs.put(job.spec().id(), job);
+        if (job.status() == JobStatus.FINISHED) {
+            forgetting.finished(job);
+        }
+    }
+
     private Optional<VoidCode> claim(long offset, NodeId writer, LogRecord.CellClaimed claimed, long nowMs) {
         CellEntry cell = cell(claimed.cell());
         if (claimed.epoch() != cell.epoch() + 1 || !writer.equals(claimed.owner())) {
@@ -194,6 +308,11 @@
         if (deduplicates && jobs.containsKey(id)) {
             return Optional.of(VoidCode.DUPLICATE_JOB);
         }
+        OptionalLong deadlineMs = accepted.job().deadlineMs();
+        boolean late = deadlineMs.isPresent() && deadlineMs.getAsLong() <= logTimeMs;
+        if (late && !accepted.job().idempotent()) {
+            return Optional.of(VoidCode.PAST_DEADLINE);
+        }
         jobs.put(id, JobEntry.accepted(accepted.cell(), accepted.job(), accepted.payload(), nowMs));
         return Optional.empty();
     }
@@ -277,7 +396,9 @@
         if (finished.outcome() instanceof JobOutcome.Completed && job.status() != JobStatus.RELEASED) {
             return Optional.of(VoidCode.WRONG_STATUS);
         }
-        jobs.put(finished.job(), job.finished(finished.outcome(), nowMs));
+        JobEntry ended = job.finished(finished.outcome(), nowMs);
+        jobs.put(finished.job(), ended);
+        forgetting.finished(ended);
         return Optional.empty();
     }
 
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/fold/VoidCode.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/fold/VoidCode.java
@@ -16,6 +16,10 @@
     WRONG_ATTEMPT,
     /** Another attempt could run non-idempotent work twice. */
     NOT_REPEATABLE,
+    /** The deadline of non-idempotent work had passed by the log's time. */
+    PAST_DEADLINE,
+    /** A chunk of the snapshot is missing before its end. */
+    INCOMPLETE_SNAPSHOT,
     /** The document record breaks a rule of the document. */
     DOCUMENT_REFUSED,
     /** The record's kind is not known to this version. */
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeEvent.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeEvent.java
@@ -50,6 +50,22 @@
      */
     record OwnRecordVoid(RecordId id, VoidCode code) implements NodeEvent {}
 
+    /**
+     * Records were dropped from the log that this node has not read; it waits for a whole snapshot.
+     *
+     * @param wantedOffset offset that it would have read next
+     * @param firstOffset offset of the oldest record that is kept
+     */
+    record LogGapFound(long wantedOffset, long firstOffset) implements NodeEvent {}
+
+    /**
+     * The state was taken over from a snapshot.
+     *
+     * @param upToOffset offset of the first record that the snapshot does not contain
+     * @param jobs number of jobs in it
+     */
+    record SnapshotLoaded(long upToOffset, int jobs) implements NodeEvent {}
+
     /**
      * A worker does not answer.
      *
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeInput.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeInput.java
@@ -28,6 +28,13 @@
      */
     record LogEndReached(long nextOffset) implements NodeInput {}
 
+    /**
+     * A read found that records were dropped which this node has not read.
+     *
+     * @param firstOffset offset of the oldest record that is kept; the next record read is this one
+     */
+    record LogGap(long firstOffset) implements NodeInput {}
+
     /**
      * The append in flight was acknowledged.
      *
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeMachine.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeMachine.java
@@ -20,11 +20,14 @@
 import org.fuchsiawinch.protocol.fold.JobStatus;
 import org.fuchsiawinch.protocol.fold.LogFold;
 import org.fuchsiawinch.protocol.fold.Sha256;
+import org.fuchsiawinch.protocol.fold.SnapshotBook;
 import org.fuchsiawinch.protocol.fold.VoidCode;
 import org.fuchsiawinch.protocol.node.internal.Appender;
 import org.fuchsiawinch.protocol.node.internal.CellOwner;
 import org.fuchsiawinch.protocol.node.internal.Outlet;
+import org.fuchsiawinch.protocol.node.internal.Recovery;
 import org.fuchsiawinch.protocol.node.internal.RequestDesk;
+import org.fuchsiawinch.protocol.node.internal.SnapshotWriter;
 import org.fuchsiawinch.protocol.record.Envelope;
 import org.fuchsiawinch.protocol.record.LogRecord;
 import org.fuchsiawinch.protocol.record.RecordId;
@@ -39,18 +42,22 @@
     private static final long LOG_DOWN_AFTER_MS = 2000;
     private static final long LOG_RETRY_MS = 5000;
     private static final long READ_FRESH_MS = 1500;
+    private static final long NEVER_HEARD = -2;
 
     private final NodeSettings settings;
-    private final LogFold fold;
+    private final Supplier<DocumentBook> documents;
     private final Appender appender;
     private final RequestDesk desk = new RequestDesk();
     private final CellOwner owner;
     private final Set<JobId> submitting = new HashSet<>();
     private final Set<RecordId> documentChanges = new HashSet<>();
+    private final SnapshotWriter snapshots;
+    private LogFold fold;
+    private Optional<Recovery> recovery = Optional.empty();
     private List<NodeEffect> effects = new ArrayList<>();
     private long endReachedMs = Long.MIN_VALUE / 2;
     private long ownerHeardMs;
-    private long ownerHeardOffset = -2;
+    private long ownerHeardOffset = NEVER_HEARD;
     private long ownedEpoch;
     private boolean claimPending;
     private boolean holdPending;
@@ -68,10 +75,23 @@
      * @param schedulers makes a scheduler for each take-over of a cell
      */
     public NodeMachine(NodeSettings settings, DocumentBook document, Supplier<Scheduler> schedulers) {
+        this(settings, () -> document, schedulers);
+    }
+
+    /**
+     * Creates a node that has read nothing yet.
+     *
+     * @param settings the node's settings
+     * @param documents makes the fold of the document's records, at first and again after a gap in the log
+     * @param schedulers makes a scheduler for each take-over of a cell
+     */
+    public NodeMachine(NodeSettings settings, Supplier<DocumentBook> documents, Supplier<Scheduler> schedulers) {
         this.settings = settings;
-        this.fold = new LogFold(document, settings.features());
+        this.documents = documents;
+        this.fold = new LogFold(documents.get(), settings.features());
+        this.snapshots = new SnapshotWriter(settings, new MachineOutlet());
         this.appender = new Appender(settings.node(), settings.appendLimit());
-        this.owner = new CellOwner(settings, schedulers, fold, new MachineOutlet());
+        this.owner = new CellOwner(settings, schedulers, this::fold, new MachineOutlet());
     }
 
     /**
@@ -119,7 +139,9 @@
 
     private void dispatch(NodeInput input, long nowMs) {
         if (input instanceof NodeInput.RecordRead read) {
-            recordRead(read.offset(), read.envelope(), nowMs);
+            logRead(read, nowMs);
+        } else if (input instanceof NodeInput.LogGap gap) {
+            gapFound(gap.firstOffset());
         } else if (input instanceof NodeInput.LogEndReached) {
             endReached(nowMs);
         } else if (input instanceof NodeInput.AppendDone done) {
@@ -145,6 +167,43 @@
         }
     }
 
+    private void logRead(NodeInput.RecordRead read, long nowMs) {
+        if (recovery.isEmpty()) {
+            recordRead(read.offset(), read.envelope(), nowMs);
+            return;
+        }
+        Optional<SnapshotBook.Whole> snapshot = recovery.get().take(read);
+        if (snapshot.isEmpty()) {
+            return;
+        }
+        long upToOffset = snapshot.get().done().upToOffset();
+        List<NodeInput.RecordRead> tail = recovery.get().after(upToOffset);
+        recovery = Optional.empty();
+        fold.load(snapshot.get());
+        effects.add(new NodeEffect.Report(
+                new NodeEvent.SnapshotLoaded(upToOffset, fold.jobs().size())));
+        followOwner(nowMs);
+        followDocument(nowMs);
+        List.copyOf(fold.jobs()).forEach(job -> desk.jobChanged(job, effects::add));
+        tail.forEach(kept -> recordRead(kept.offset(), kept.envelope(), nowMs));
+    }
+
+    private void gapFound(long firstOffset) {
+        if (firstOffset <= fold.nextOffset()) {
+            return;
+        }
+        effects.add(new NodeEffect.Report(new NodeEvent.LogGapFound(fold.nextOffset(), firstOffset)));
+        recovery = Optional.of(new Recovery(firstOffset));
+        fold = new LogFold(documents.get(), settings.features());
+        endReachedMs = Long.MIN_VALUE / 2;
+        ownedEpoch = 0;
+        ownerHeardOffset = NEVER_HEARD;
+        claimPending = false;
+        holdPending = false;
+        owner.drop();
+        snapshots.drop();
+    }
+
     private void recordRead(long offset, Envelope envelope, long nowMs) {
         if (offset < fold.nextOffset()) {
             return;
@@ -180,6 +239,8 @@
             holdPending = false;
         } else if (record instanceof LogRecord.CellReleased) {
             releasePending = false;
+        } else if (record instanceof LogRecord.SnapshotDone) {
+            snapshots.endRead();
         } else if (record instanceof LogRecord.JobAccepted accepted) {
             submitting.remove(accepted.job().id());
             fold.job(accepted.job().id()).ifPresent(job -> desk.jobChanged(job, effects::add));
@@ -226,13 +287,14 @@
             ownedEpoch = 0;
             effects.add(new NodeEffect.Report(new NodeEvent.CellLost(settings.cell(), cell.epoch())));
             owner.drop();
+            snapshots.drop();
         }
     }
 
     private void followDocument(long nowMs) {
         int version =
                 fold.document().inForce().map(DocumentBook.InForce::version).orElse(0);
-        if (version == documentVersion) {
+        if (version <= documentVersion) {
             return;
         }
         documentVersion = version;
@@ -241,6 +303,9 @@
     }
 
     private void endReached(long nowMs) {
+        if (recovery.isPresent()) {
+            return;
+        }
         if (nowMs - endReachedMs > READ_FRESH_MS) {
             ownerHeardMs = nowMs;
         }
@@ -249,6 +314,9 @@
 
     private void tick(long nowMs) {
         owner.tick(nowMs);
+        if (owner.active() && !draining) {
+            snapshots.tick(fold, nowMs);
+        }
         desk.expire(nowMs, job -> fold.job(job).orElse(null), effects::add);
         competeForCell(nowMs);
         if (draining) {
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeSettings.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeSettings.java
@@ -22,6 +22,7 @@
  * @param listLagMs bound in ms on the lag of the platform's list of workers
  * @param startWithinMs time in ms from placement to the start-by time
  * @param inventoryWaitMs longest time in ms that a new owner waits for workers before it schedules with the others
+ * @param snapshotEveryMs time in ms between snapshots; well inside the log's retention
  * @param appendLimit most records in one append
  * @param pendingLimit most records waiting for the log
  * @param features enabled safety mechanisms
@@ -39,6 +40,7 @@
         long listLagMs,
         long startWithinMs,
         long inventoryWaitMs,
+        long snapshotEveryMs,
         int appendLimit,
         int pendingLimit,
         Set<ProtocolFeature> features) {
@@ -71,6 +73,7 @@
                 5000,
                 2000,
                 1500,
+                900_000,
                 64,
                 4096,
                 ProtocolFeature.defaults());
@@ -83,7 +86,7 @@
      * @return the changed settings
      */
     public NodeSettings withFeatures(Set<ProtocolFeature> enabled) {
-        return with(renewHorizonMs, enabled);
+        return with(renewHorizonMs, snapshotEveryMs, enabled);
     }
 
     /**
@@ -93,10 +96,20 @@
      * @return the changed settings
      */
     public NodeSettings withRenewHorizonMs(long horizonMs) {
-        return with(horizonMs, features);
+        return with(horizonMs, snapshotEveryMs, features);
     }
 
-    private NodeSettings with(long horizonMs, Set<ProtocolFeature> enabled) {
+    /**
+     * Gives the same settings with another time between snapshots.
+     *
+     * @param everyMs the time in ms
+     * @return the changed settings
+     */
+    public NodeSettings withSnapshotEveryMs(long everyMs) {
+        return with(renewHorizonMs, everyMs, features);
+    }
+
+    private NodeSettings with(long horizonMs, long snapshotMs, Set<ProtocolFeature> enabled) {
         return new NodeSettings(
                 node,
                 cell,
@@ -110,6 +123,7 @@
                 listLagMs,
                 startWithinMs,
                 inventoryWaitMs,
+                snapshotMs,
                 appendLimit,
                 pendingLimit,
                 enabled);
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/AttemptDriver.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/AttemptDriver.java
@@ -279,7 +279,7 @@
             present.add(report.task());
             clean &= reportedTask(worker, report, nowMs);
         }
-        markAbsent(worker, present, nowMs);
+        markAbsent(worker, present, reply.answeredMs());
         return clean;
     }
 
@@ -329,9 +329,10 @@
         }
     }
 
-    private void markAbsent(WorkerId worker, Set<TaskId> present, long nowMs) {
+    /** Settles the parts that a worker does not hold and, by its own clock, will not take any more. */
+    private void markAbsent(WorkerId worker, Set<TaskId> present, long answeredMs) {
         for (AttemptView attempt : attempts.values()) {
-            boolean settled = attempt.startByMs() > 0 && nowMs > attempt.startByMs() + settings.clockDriftMs();
+            boolean settled = attempt.startByMs() > 0 && answeredMs > attempt.startByMs();
             boolean placed = attempt.phase() != AttemptView.Phase.PLACING;
             if (!placed || !settled) {
                 continue;
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/CellOwner.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/CellOwner.java
@@ -43,7 +43,7 @@
 
     private final NodeSettings settings;
     private final Supplier<Scheduler> schedulers;
-    private final LogFold fold;
+    private final Supplier<LogFold> folds;
     private final Outlet outlet;
     private final Leases leases;
     private final AttemptDriver attempts;
@@ -61,13 +61,13 @@
      *
      * @param settings the node's settings
      * @param schedulers makes a scheduler for each take-over
-     * @param fold the node's log state
+     * @param folds gives the node's log state
      * @param outlet takes records and effects
      */
-    public CellOwner(NodeSettings settings, Supplier<Scheduler> schedulers, LogFold fold, Outlet outlet) {
+    public CellOwner(NodeSettings settings, Supplier<Scheduler> schedulers, Supplier<LogFold> folds, Outlet outlet) {
         this.settings = settings;
         this.schedulers = schedulers;
-        this.fold = fold;
+        this.folds = folds;
         this.outlet = outlet;
         this.leases = new Leases(settings);
         this.attempts = new AttemptDriver(settings, outlet, this::decide, leases);
@@ -209,7 +209,7 @@
         }
         finishing.remove(finished.job());
         if (finished.outcome() instanceof JobOutcome.NotRun notRun
-                && fold.job(finished.job()).filter(JobEntry::everReleased).isPresent()) {
+                && fold().job(finished.job()).filter(JobEntry::everReleased).isPresent()) {
             finish(finished.job(), new JobOutcome.Broken(notRun.code()), nowMs);
         }
     }
@@ -223,7 +223,7 @@
         if (phase != Phase.ACTIVE) {
             return;
         }
-        fold.document()
+        fold().document()
                 .inForce()
                 .ifPresent(document -> decide(new SchedulerEvent.PolicyChanged(document.policy()), nowMs));
     }
@@ -288,7 +288,7 @@
     private void recoverJobs(long nowMs) {
         List<JobEntry> waiting = new ArrayList<>();
         Set<AttemptId> recovered = new HashSet<>();
-        for (JobEntry job : List.copyOf(fold.jobs())) {
+        for (JobEntry job : List.copyOf(fold().jobs())) {
             if (!job.cell().equals(settings.cell()) || job.status() == JobStatus.FINISHED) {
                 continue;
             }
@@ -306,7 +306,7 @@
         for (JobEntry job : waiting) {
             decide(new SchedulerEvent.JobSubmitted(job.spec()), nowMs);
         }
-        for (JobEntry job : List.copyOf(fold.jobs())) {
+        for (JobEntry job : List.copyOf(fold().jobs())) {
             if (job.cell().equals(settings.cell()) && job.cancelled() && job.status() != JobStatus.FINISHED) {
                 decide(new SchedulerEvent.JobCancelled(job.spec().id()), nowMs);
             }
@@ -314,8 +314,12 @@
         attempts.advanceAll(nowMs);
     }
 
+    private LogFold fold() {
+        return folds.get();
+    }
+
     private byte[] payload(JobId job) {
-        return fold.job(job).map(JobEntry::payload).orElse(new byte[0]);
+        return fold().job(job).map(JobEntry::payload).orElse(new byte[0]);
     }
 
     private void decide(SchedulerEvent event, long nowMs) {
@@ -336,7 +340,7 @@
         } else if (decision instanceof Decision.EndJob end) {
             String code = end.reason().code().name();
             boolean released =
-                    fold.job(end.job()).filter(JobEntry::everReleased).isPresent();
+                    fold().job(end.job()).filter(JobEntry::everReleased).isPresent();
             JobOutcome outcome = released
                     ? new JobOutcome.Broken(code)
                     : new JobOutcome.NotRun(code, end.reason().retryAfterMs());
@@ -347,7 +351,7 @@
     }
 
     private void startGang(Decision.StartGang start, long nowMs) {
-        Optional<JobEntry> job = fold.job(start.attempt().job());
+        Optional<JobEntry> job = fold().job(start.attempt().job());
         if (job.isEmpty() || handingOver) {
             return;
         }
@@ -368,7 +372,7 @@
     }
 
     private void finish(JobId job, JobOutcome outcome, long nowMs) {
-        boolean finished = fold.job(job)
+        boolean finished = fold().job(job)
                 .filter(entry -> entry.status() == JobStatus.FINISHED)
                 .isPresent();
         if (finished || !finishing.add(job)) {
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/WorkerPool.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/WorkerPool.java
@@ -72,13 +72,12 @@
         removeGone(nowMs);
     }
 
-    /** Takes an answer in this epoch; returns false if the worker is not known. */
+    /** Takes an answer in this epoch; returns false if it is late or the worker not known. */
     boolean replied(WorkerId id, WorkerReply reply, long nowMs) {
         WorkerView worker = workers.get(id);
-        if (worker == null) {
+        if (worker == null || !worker.replied(reply.answeredMs(), nowMs)) {
             return false;
         }
-        worker.replied(nowMs);
         if (reply.leaving()) {
             markLeaving(id, nowMs);
         }
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/WorkerView.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/WorkerView.java
@@ -23,6 +23,7 @@
     private boolean seen;
     private long lastSentMs;
     private long lastReplyMs;
+    private long lastAnsweredMs;
     private long leaseUntilMs;
 
     WorkerView(WorkerSpec spec, long nowMs, long leaseUntilMs) {
@@ -69,8 +70,14 @@
         leaseUntilMs = Math.max(leaseUntilMs, grantedUntilMs);
     }
 
-    void replied(long nowMs) {
+    /** Notes an answer; returns false if it was overtaken by a later one. */
+    boolean replied(long answeredMs, long nowMs) {
+        if (answeredMs < lastAnsweredMs) {
+            return false;
+        }
+        lastAnsweredMs = answeredMs;
         lastReplyMs = nowMs;
+        return true;
     }
 
     boolean silentFor(long nowMs, long boundMs) {
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/record/LogRecord.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/record/LogRecord.java
@@ -134,6 +134,43 @@
      */
     record JobFinished(CellId cell, long epoch, JobId job, JobOutcome outcome) implements LogRecord {}
 
+    /**
+     * Part of a snapshot of the log's state. Any node's state at an offset is the same, so it needs no epoch.
+     *
+     * @param snapshot number of the snapshot, unique for its writer
+     * @param index index of the chunk, from 0
+     * @param writers writers whose records may still be repeated
+     * @param cells cells
+     * @param jobs jobs that are unfinished, or finished and not forgotten
+     */
+    record SnapshotChunk(
+            long snapshot, int index, List<WriterSnapshot> writers, List<CellSnapshot> cells, List<JobSnapshot> jobs)
+            implements LogRecord {
+
+        /**
+         * Copies the lists.
+         */
+        public SnapshotChunk {
+            writers = List.copyOf(writers);
+            cells = List.copyOf(cells);
+            jobs = List.copyOf(jobs);
+        }
+    }
+
+    /**
+     * Ends a snapshot. Void, and the snapshot ignored, unless all its chunks stand before it.
+     *
+     * @param snapshot number of the snapshot
+     * @param chunks number of its chunks
+     * @param upToOffset offset of the first record that is not contained
+     * @param logTimeMs latest writer's time in ms since the epoch that is contained
+     * @param documentVersion version of the document in force; 0 for none
+     * @param documentText the whole document, so that it stands in the log within the retention
+     */
+    record SnapshotDone(
+            long snapshot, int chunks, long upToOffset, long logTimeMs, int documentVersion, String documentText)
+            implements LogRecord {}
+
     /**
      * A record of a kind that this version does not know; kept, without effect.
      *
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/worker/WorkerReply.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/worker/WorkerReply.java
@@ -9,9 +9,12 @@
  * @param rejection why the command had no effect; empty if it was carried out, now or before
  * @param fence highest epoch that the worker has seen for the cell
  * @param leaving whether the worker is about to leave
+ * @param answeredMs time in ms since the epoch of the answer by the worker's own clock; an answer older than one
+ *     seen before is late and says nothing
  * @param tasks all parts that it holds, ended ones that were not forgotten included
  */
-public record WorkerReply(Optional<Rejection> rejection, long fence, boolean leaving, List<TaskReport> tasks) {
+public record WorkerReply(
+        Optional<Rejection> rejection, long fence, boolean leaving, long answeredMs, List<TaskReport> tasks) {
 
     /**
      * Copies the list.
--- /dev/null
+++ b/protocol/src/test/java/org/fuchsiawinch/protocol/fold/RepeatTest.java
@@ -0,0 +1,89 @@
+package org.fuchsiawinch.protocol.fold;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import org.fuchsiawinch.model.JobId;
+import org.fuchsiawinch.model.Placement;
+import org.fuchsiawinch.protocol.Samples;
+import org.fuchsiawinch.protocol.record.AttemptEnd;
+import org.fuchsiawinch.protocol.record.JobOutcome;
+import org.fuchsiawinch.protocol.record.LogRecord;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** Jobs and attempts that are repeated, at once or much later. */
+public class RepeatTest {
+
+    private static final long DEADLINE_MS = 10_000;
+
+    private final LogFold fold = new LogFold(new Samples.Book());
+    private long offset;
+
+    @Test
+    public void nonIdempotentWorkIsNotPlacedAgainAfterItsRelease() {
+        apply(0, new LogRecord.CellClaimed(Samples.CELL, Samples.N1, 1));
+        accept("once", DEADLINE_MS, 0);
+        place("once", 1);
+        apply(0, new LogRecord.AttemptEnded(Samples.CELL, 1, Samples.attempt("once", 1), AttemptEnd.NOT_RELEASED));
+        assertEquals(place("once", 2), Optional.empty(), "was not released");
+        apply(0, new LogRecord.AttemptReleased(Samples.CELL, 1, Samples.attempt("once", 2)));
+        apply(0, new LogRecord.AttemptEnded(Samples.CELL, 1, Samples.attempt("once", 2), AttemptEnd.STOPPED));
+        assertEquals(place("once", 3), Optional.of(VoidCode.NOT_REPEATABLE));
+        LogRecord notRun = new LogRecord.JobFinished(
+                Samples.CELL, 1, new JobId("once"), new JobOutcome.NotRun("x", OptionalLong.empty()));
+        assertEquals(apply(0, notRun), Optional.of(VoidCode.WRONG_STATUS));
+    }
+
+    @Test
+    public void forgottenNonIdempotentJobIsNotAcceptedAgain() {
+        LogFold other = new LogFold(new Samples.Book());
+        other.apply(0, Samples.envelope(Samples.N1, 1, 0, new LogRecord.CellClaimed(Samples.CELL, Samples.N1, 1)));
+        LogRecord accepted = new LogRecord.JobAccepted(
+                Samples.CELL, Samples.job("once", 1, false, OptionalLong.of(DEADLINE_MS)), new byte[0]);
+        assertEquals(other.apply(1, Samples.envelope(Samples.N1, 2, 1, accepted)), Optional.empty());
+        LogRecord finished = new LogRecord.JobFinished(
+                Samples.CELL, 1, new JobId("once"), new JobOutcome.NotRun("x", OptionalLong.empty()));
+        other.apply(2, Samples.envelope(Samples.N1, 3, 2, finished));
+        assertTrue(other.job(new JobId("once")).isPresent());
+
+        long laterMs = 2 + Forgetting.ANSWER_KEEP_MS + DEADLINE_MS + Forgetting.KEY_SLACK_MS;
+        other.apply(3, Samples.envelope(Samples.N1, 4, laterMs, new LogRecord.CellHeld(Samples.CELL, 1)));
+        assertTrue(other.job(new JobId("once")).isEmpty(), "forgotten");
+        assertEquals(other.apply(4, Samples.envelope(Samples.N2, 1, 3, accepted)), Optional.of(VoidCode.PAST_DEADLINE));
+    }
+
+    @Test
+    public void secondAcceptanceIsVoidAndTheFirstPayloadStands() {
+        LogFold other = new LogFold(new Samples.Book());
+        LogRecord first = new LogRecord.JobAccepted(Samples.CELL, Samples.idempotentJob("same", 1), new byte[] {1});
+        LogRecord second = new LogRecord.JobAccepted(Samples.CELL, Samples.idempotentJob("same", 1), new byte[] {2});
+        assertEquals(other.apply(0, Samples.envelope(Samples.N1, 1, 0, first)), Optional.empty());
+        assertEquals(other.apply(1, Samples.envelope(Samples.N2, 1, 0, second)), Optional.of(VoidCode.DUPLICATE_JOB));
+        JobEntry job = other.job(new JobId("same")).orElseThrow();
+        assertTrue(job.sameAs(job.spec(), Sha256.hex(new byte[] {1})));
+    }
+
+    private void accept(String job, long deadlineMs, long nowMs) {
+        apply(
+                nowMs,
+                new LogRecord.JobAccepted(
+                        Samples.CELL, Samples.job(job, 1, false, OptionalLong.of(deadlineMs)), new byte[0]));
+    }
+
+    private Optional<VoidCode> place(String job, int number) {
+        return apply(
+                0,
+                new LogRecord.AttemptPlaced(
+                        Samples.CELL, 1, Samples.attempt(job, number), List.of(new Placement(0, Samples.W1)), false));
+    }
+
+    private Optional<VoidCode> apply(long nowMs, LogRecord record) {
+        Optional<VoidCode> refused = fold.apply(offset, Samples.envelope(Samples.N1, offset + 1, nowMs, record));
+        offset++;
+        return refused;
+    }
+}
--- /dev/null
+++ b/protocol/src/test/java/org/fuchsiawinch/protocol/fold/SnapshotTest.java
@@ -0,0 +1,100 @@
+package org.fuchsiawinch.protocol.fold;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import org.fuchsiawinch.model.JobId;
+import org.fuchsiawinch.model.Placement;
+import org.fuchsiawinch.protocol.Samples;
+import org.fuchsiawinch.protocol.record.Envelope;
+import org.fuchsiawinch.protocol.record.JobOutcome;
+import org.fuchsiawinch.protocol.record.LogRecord;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+public class SnapshotTest {
+
+    private static final int SMALL_CHUNK_BYTES = 700;
+
+    private final SnapshotBook book = new SnapshotBook();
+
+    @Test
+    public void loadedStateEqualsTheFoldedOne() {
+        LogFold folded = folded();
+        List<LogRecord> records = folded.snapshot(1, SMALL_CHUNK_BYTES);
+        assertTrue(records.size() > 3, "several chunks");
+
+        LogFold loaded = new LogFold(new Samples.Book());
+        loaded.load(whole(records).orElseThrow());
+
+        assertEquals(loaded.nextOffset(), folded.nextOffset());
+        assertEquals(loaded.cell(Samples.CELL), folded.cell(Samples.CELL));
+        assertEquals(loaded.document().inForce().orElseThrow().text(), "text");
+        assertEquals(List.copyOf(loaded.jobs()), List.copyOf(folded.jobs()));
+        assertEquals(loaded.snapshot(1, SMALL_CHUNK_BYTES), records);
+    }
+
+    @Test
+    public void repeatedRecordStaysVoidAfterLoading() {
+        LogFold loaded = new LogFold(new Samples.Book());
+        loaded.load(whole(folded().snapshot(1, SMALL_CHUNK_BYTES)).orElseThrow());
+        Envelope repeated = Samples.envelope(Samples.N1, 1, 10, new LogRecord.CellHeld(Samples.CELL, 1));
+        assertEquals(loaded.apply(99, repeated), Optional.of(VoidCode.DUPLICATE_RECORD));
+    }
+
+    @Test
+    public void snapshotWithoutAChunkIsVoid() {
+        LogFold fold = folded();
+        List<LogRecord> records = fold.snapshot(1, SMALL_CHUNK_BYTES);
+        long sequence = 100;
+        Optional<VoidCode> last = Optional.empty();
+        for (LogRecord record : records) {
+            if (record instanceof LogRecord.SnapshotChunk chunk && chunk.index() == 1) {
+                continue;
+            }
+            last = fold.apply(sequence, Samples.envelope(Samples.N1, sequence, 50, record));
+            sequence++;
+        }
+        assertEquals(last, Optional.of(VoidCode.INCOMPLETE_SNAPSHOT));
+        assertEquals(fold.snapshotMs(), 0);
+    }
+
+    private Optional<SnapshotBook.Whole> whole(List<LogRecord> records) {
+        for (LogRecord record : records) {
+            if (record instanceof LogRecord.SnapshotChunk chunk) {
+                book.add(Samples.N2, chunk);
+            }
+        }
+        return book.finish(Samples.N2, (LogRecord.SnapshotDone) records.get(records.size() - 1));
+    }
+
+    private static LogFold folded() {
+        LogFold fold = new LogFold(new Samples.Book());
+        List<LogRecord> records = List.of(
+                new LogRecord.DocumentFounded("text"),
+                new LogRecord.CellClaimed(Samples.CELL, Samples.N1, 1),
+                new LogRecord.JobAccepted(Samples.CELL, Samples.idempotentJob("a", 1), new byte[300]),
+                new LogRecord.JobAccepted(
+                        Samples.CELL, Samples.job("b", 1, false, OptionalLong.of(9000)), new byte[300]),
+                new LogRecord.JobAccepted(Samples.CELL, Samples.idempotentJob("c", 1), new byte[300]),
+                new LogRecord.AttemptPlaced(
+                        Samples.CELL, 1, Samples.attempt("a", 1), List.of(new Placement(0, Samples.W1)), false),
+                new LogRecord.AttemptReleased(Samples.CELL, 1, Samples.attempt("a", 1)),
+                new LogRecord.JobFinished(
+                        Samples.CELL,
+                        1,
+                        new JobId("a"),
+                        new JobOutcome.Completed(new byte[] {1}, Sha256.hex(new byte[] {1}))),
+                new LogRecord.AttemptPlaced(
+                        Samples.CELL, 1, Samples.attempt("b", 1), List.of(new Placement(0, Samples.W2)), true));
+        for (int index = 0; index < records.size(); index++) {
+            Optional<VoidCode> refused =
+                    fold.apply(index, Samples.envelope(Samples.N1, index + 1, 10 + index, records.get(index)));
+            assertEquals(refused, Optional.empty(), records.get(index).toString());
+        }
+        return fold;
+    }
+}
