Give no work on a placement that outlived its workers' state

Change: a placement that is read back is prepared only if all its workers are reached and staying, else it ends unreleased; a worker joins once no attempt that names it is left.

--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/AttemptDriver.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/AttemptDriver.java
@@ -100,13 +100,22 @@
         attempts.put(id, new AttemptView(id, job, placements, AttemptView.Phase.PLACING));
     }
 
-    void placed(AttemptId id, byte[] payload, long nowMs) {
+    /**
+     * Prepares an attempt whose placement was read back.
+     *
+     * @param id the attempt
+     * @param payload what the work is told
+     * @param usable whether all its workers can still be given work
+     * @param nowMs present time in ms since the epoch
+     */
+    void placed(AttemptId id, byte[] payload, boolean usable, long nowMs) {
         AttemptView attempt = attempts.get(id);
         if (attempt == null) {
             return;
         }
         attempt.startByMs(nowMs + settings.startWithinMs());
-        if (attempt.phase() == AttemptView.Phase.STOPPING) {
+        if (!usable || attempt.phase() == AttemptView.Phase.STOPPING) {
+            attempt.phase(AttemptView.Phase.STOPPING);
             attempt.placements().forEach(placement -> attempt.gone(placement.part()));
             advance(attempt, nowMs);
             return;
@@ -236,9 +245,9 @@
         return holders;
     }
 
-    /** Says whether an attempt that lost a part on the worker has not ended yet. */
-    boolean holdsLost(WorkerId worker) {
-        return attempts.values().stream().anyMatch(attempt -> attempt.uses(worker) && attempt.lostOn(worker));
+    /** Says whether an attempt that was placed on the worker has not ended yet. */
+    boolean uses(WorkerId worker) {
+        return attempts.values().stream().anyMatch(attempt -> attempt.uses(worker));
     }
 
     void probe(WorkerId worker, long nowMs) {
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/AttemptView.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/AttemptView.java
@@ -166,21 +166,10 @@
         return true;
     }
 
-    /** Says whether a part may be on a worker and has not ended. */
-    boolean open(WorkerId worker) {
-        return placements.stream().anyMatch(placement -> placement.worker().equals(worker) && !ended(placement.part()));
-    }
-
     boolean uses(WorkerId worker) {
         return placements.stream().anyMatch(placement -> placement.worker().equals(worker));
     }
 
-    /** Says whether a part on the worker was lost with it. */
-    boolean lostOn(WorkerId worker) {
-        return placements.stream()
-                .anyMatch(placement -> placement.worker().equals(worker) && gone.containsKey(placement.part()));
-    }
-
     boolean gang() {
         return placements.size() > 1;
     }
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/CellOwner.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/CellOwner.java
@@ -179,7 +179,8 @@
         } else if (record instanceof LogRecord.JobCancelled cancelled) {
             decide(new SchedulerEvent.JobCancelled(cancelled.job()), nowMs);
         } else if (record instanceof LogRecord.AttemptPlaced placed) {
-            attempts.placed(placed.attempt(), payload(placed.attempt().job()), nowMs);
+            boolean usable = placed.placements().stream().allMatch(place -> workers.usable(place.worker()));
+            attempts.placed(placed.attempt(), payload(placed.attempt().job()), usable, nowMs);
         } else if (record instanceof LogRecord.AttemptReleased released) {
             attempts.released(released.attempt(), nowMs);
         } else if (record instanceof LogRecord.AttemptEnded ended) {
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/WorkerPool.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/WorkerPool.java
@@ -88,6 +88,12 @@
         return true;
     }
 
+    /** Says whether a worker may be given new work. */
+    boolean usable(WorkerId id) {
+        WorkerView worker = workers.get(id);
+        return worker != null && !worker.leaving() && worker.contact() == WorkerView.Contact.REACHED;
+    }
+
     boolean allReached() {
         return !workers.isEmpty()
                 && workers.values().stream().allMatch(worker -> worker.contact() == WorkerView.Contact.REACHED);
@@ -188,8 +194,8 @@
 
     private void reach(WorkerView worker, long nowMs) {
         WorkerView.Contact before = worker.contact();
-        boolean settling = before == WorkerView.Contact.LOST || before == WorkerView.Contact.UNSEEN;
-        if (active && settling && attempts.holdsLost(worker.spec().id())) {
+        boolean joins = before == WorkerView.Contact.LOST || before == WorkerView.Contact.UNSEEN;
+        if (active && joins && attempts.uses(worker.spec().id())) {
             return;
         }
         worker.reached(nowMs + settings.leaseMs() + settings.clockDriftMs());
