End waiting jobs at their deadline

Cause: a job that found no capacity waited on past its deadline. Change: the owner keeps unfinished jobs in order of deadline and ends those that wait when it passes, as not run or, after a release, as broken; attempts under way may finish. The explorer reports take-over times without other faults apart.

--- a/explore/src/main/java/org/fuchsiawinch/explore/FigureSummary.java
+++ b/explore/src/main/java/org/fuchsiawinch/explore/FigureSummary.java
@@ -8,12 +8,14 @@
 final class FigureSummary {
 
     private final List<Long> takeOverMs = new ArrayList<>();
+    private final List<Long> calmTakeOverMs = new ArrayList<>();
     private final List<Long> documentMs = new ArrayList<>();
     private long records;
     private long jobs;
 
     void add(ScheduleFigures figures) {
         takeOverMs.addAll(figures.takeOverMs());
+        calmTakeOverMs.addAll(figures.calmTakeOverMs());
         documentMs.addAll(figures.documentMs());
         records += figures.records();
         jobs += figures.jobs();
@@ -21,6 +23,7 @@
 
     String text() {
         return "event=figures take_overs=" + takeOverMs.size() + quantiles(" take_over", takeOverMs)
+                + " calm_take_overs=" + calmTakeOverMs.size() + quantiles(" calm_take_over", calmTakeOverMs)
                 + quantiles(" document_spread", documentMs) + " jobs=" + jobs + " records=" + records;
     }
 
--- a/explore/src/main/java/org/fuchsiawinch/explore/ScheduleFigures.java
+++ b/explore/src/main/java/org/fuchsiawinch/explore/ScheduleFigures.java
@@ -7,16 +7,19 @@
  * What one schedule measured.
  *
  * @param takeOverMs virtual times in ms from an owner's death until another node schedules the cell
+ * @param calmTakeOverMs those of them with no other fault but lost workers within 15 s
  * @param records number of records in the log
  * @param jobs number of jobs submitted
  * @param documentMs virtual times in ms from an accepted change until it is in force on a node
  */
-record ScheduleFigures(List<Long> takeOverMs, int records, int jobs, List<Long> documentMs) {
+record ScheduleFigures(List<Long> takeOverMs, List<Long> calmTakeOverMs, int records, int jobs, List<Long> documentMs) {
 
-    static final ScheduleFigures NONE = new ScheduleFigures(List.of(), 0, 0, List.of());
+    private static final long CALM_MS = 15_000;
+    static final ScheduleFigures NONE = new ScheduleFigures(List.of(), List.of(), 0, 0, List.of());
 
     ScheduleFigures {
         takeOverMs = List.copyOf(takeOverMs);
+        calmTakeOverMs = List.copyOf(calmTakeOverMs);
         documentMs = List.copyOf(documentMs);
     }
 
@@ -30,7 +33,25 @@
                 .map(Observation.Submitted::job)
                 .distinct()
                 .count();
-        return new ScheduleFigures(takeOvers, history.appended(), jobs, documentDelays(history));
+        List<Long> calm = history.of(Observation.OwnerDied.class).stream()
+                .filter(died -> calm(history.schedule(), died.atMs()))
+                .map(died -> nextActive(active, died.atMs()))
+                .flatMap(Optional::stream)
+                .toList();
+        return new ScheduleFigures(takeOvers, calm, history.appended(), jobs, documentDelays(history));
+    }
+
+    private static boolean calm(Schedule schedule, long diedMs) {
+        return schedule.events().stream()
+                .filter(ScheduleFigures::disturbsTakeOver)
+                .noneMatch(event -> event.atMs() != diedMs && Math.abs(event.atMs() - diedMs) < CALM_MS);
+    }
+
+    private static boolean disturbsTakeOver(ScheduleEvent event) {
+        boolean work = event instanceof ScheduleEvent.Submit
+                || event instanceof ScheduleEvent.Cancel
+                || event instanceof ScheduleEvent.DocumentRace;
+        return !work && !(event instanceof ScheduleEvent.WorkerLost);
     }
 
     private static Optional<Long> nextActive(List<Observation.CellActive> active, long diedMs) {
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/AttemptDriver.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/AttemptDriver.java
@@ -245,6 +245,11 @@
         return holders;
     }
 
+    /** Says whether an attempt of the job is under way. */
+    boolean holds(JobId job) {
+        return attempts.keySet().stream().anyMatch(attempt -> attempt.job().equals(job));
+    }
+
     /** Says whether an attempt that was placed on the worker has not ended yet. */
     boolean uses(WorkerId worker) {
         return attempts.values().stream().anyMatch(attempt -> attempt.uses(worker));
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/CellOwner.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/CellOwner.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Supplier;
 
@@ -14,6 +15,7 @@
 import org.fuchsiawinch.core.SchedulerEvent;
 import org.fuchsiawinch.model.AttemptId;
 import org.fuchsiawinch.model.JobId;
+import org.fuchsiawinch.model.JobSpec;
 import org.fuchsiawinch.model.WorkerId;
 import org.fuchsiawinch.model.WorkerSpec;
 import org.fuchsiawinch.protocol.fold.CellEntry;
@@ -49,6 +51,7 @@
     private final AttemptDriver attempts;
     private final WorkerPool workers;
     private final Set<JobId> finishing = new HashSet<>();
+    private final Deadlines deadlines = new Deadlines();
     private Phase phase = Phase.IDLE;
     private Scheduler scheduler;
     private long epoch;
@@ -124,6 +127,7 @@
         workers.clear();
         attempts.clear();
         finishing.clear();
+        deadlines.clear();
         scheduler = null;
     }
 
@@ -175,6 +179,7 @@
             return;
         }
         if (record instanceof LogRecord.JobAccepted accepted) {
+            deadlines.add(accepted.job());
             decide(new SchedulerEvent.JobSubmitted(accepted.job()), nowMs);
         } else if (record instanceof LogRecord.JobCancelled cancelled) {
             decide(new SchedulerEvent.JobCancelled(cancelled.job()), nowMs);
@@ -184,6 +189,7 @@
         } else if (record instanceof LogRecord.AttemptReleased released) {
             attempts.released(released.attempt(), nowMs);
         } else if (record instanceof LogRecord.AttemptEnded ended) {
+            fold().job(ended.attempt().job()).map(JobEntry::spec).ifPresent(deadlines::add);
             attempts.ended(ended.attempt(), ended.end(), nowMs);
         } else if (record instanceof LogRecord.JobFinished finished) {
             finishing.remove(finished.job());
@@ -245,6 +251,7 @@
         }
         workers.checkSilence(nowMs);
         workers.removeGone(nowMs);
+        deadlines.passed(nowMs).forEach(job -> endIfWaiting(job, nowMs));
         attempts.advanceAll(nowMs);
         if (nowMs - schedulerTickMs >= SCHEDULER_TICK_MS) {
             schedulerTickMs = nowMs;
@@ -293,6 +300,7 @@
             if (!job.cell().equals(settings.cell()) || job.status() == JobStatus.FINISHED) {
                 continue;
             }
+            deadlines.add(job.spec());
             if (job.status() == JobStatus.WAITING) {
                 waiting.add(job);
                 continue;
@@ -362,6 +370,11 @@
             decide(new SchedulerEvent.AttemptStopped(start.attempt(), false), nowMs);
             return;
         }
+        if (late(job.get().spec(), nowMs)) {
+            endIfWaiting(job.get().spec().id(), nowMs);
+            decide(new SchedulerEvent.AttemptStopped(start.attempt(), false), nowMs);
+            return;
+        }
         if (!job.get().repeatable()) {
             finish(job.get().spec().id(), new JobOutcome.Broken(ReasonCode.END_BROKEN_NOT_REPEATABLE.name()), nowMs);
             return;
@@ -372,6 +385,24 @@
                 nowMs);
     }
 
+    /** Ends a job that has not run by its deadline; work under way may still finish. */
+    private void endIfWaiting(JobId job, long nowMs) {
+        Optional<JobEntry> entry = fold().job(job).filter(found -> found.status() == JobStatus.WAITING);
+        if (entry.isEmpty() || attempts.holds(job)) {
+            return;
+        }
+        String code = ReasonCode.END_DEADLINE.name();
+        JobOutcome outcome = entry.get().everReleased()
+                ? new JobOutcome.Broken(code)
+                : new JobOutcome.NotRun(code, OptionalLong.empty());
+        finish(job, outcome, nowMs);
+        decide(new SchedulerEvent.JobCancelled(job), nowMs);
+    }
+
+    private static boolean late(JobSpec job, long nowMs) {
+        return job.deadlineMs().isPresent() && job.deadlineMs().getAsLong() <= nowMs;
+    }
+
     private void finish(JobId job, JobOutcome outcome, long nowMs) {
         boolean finished = fold().job(job)
                 .filter(entry -> entry.status() == JobStatus.FINISHED)
