--- a/node/src/main/java/org/fuchsiawinch/node/NodeProcess.java
+++ b/node/src/main/java/org/fuchsiawinch/node/NodeProcess.java
@@ -33,7 +33,7 @@
     private static final long DRAIN_LINGER_MS = 500;
 
     private final String name;
-    private final LedgerBook book = new LedgerBook();
+    private final AtomicReference<LedgerBook> book = new AtomicReference<>();
     private final MetricRegistry metrics = new MetricRegistry();
     private final OpenRequests open = new OpenRequests();
     private final AtomicReference<Optional<Document>> document = new AtomicReference<>(Optional.empty());
@@ -52,7 +52,8 @@
      */
     public NodeProcess(Settings settings, long startedMs) {
         this.name = settings.value(NodeFlags.NAME);
-        NodeMachine machine = new NodeMachine(machineSettings(settings, startedMs), book, GuaranteeScheduler::new);
+        NodeMachine machine =
+                new NodeMachine(machineSettings(settings, startedMs), this::newBook, GuaranteeScheduler::new);
         this.loop = new NodeLoop(
                 machine,
                 this::carryOut,
@@ -118,6 +119,13 @@
                         settings.value(NodeFlags.LEASE_MS));
     }
 
+    /** Called on the loop's thread, at first and after each gap in the log. */
+    private LedgerBook newBook() {
+        LedgerBook fresh = new LedgerBook();
+        book.set(fresh);
+        return fresh;
+    }
+
     private void carryOut(NodeEffect effect) {
         if (effect instanceof NodeEffect.Append append) {
             metrics.meter("log.appends").mark();
@@ -137,7 +145,7 @@
 
     private void report(NodeEvent event) {
         if (event instanceof NodeEvent.DocumentInForce inForce) {
-            document.set(book.document());
+            document.set(book.get().document());
             LOG.info("document_in_force", "node", name, "version", inForce.version());
         } else if (event instanceof NodeEvent.CellTaken taken) {
             LOG.info("cell_taken", "node", name, "cell", taken.cell(), "epoch", taken.epoch());
@@ -158,6 +166,10 @@
             reportDecision(decided.decision());
         } else if (event instanceof NodeEvent.WorkerSilent silent) {
             LOG.warn("worker_silent", "node", name, "worker", silent.worker());
+        } else if (event instanceof NodeEvent.LogGapFound gap) {
+            LOG.warn("log_gap", "node", name, "wanted", gap.wantedOffset(), "first", gap.firstOffset());
+        } else if (event instanceof NodeEvent.SnapshotLoaded loaded) {
+            LOG.info("snapshot_loaded", "node", name, "up_to", loaded.upToOffset(), "jobs", loaded.jobs());
         } else if (event instanceof NodeEvent.OwnRecordVoid refused) {
             LOG.info("record_void", "node", name, "sequence", refused.id().sequence(), "code", refused.code());
         }
--- a/node/src/main/java/org/fuchsiawinch/node/adapter/LogClient.java
+++ b/node/src/main/java/org/fuchsiawinch/node/adapter/LogClient.java
@@ -93,7 +93,7 @@
                 .block(READ_TIMEOUT);
         PlatformMessages.ReadResponse slice = json.decode(body, PlatformMessages.ReadResponse.class);
         if (slice.startOffset() > from) {
-            LOG.warn("log_gap", "wanted", from, "first", slice.firstOffset());
+            inputs.accept(new NodeInput.LogGap(slice.startOffset()));
         }
         long offset = slice.startOffset();
         for (byte[] record : slice.records()) {
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/fold/LedgerBook.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/fold/LedgerBook.java
@@ -5,6 +5,7 @@
 
 import org.fuchsiawinch.document.Document;
 import org.fuchsiawinch.document.Section;
+import org.fuchsiawinch.document.internal.Digests;
 import org.fuchsiawinch.document.ledger.DocumentLedger;
 import org.fuchsiawinch.document.ledger.LedgerOutcome;
 import org.fuchsiawinch.document.ledger.LedgerRecord;
@@ -65,7 +66,11 @@
                 proposed.team(), section.get(), proposed.baseVersion(), proposed.text(), proposed.signature()));
     }
 
+    /** Takes a copy over if none is in force, as after a snapshot; else compares it with the one in force. */
     private Optional<Refusal> compare(LogRecord.DocumentRepublished copy) {
+        if (ledger.current().isEmpty()) {
+            return adopt(copy);
+        }
         boolean same = ledger.current()
                 .filter(document -> document.version() == copy.version())
                 .filter(document -> document.text().equals(copy.text()))
@@ -75,6 +80,16 @@
                 : Optional.of(new Refusal(Refusal.Code.NOT_IN_FORCE, "version " + copy.version()));
     }
 
+    private Optional<Refusal> adopt(LogRecord.DocumentRepublished copy) {
+        LedgerStep step = ledger.adopt(
+                new LedgerRecord.Republication(copy.version(), copy.text(), Digests.sha256Hex(copy.text()), steps));
+        steps++;
+        ledger = step.ledger();
+        return ledger.version() == copy.version()
+                ? Optional.empty()
+                : Optional.of(new Refusal(Refusal.Code.NOT_IN_FORCE, "version " + copy.version()));
+    }
+
     private Optional<Refusal> step(LedgerRecord record) {
         boolean founding = record instanceof LedgerRecord.Genesis;
         LedgerStep step = ledger.apply(steps, record);
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/AttemptDriver.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/AttemptDriver.java
@@ -100,13 +100,22 @@
         attempts.put(id, new AttemptView(id, job, placements, AttemptView.Phase.PLACING));
     }
 
-    void placed(AttemptId id, byte[] payload, long nowMs) {
+    /**
+     * Prepares an attempt whose placement was read back.
+     *
+     * @param id the attempt
+     * @param payload what the work is told
+     * @param usable whether all its workers can still be given work
+     * @param nowMs present time in ms since the epoch
+     */
+    void placed(AttemptId id, byte[] payload, boolean usable, long nowMs) {
         AttemptView attempt = attempts.get(id);
         if (attempt == null) {
             return;
         }
         attempt.startByMs(nowMs + settings.startWithinMs());
-        if (attempt.phase() == AttemptView.Phase.STOPPING) {
+        if (!usable || attempt.phase() == AttemptView.Phase.STOPPING) {
+            attempt.phase(AttemptView.Phase.STOPPING);
             attempt.placements().forEach(placement -> attempt.gone(placement.part()));
             advance(attempt, nowMs);
             return;
@@ -239,9 +248,14 @@
         return holders;
     }
 
-    /** Says whether an attempt that lost a part on the worker has not ended yet. */
-    boolean holdsLost(WorkerId worker) {
-        return attempts.values().stream().anyMatch(attempt -> attempt.uses(worker) && attempt.lostOn(worker));
+    /** Says whether an attempt of the job is under way. */
+    boolean holds(JobId job) {
+        return attempts.keySet().stream().anyMatch(attempt -> attempt.job().equals(job));
+    }
+
+    /** Says whether an attempt that was placed on the worker has not ended yet. */
+    boolean uses(WorkerId worker) {
+        return attempts.values().stream().anyMatch(attempt -> attempt.uses(worker));
     }
 
     void probe(WorkerId worker, long nowMs) {
@@ -282,7 +296,7 @@
             present.add(report.task());
             clean &= reportedTask(worker, report, nowMs);
         }
-        markAbsent(worker, present, nowMs);
+        markAbsent(worker, present, reply.answeredMs());
         return clean;
     }
 
@@ -332,9 +346,10 @@
         }
     }
 
-    private void markAbsent(WorkerId worker, Set<TaskId> present, long nowMs) {
+    /** Settles the parts that a worker does not hold and, by its own clock, will not take any more. */
+    private void markAbsent(WorkerId worker, Set<TaskId> present, long answeredMs) {
         for (AttemptView attempt : attempts.values()) {
-            boolean settled = attempt.startByMs() > 0 && nowMs > attempt.startByMs() + settings.clockDriftMs();
+            boolean settled = attempt.startByMs() > 0 && answeredMs > attempt.startByMs();
             boolean placed = attempt.phase() != AttemptView.Phase.PLACING;
             if (!placed || !settled) {
                 continue;
