--- a/document/src/main/java/org/fuchsiawinch/document/ledger/LedgerRecord.java
+++ b/document/src/main/java/org/fuchsiawinch/document/ledger/LedgerRecord.java
@@ -2,6 +2,7 @@
 
 import org.fuchsiawinch.document.Document;
 import org.fuchsiawinch.document.Section;
+import org.fuchsiawinch.document.internal.Digests;
 
 /** A record of the document in the platform's log. */
 public sealed interface LedgerRecord {
@@ -57,5 +58,18 @@
      * @param digest SHA-256 of the text in 64 lower-case hexadecimal digits
      * @param throughOffset offset of the last log record that the state reflects; -1 for none
      */
-    record Republication(int version, String text, String digest, long throughOffset) implements LedgerRecord {}
+    record Republication(int version, String text, String digest, long throughOffset) implements LedgerRecord {
+
+        /**
+         * Makes a copy with the digest of its text.
+         *
+         * @param version version in force
+         * @param text the whole text
+         * @param throughOffset offset of the last log record that the state reflects
+         * @return the copy
+         */
+        public static Republication of(int version, String text, long throughOffset) {
+            return new Republication(version, text, Digests.sha256Hex(text), throughOffset);
+        }
+    }
 }
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/fold/LedgerBook.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/fold/LedgerBook.java
@@ -5,7 +5,6 @@
 
 import org.fuchsiawinch.document.Document;
 import org.fuchsiawinch.document.Section;
-import org.fuchsiawinch.document.internal.Digests;
 import org.fuchsiawinch.document.ledger.DocumentLedger;
 import org.fuchsiawinch.document.ledger.LedgerOutcome;
 import org.fuchsiawinch.document.ledger.LedgerRecord;
@@ -81,8 +80,7 @@
     }
 
     private Optional<Refusal> adopt(LogRecord.DocumentRepublished copy) {
-        LedgerStep step = ledger.adopt(
-                new LedgerRecord.Republication(copy.version(), copy.text(), Digests.sha256Hex(copy.text()), steps));
+        LedgerStep step = ledger.adopt(LedgerRecord.Republication.of(copy.version(), copy.text(), steps));
         steps++;
         ledger = step.ledger();
         return ledger.version() == copy.version()
