Show spend and fragmentation of the sample load, and record them on each node

Cause: the quick start's table lacked spend and fragmentation, and the burn report had no source on a running node.

--- a/node/src/main/java/org/fuchsiawinch/node/NodeProcess.java
+++ b/node/src/main/java/org/fuchsiawinch/node/NodeProcess.java
@@ -1,5 +1,6 @@
 package org.fuchsiawinch.node;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicReference;
@@ -9,12 +10,14 @@
 import org.fuchsiawinch.core.GuaranteeScheduler;
 import org.fuchsiawinch.document.Document;
 import org.fuchsiawinch.model.NodeId;
+import org.fuchsiawinch.model.WorkerSpec;
 import org.fuchsiawinch.node.adapter.LogClient;
 import org.fuchsiawinch.node.adapter.WorkerClient;
 import org.fuchsiawinch.node.http.HttpFront;
 import org.fuchsiawinch.node.http.NodeStatus;
 import org.fuchsiawinch.node.http.OpenRequests;
 import org.fuchsiawinch.node.loop.NodeLoop;
+import org.fuchsiawinch.node.records.Recorder;
 import org.fuchsiawinch.protocol.fold.LedgerBook;
 import org.fuchsiawinch.protocol.node.NodeEffect;
 import org.fuchsiawinch.protocol.node.NodeEvent;
@@ -23,6 +26,7 @@
 import org.fuchsiawinch.protocol.node.NodeSettings;
 import org.fuchsiawinch.runtime.EventLog;
 import org.fuchsiawinch.runtime.Settings;
+import org.fuchsiawinch.wire.PlatformMessages;
 
 /** Wires one node: its state machine, the threads around it, and the adapters. Runs from {@link #start} once. */
 public final class NodeProcess {
@@ -30,6 +34,7 @@
     private static final EventLog LOG = new EventLog(NodeProcess.class);
     private static final long TICK_MS = 50;
     private static final long WORKER_POLL_MS = 1000;
+    private static final long SAMPLE_MS = 5000;
     private static final long DRAIN_LINGER_MS = 500;
 
     private final String name;
@@ -43,6 +48,7 @@
     private final WorkerClient workers;
     private final HttpFront front;
     private final NodeStatus status;
+    private final Recorder recorder = new Recorder();
 
     /**
      * Creates a node that does not run yet.
@@ -75,6 +81,7 @@
                 document::get,
                 metrics,
                 status,
+                recorder,
                 workers::lastList);
     }
 
@@ -84,6 +91,7 @@
         thread("log-reader", log::follow);
         thread("ticker", () -> every(TICK_MS, () -> loop.publish(new NodeInput.Tick())));
         thread("worker-list", () -> every(WORKER_POLL_MS, workers::poll));
+        thread("sampler", () -> every(SAMPLE_MS, this::sample));
         front.start();
         LOG.info("node_started", "node", name);
     }
@@ -119,6 +127,21 @@
                         settings.value(NodeFlags.LEASE_MS));
     }
 
+    private void sample() {
+        List<WorkerSpec> listed = workers.lastList().stream()
+                .map(PlatformMessages.ListedWorker::worker)
+                .toList();
+        loop.ask((machine, nowMs) -> {
+                    recorder.sample(machine.fold(), listed, nowMs);
+                    return nowMs;
+                })
+                .subscribe(
+                        sampledMs -> {
+                            // the recorder keeps the sample
+                        },
+                        error -> LOG.warn("sample_skipped", "node", name, "error", error.getMessage()));
+    }
+
     /** Called on the loop's thread, at first and after each gap in the log. */
     private LedgerBook newBook() {
         LedgerBook fresh = new LedgerBook();
--- a/node/src/main/java/org/fuchsiawinch/node/http/HttpFront.java
+++ b/node/src/main/java/org/fuchsiawinch/node/http/HttpFront.java
@@ -10,6 +10,7 @@
 import io.netty.util.concurrent.DefaultEventExecutor;
 import org.fuchsiawinch.document.Document;
 import org.fuchsiawinch.node.loop.NodeLoop;
+import org.fuchsiawinch.node.records.Recorder;
 import org.fuchsiawinch.wire.PlatformMessages;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
@@ -37,6 +38,7 @@
      * @param document the document in force
      * @param metrics the node's metrics
      * @param status the node's status
+     * @param recorder gives the records for the burn report
      * @param workers the platform's last list of workers
      */
     public HttpFront(
@@ -49,11 +51,13 @@
             Supplier<Optional<Document>> document,
             MetricRegistry metrics,
             NodeStatus status,
+            Recorder recorder,
             Supplier<List<PlatformMessages.ListedWorker>> workers) {
         Doors doors = new Doors(document, foundingToken);
         Responder responder = new Responder(metrics, bodyLimitBytes);
         CallerRoutes callers = new CallerRoutes(loop, open, doors, responder);
-        OperatorRoutes operators = new OperatorRoutes(loop, open, doors, responder, document, metrics, status, workers);
+        OperatorRoutes operators =
+                new OperatorRoutes(loop, open, doors, responder, document, metrics, status, recorder, workers);
         this.server = HttpServer.create()
                 .host(host)
                 .port(port)
--- a/node/src/main/java/org/fuchsiawinch/node/http/OperatorRoutes.java
+++ b/node/src/main/java/org/fuchsiawinch/node/http/OperatorRoutes.java
@@ -13,6 +13,7 @@
 import org.fuchsiawinch.model.WorkspaceId;
 import org.fuchsiawinch.model.WorkspacePolicy;
 import org.fuchsiawinch.node.loop.NodeLoop;
+import org.fuchsiawinch.node.records.Recorder;
 import org.fuchsiawinch.protocol.fold.DocumentBook;
 import org.fuchsiawinch.protocol.fold.JobEntry;
 import org.fuchsiawinch.protocol.fold.JobStatus;
@@ -37,6 +38,7 @@
     private final Supplier<Optional<Document>> document;
     private final MetricRegistry metrics;
     private final NodeStatus status;
+    private final Recorder recorder;
     private final Supplier<List<PlatformMessages.ListedWorker>> workerList;
 
     OperatorRoutes(
@@ -47,6 +49,7 @@
             Supplier<Optional<Document>> document,
             MetricRegistry metrics,
             NodeStatus status,
+            Recorder recorder,
             Supplier<List<PlatformMessages.ListedWorker>> workerList) {
         this.loop = loop;
         this.open = open;
@@ -55,6 +58,7 @@
         this.document = document;
         this.metrics = metrics;
         this.status = status;
+        this.recorder = recorder;
         this.workerList = workerList;
     }
 
@@ -68,6 +72,7 @@
                 .get("/v1/jobs/{id}/explain", this::explain)
                 .get("/v1/workers", (request, response) -> asOperator(request, response, this::workers))
                 .get("/v1/nodes", (request, response) -> asOperator(request, response, this::nodes))
+                .get("/v1/records", this::records)
                 .post("/v1/drain", (request, response) -> asOperator(request, response, this::drain))
                 .get("/metrics", (request, response) -> responder.text(response, 200, MetricsText.render(metrics)))
                 .get("/health", this::health);
@@ -225,6 +230,14 @@
         return loop.ask((machine, nowMs) -> Answer.ok(List.of(status.view(machine))));
     }
 
+    private Mono<Void> records(HttpServerRequest request, HttpServerResponse response) {
+        if (doors.operator(request).isEmpty()) {
+            return responder.send(response, Mono.just(unknownToken()));
+        }
+        return loop.ask((machine, nowMs) -> recorder.lines(machine.fold()))
+                .flatMap(lines -> responder.text(response, 200, lines));
+    }
+
     private Mono<Answer> drain() {
         return Mono.fromSupplier(() -> {
             status.requestDrain();
--- a/quickstart/src/main/java/org/fuchsiawinch/quickstart/NodeClient.java
+++ b/quickstart/src/main/java/org/fuchsiawinch/quickstart/NodeClient.java
@@ -49,6 +49,17 @@
                 .retryWhen(again());
     }
 
+    /** Gives the records for the burn report as JSON Lines. */
+    Mono<String> records(String token) {
+        return Mono.defer(() -> client.headers(headers -> headers.set("Authorization", "Bearer " + token))
+                        .get()
+                        .uri(nextNode() + "/v1/records")
+                        .responseSingle((response, content) -> response.status().code() == 200
+                                ? content.asString().defaultIfEmpty("")
+                                : Mono.error(new NotYetException())))
+                .retryWhen(again());
+    }
+
     int retries() {
         return retries.get();
     }
@@ -58,17 +69,20 @@
     }
 
     private Mono<Response> post(String path, byte[] body, String token) {
-        String node = nodes.get(Math.floorMod(turn.getAndIncrement(), nodes.size()));
         return client.headers(headers ->
                         headers.set("Authorization", "Bearer " + token).set("Content-Type", "application/json"))
                 .post()
-                .uri(node + path)
+                .uri(nextNode() + path)
                 .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(body)))
                 .responseSingle((response, content) -> content.asByteArray()
                         .defaultIfEmpty(new byte[0])
                         .map(bytes -> new Response(response.status().code(), bytes)));
     }
 
+    private String nextNode() {
+        return nodes.get(Math.floorMod(turn.getAndIncrement(), nodes.size()));
+    }
+
     /**
      * An HTTP response.
      *
--- a/quickstart/src/main/java/org/fuchsiawinch/quickstart/PromiseCheck.java
+++ b/quickstart/src/main/java/org/fuchsiawinch/quickstart/PromiseCheck.java
@@ -10,6 +10,14 @@
 /** Compares what callers were told with what the workers ran. Stateless. */
 final class PromiseCheck {
 
+    /** Names of the promises that are checked. */
+    static final List<String> CHECKED = List.of(
+            "every request has an outcome",
+            "answers are whole and the caller's own",
+            "completed work ran as a whole gang",
+            "not-run did not run",
+            "non-idempotent work ran at most once");
+
     private PromiseCheck() {}
 
     /** Lists the broken promises; an empty list means that none is broken. */
--- a/quickstart/src/main/java/org/fuchsiawinch/quickstart/QuickstartMain.java
+++ b/quickstart/src/main/java/org/fuchsiawinch/quickstart/QuickstartMain.java
@@ -36,6 +36,7 @@
             Setting.number("seed", "seed of the load", 0, Long.MAX_VALUE).withDefault("7");
     private static final Setting<String> FOUNDING_TOKEN =
             Setting.text("founding-token", "token that founds the document").withDefault("sample-founding");
+    private static final String OPERATOR_TOKEN = "sample-token-operator";
     private static final Duration RUN_TIMEOUT = Duration.ofSeconds(110);
 
     private QuickstartMain() {}
@@ -63,7 +64,12 @@
         List<SampleJob> jobs = new SampleMorning(settings.value(SEED), startMs).jobs(count);
         Map<String, JobResult> results = send(nodes, jobs, settings.value(SPREAD_MS));
         List<String> broken = PromiseCheck.broken(jobs, results, runs(settings.value(PLATFORM_URL)));
-        System.out.print(ResultTable.render(jobs, results, nodes.retries(), System.currentTimeMillis() - startMs));
+        SystemRecords records =
+                nodes.records(OPERATOR_TOKEN).map(SystemRecords::parse).block(RUN_TIMEOUT);
+        System.out.print(ResultTable.render(jobs, results, records));
+        System.out.println(
+                "retries by callers: " + nodes.retries() + ", took " + (System.currentTimeMillis() - startMs) + " ms");
+        System.out.println("promises checked: " + String.join(", ", PromiseCheck.CHECKED));
         System.out.println("promises broken: " + broken.size());
         broken.forEach(System.out::println);
         return broken.isEmpty() ? Program.EXIT_OK : Program.EXIT_FAILED;
--- a/quickstart/src/main/java/org/fuchsiawinch/quickstart/ResultTable.java
+++ b/quickstart/src/main/java/org/fuchsiawinch/quickstart/ResultTable.java
@@ -9,21 +9,25 @@
 /** Renders the results of the sample load, one line for each workspace. Stateless. */
 final class ResultTable {
 
+    private static final double MICROS_PER_UNIT = 1e6;
+
     private ResultTable() {}
 
-    static String render(List<SampleJob> jobs, Map<String, JobResult> results, int retries, long tookMs) {
+    static String render(List<SampleJob> jobs, Map<String, JobResult> results, SystemRecords records) {
         StringBuilder table = new StringBuilder(String.format(
-                "%-14s %6s %10s %8s %8s %8s %8s %9s%n",
-                "workspace", "jobs", "completed", "not-run", "broken", "mean ms", "p95 ms", "attempts"));
+                "%-14s %6s %10s %8s %8s %8s %8s %9s %10s%n",
+                "workspace", "jobs", "completed", "not-run", "broken", "mean ms", "p95 ms", "attempts", "spend"));
         Map<String, List<SampleJob>> byWorkspace =
                 jobs.stream().collect(Collectors.groupingBy(SampleJob::workspace, TreeMap::new, Collectors.toList()));
-        byWorkspace.forEach((workspace, own) -> table.append(line(workspace, own, results)));
-        table.append(line("all", jobs, results));
-        return table.append("retries by callers: " + retries + ", took " + tookMs + " ms\n")
+        byWorkspace.forEach((workspace, own) ->
+                table.append(line(workspace, own, results, records.spendMicros().getOrDefault(workspace, 0L))));
+        table.append(line("all", jobs, results, records.totalMicros()));
+        return table.append(String.format(
+                        "fragmentation: %.3f on average of %d samples%n", records.fragmentation(), records.samples()))
                 .toString();
     }
 
-    private static String line(String name, List<SampleJob> jobs, Map<String, JobResult> results) {
+    private static String line(String name, List<SampleJob> jobs, Map<String, JobResult> results, long spendMicros) {
         List<JobResult> known = jobs.stream()
                 .map(job -> results.get(job.id()))
                 .filter(result -> result != null)
@@ -34,7 +38,7 @@
                 .sorted()
                 .toArray();
         return String.format(
-                "%-14s %6d %10d %8d %8d %8.0f %8d %9d%n",
+                "%-14s %6d %10d %8d %8d %8.0f %8d %9d %10.4f%n",
                 name,
                 jobs.size(),
                 completions.length,
@@ -42,7 +46,8 @@
                 known.stream().filter(result -> is(result, "broken")).count(),
                 Arrays.stream(completions).average().orElse(0),
                 percentile(completions, 95),
-                known.stream().mapToInt(JobResult::attempt).sum());
+                known.stream().mapToInt(JobResult::attempt).sum(),
+                spendMicros / MICROS_PER_UNIT);
     }
 
     private static boolean is(JobResult result, String outcome) {
--- /dev/null
+++ b/quickstart/src/main/java/org/fuchsiawinch/quickstart/SystemRecords.java
@@ -0,0 +1,50 @@
+package org.fuchsiawinch.quickstart;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+
+import org.fuchsiawinch.wire.JsonCodec;
+
+/**
+ * Spend and fragmentation as a node records them.
+ *
+ * @param spendMicros price of the finished jobs by workspace, in millionths of the currency unit
+ * @param fragmentation average of the samples, between 0 and 1
+ * @param samples number of samples
+ */
+record SystemRecords(Map<String, Long> spendMicros, double fragmentation, int samples) {
+
+    /** Reads a node's JSON Lines. */
+    static SystemRecords parse(String text) {
+        JsonCodec json = new JsonCodec();
+        List<Line> lines = text.lines()
+                .map(line -> json.decode(line.getBytes(StandardCharsets.UTF_8), Line.class))
+                .toList();
+        Map<String, Long> spend = lines.stream()
+                .filter(line -> line.type().equals("job"))
+                .collect(Collectors.groupingBy(
+                        Line::workspace, TreeMap::new, Collectors.summingLong(Line::spendMicros)));
+        List<Line> samples =
+                lines.stream().filter(line -> line.type().equals("sample")).toList();
+        double average =
+                samples.stream().mapToDouble(Line::fragmentation).average().orElse(0);
+        return new SystemRecords(spend, average, samples.size());
+    }
+
+    long totalMicros() {
+        return spendMicros.values().stream().mapToLong(Long::longValue).sum();
+    }
+
+    /**
+     * A line of either type.
+     *
+     * @param type {@code job} or {@code sample}
+     * @param workspace workspace of a job
+     * @param spendMicros price in millionths of the currency unit
+     * @param fragmentation share of a sample
+     */
+    private record Line(String type, String workspace, long spendMicros, double fragmentation) {}
+}
--- /dev/null
+++ b/quickstart/src/test/java/org/fuchsiawinch/quickstart/PromiseCheckTest.java
@@ -0,0 +1,64 @@
+package org.fuchsiawinch.quickstart;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.fuchsiawinch.wire.PlatformMessages;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+
+public class PromiseCheckTest {
+
+    private final List<SampleJob> jobs = new SampleMorning(7, 0).jobs(4);
+    private final SampleJob gang = jobs.get(0);
+    private final SampleJob once = jobs.get(3);
+
+    @Test
+    public void wholeAnswerOfOneRunBreaksNothing() {
+        assertEquals(
+                broken(gang, result(gang, "completed", gang.expectedAnswer()), run(gang, 1, gang.parts())), List.of());
+    }
+
+    @Test
+    public void eachBrokenPromiseIsNamed() {
+        assertEquals(
+                PromiseCheck.broken(List.of(gang), Map.of(), new PlatformMessages.RunList(List.of())),
+                List.of("lost-request job=" + gang.id()));
+        assertEquals(
+                broken(gang, result(gang, "completed", "half"), run(gang, 1, gang.parts())),
+                List.of("answer-not-whole job=" + gang.id()));
+        assertEquals(
+                broken(gang, result(gang, "completed", gang.expectedAnswer()), run(gang, 1, 1)),
+                List.of("completed-without-whole-run job=" + gang.id()));
+        assertEquals(
+                broken(gang, result(gang, "not-run", ""), run(gang, 1, 1)),
+                List.of("told-not-run-but-ran job=" + gang.id()));
+        assertEquals(
+                broken(once, result(once, "completed", once.expectedAnswer()), run(once, 1, 1), run(once, 2, 1)),
+                List.of("non-idempotent-ran-twice job=" + once.id()));
+    }
+
+    private static List<String> broken(SampleJob job, JobResult result, PlatformMessages.Run... runs) {
+        return PromiseCheck.broken(List.of(job), Map.of(job.id(), result), new PlatformMessages.RunList(List.of(runs)));
+    }
+
+    private static PlatformMessages.Run run(SampleJob job, int attempt, int parts) {
+        return new PlatformMessages.Run(job.id(), attempt, parts);
+    }
+
+    private static JobResult result(SampleJob job, String outcome, String answer) {
+        return new JobResult(
+                job.id(),
+                "finished",
+                1,
+                Optional.of(outcome),
+                Optional.of(answer),
+                Optional.empty(),
+                Optional.empty(),
+                0,
+                0,
+                0);
+    }
+}
