Link the nodes: membership, status and the document while the log is down

Cause: nodes knew nothing of each other, /v1/nodes listed one node, and a node cut off from the log could not get a newer document. A truncated record threw an unchecked exception, on which the log reader would have repeated for good. Change: TCP frames of tag and MessagePack between nodes, the gossip protocol on a thread of its own, status of all nodes in /v1/nodes, documents offered to nodes that cannot read the log, document records judged at their log offsets; codecs turn every decoding failure into CodecException.

--- a/ctl/src/main/java/org/fuchsiawinch/ctl/command/CommonSettings.java
+++ b/ctl/src/main/java/org/fuchsiawinch/ctl/command/CommonSettings.java
@@ -20,9 +20,8 @@
             "an http or https URL");
 
     /** The operator's bearer token; empty for none. */
-    public static final Setting<String> TOKEN = Setting.text(
-                    "token", "operator's bearer token; use the variable where others see the arguments")
-            .withDefault("");
+    public static final Setting<String> TOKEN =
+            Setting.optionalText("token", "operator's bearer token; use the variable where others see the arguments");
 
     /** Longest wait for a reply in ms. */
     public static final Setting<Long> TIMEOUT_MS = Setting.number(
--- a/ctl/src/main/java/org/fuchsiawinch/ctl/command/PlanCommand.java
+++ b/ctl/src/main/java/org/fuchsiawinch/ctl/command/PlanCommand.java
@@ -25,9 +25,8 @@
 final class PlanCommand {
 
     private static final Setting<String> TRACE = Setting.text("trace", "trace to replay, see docs/TRACES.md");
-    private static final Setting<String> BASE = Setting.text(
-                    "base", "file to compare with in place of the document in force; needs no node")
-            .withDefault("");
+    private static final Setting<String> BASE =
+            Setting.optionalText("base", "file to compare with in place of the document in force; needs no node");
     private static final Setting<Long> SEED = Setting.number("seed", "seed of the replay's delays", 0, Long.MAX_VALUE)
             .withDefault("1");
     private static final ObjectMapper MAPPER = new ObjectMapper().registerModule(new Jdk8Module());
--- a/node/src/main/java/org/fuchsiawinch/node/NodeFlags.java
+++ b/node/src/main/java/org/fuchsiawinch/node/NodeFlags.java
@@ -1,8 +1,13 @@
 package org.fuchsiawinch.node;
 
 import java.util.List;
+import java.util.Optional;
 
+import org.fuchsiawinch.membership.Endpoint;
+import org.fuchsiawinch.node.peer.PeerList;
 import org.fuchsiawinch.runtime.Setting;
+import org.fuchsiawinch.runtime.SettingProblem;
+import org.fuchsiawinch.runtime.Settings;
 import org.fuchsiawinch.runtime.SettingsReader;
 
 /** Settings of the node process. */
@@ -47,9 +52,25 @@
             .withDefault("5000");
 
     /** Token for founding the document. */
-    public static final Setting<String> FOUNDING_TOKEN = Setting.text(
-                    "founding-token", "bearer token that may found the document; empty for none")
-            .withDefault("");
+    public static final Setting<String> FOUNDING_TOKEN =
+            Setting.optionalText("founding-token", "bearer token that may found the document, or empty for none");
+
+    /** Port for other nodes. */
+    public static final Setting<Long> PEER_PORT = Setting.number(
+                    "peer-port", "TCP port for other nodes; 0 for a node without peers", 0, 65535)
+            .withDefault("0");
+
+    /** Peer ports of other nodes. */
+    public static final Setting<List<Endpoint>> PEERS = new Setting<>(
+            "peers",
+            "peer ports of some other nodes",
+            Optional.of(""),
+            PeerList::parse,
+            "IP:PORT, separated by commas, or empty");
+
+    /** Secret of the nodes. */
+    public static final Setting<String> PEER_SECRET =
+            Setting.optionalText("peer-secret", "secret that all nodes share, needed with peer-port");
 
     /** Size of the input ring. */
     public static final Setting<Long> RING_SIZE = Setting.number(
@@ -63,6 +84,25 @@
 
     private NodeFlags() {}
 
+    /**
+     * Checks settings against each other.
+     *
+     * @param settings settings that are valid one by one
+     * @return what is wrong; empty if nothing is
+     */
+    public static Optional<SettingProblem> check(Settings settings) {
+        boolean peers = settings.value(PEER_PORT) > 0;
+        if (peers && settings.value(PEER_SECRET).isEmpty()) {
+            return Optional.of(new SettingProblem(
+                    SettingProblem.Code.MISSING, PEER_SECRET.flag(), "needed with --" + PEER_PORT.flag()));
+        }
+        if (Long.bitCount(settings.value(RING_SIZE)) != 1) {
+            return Optional.of(new SettingProblem(
+                    SettingProblem.Code.INVALID, RING_SIZE.flag(), settings.value(RING_SIZE) + " is no power of two"));
+        }
+        return Optional.empty();
+    }
+
     /**
      * Gives the reader of all settings.
      *
@@ -83,6 +123,9 @@
                         CLAIM_AFTER_MS,
                         LEASE_MS,
                         FOUNDING_TOKEN,
+                        PEER_PORT,
+                        PEERS,
+                        PEER_SECRET,
                         RING_SIZE,
                         BODY_LIMIT_BYTES));
     }
--- a/node/src/main/java/org/fuchsiawinch/node/NodeMain.java
+++ b/node/src/main/java/org/fuchsiawinch/node/NodeMain.java
@@ -1,6 +1,9 @@
 package org.fuchsiawinch.node;
 
+import java.util.Optional;
+
 import org.fuchsiawinch.runtime.Program;
+import org.fuchsiawinch.runtime.SettingProblem;
 import org.fuchsiawinch.runtime.Settings;
 
 /** Runs one node until it is drained. */
@@ -19,6 +22,11 @@
     }
 
     private static int serve(Settings settings) {
+        Optional<SettingProblem> problem = NodeFlags.check(settings);
+        if (problem.isPresent()) {
+            System.err.println(problem.get());
+            return Program.EXIT_USAGE;
+        }
         NodeProcess node = new NodeProcess(settings, System.currentTimeMillis());
         node.start();
         Runtime.getRuntime().addShutdownHook(new Thread(node::drainAndStop, "drain"));
--- a/node/src/main/java/org/fuchsiawinch/node/NodeProcess.java
+++ b/node/src/main/java/org/fuchsiawinch/node/NodeProcess.java
@@ -9,6 +9,10 @@
 import org.fuchsiawinch.core.Decision;
 import org.fuchsiawinch.core.GuaranteeScheduler;
 import org.fuchsiawinch.document.Document;
+import org.fuchsiawinch.membership.Endpoint;
+import org.fuchsiawinch.membership.GossipMembership;
+import org.fuchsiawinch.membership.GossipSettings;
+import org.fuchsiawinch.membership.Member;
 import org.fuchsiawinch.model.NodeId;
 import org.fuchsiawinch.model.WorkerSpec;
 import org.fuchsiawinch.node.adapter.LogClient;
@@ -17,6 +21,7 @@
 import org.fuchsiawinch.node.http.NodeStatus;
 import org.fuchsiawinch.node.http.OpenRequests;
 import org.fuchsiawinch.node.loop.NodeLoop;
+import org.fuchsiawinch.node.peer.PeerLoop;
 import org.fuchsiawinch.node.records.Recorder;
 import org.fuchsiawinch.protocol.fold.LedgerBook;
 import org.fuchsiawinch.protocol.node.NodeEffect;
@@ -47,6 +52,7 @@
     private final LogClient log;
     private final WorkerClient workers;
     private final HttpFront front;
+    private final Optional<PeerLoop> peers;
     private final NodeStatus status;
     private final Recorder recorder = new Recorder();
 
@@ -71,6 +77,7 @@
         this.workers = new WorkerClient(platform, loop::publish);
         this.status =
                 new NodeStatus(name, settings.value(NodeFlags.DATA_CENTRE), () -> loop.publish(new NodeInput.Drain()));
+        this.peers = peers(settings, startedMs);
         this.front = new HttpFront(
                 settings.value(NodeFlags.HOST),
                 settings.value(NodeFlags.PORT).intValue(),
@@ -82,7 +89,8 @@
                 metrics,
                 status,
                 recorder,
-                workers::lastList);
+                workers::lastList,
+                () -> peers.map(PeerLoop::statuses).orElse(List.of()));
     }
 
     /** Starts all threads and listens. */
@@ -92,6 +100,7 @@
         thread("ticker", () -> every(TICK_MS, () -> loop.publish(new NodeInput.Tick())));
         thread("worker-list", () -> every(WORKER_POLL_MS, workers::poll));
         thread("sampler", () -> every(SAMPLE_MS, this::sample));
+        peers.ifPresent(PeerLoop::start);
         front.start();
         LOG.info("node_started", "node", name);
     }
@@ -99,6 +108,7 @@
     /** Hands the cell over, answers every open request, then closes the port. */
     public void drainAndStop() {
         status.requestDrain();
+        peers.ifPresent(PeerLoop::leave);
         try {
             drained.await();
             Thread.sleep(DRAIN_LINGER_MS);
@@ -118,6 +128,25 @@
         drained.await();
     }
 
+    private Optional<PeerLoop> peers(Settings settings, long startedMs) {
+        int port = settings.value(NodeFlags.PEER_PORT).intValue();
+        if (port == 0) {
+            return Optional.empty();
+        }
+        Member self = Member.alive(
+                new NodeId(name + "-" + startedMs),
+                new Endpoint(settings.value(NodeFlags.HOST), port),
+                settings.value(NodeFlags.DATA_CENTRE));
+        return Optional.of(new PeerLoop(
+                self,
+                settings.value(NodeFlags.PEERS),
+                settings.value(NodeFlags.PEER_SECRET),
+                new GossipMembership(self, GossipSettings.DEFAULTS, startedMs),
+                loop,
+                System::currentTimeMillis,
+                metrics));
+    }
+
     private static NodeSettings machineSettings(Settings settings, long startedMs) {
         NodeId id = new NodeId(settings.value(NodeFlags.NAME) + "-" + startedMs);
         return NodeSettings.defaults(id, settings.value(NodeFlags.CLAIM_RANK).intValue())
--- a/node/src/main/java/org/fuchsiawinch/node/http/HttpFront.java
+++ b/node/src/main/java/org/fuchsiawinch/node/http/HttpFront.java
@@ -11,6 +11,7 @@
 import org.fuchsiawinch.document.Document;
 import org.fuchsiawinch.node.loop.NodeLoop;
 import org.fuchsiawinch.node.records.Recorder;
+import org.fuchsiawinch.wire.PeerMessage;
 import org.fuchsiawinch.wire.PlatformMessages;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
@@ -40,6 +41,7 @@
      * @param status the node's status
      * @param recorder gives the records for the burn report
      * @param workers the platform's last list of workers
+     * @param nodes what the nodes last told of themselves; empty for a node without peers
      */
     public HttpFront(
             String host,
@@ -52,12 +54,13 @@
             MetricRegistry metrics,
             NodeStatus status,
             Recorder recorder,
-            Supplier<List<PlatformMessages.ListedWorker>> workers) {
+            Supplier<List<PlatformMessages.ListedWorker>> workers,
+            Supplier<List<PeerMessage.NodeStatusMessage>> nodes) {
         Doors doors = new Doors(document, foundingToken);
         Responder responder = new Responder(metrics, bodyLimitBytes);
         CallerRoutes callers = new CallerRoutes(loop, open, doors, responder);
         OperatorRoutes operators =
-                new OperatorRoutes(loop, open, doors, responder, document, metrics, status, recorder, workers);
+                new OperatorRoutes(loop, open, doors, responder, document, metrics, status, recorder, workers, nodes);
         this.server = HttpServer.create()
                 .host(host)
                 .port(port)
--- a/node/src/main/java/org/fuchsiawinch/node/http/NodeStatus.java
+++ b/node/src/main/java/org/fuchsiawinch/node/http/NodeStatus.java
@@ -4,6 +4,7 @@
 
 import org.fuchsiawinch.protocol.fold.DocumentBook;
 import org.fuchsiawinch.protocol.node.NodeMachine;
+import org.fuchsiawinch.wire.PeerMessage;
 
 /** What a node tells of itself, and its switch to drain. Thread-safe. */
 public final class NodeStatus {
@@ -67,10 +68,16 @@
      * @param documentVersion version of the document in force on it
      */
     record NodeView(
-            String node,
-            String dataCentre,
-            boolean draining,
-            boolean schedules,
-            long nextOffset,
-            int documentVersion) {}
+            String node, String dataCentre, boolean draining, boolean schedules, long nextOffset, int documentVersion) {
+
+        static NodeView of(PeerMessage.NodeStatusMessage status) {
+            return new NodeView(
+                    status.node().value(),
+                    status.dataCentre(),
+                    status.draining(),
+                    status.schedules(),
+                    status.nextOffset(),
+                    status.documentVersion());
+        }
+    }
 }
--- a/node/src/main/java/org/fuchsiawinch/node/http/OperatorRoutes.java
+++ b/node/src/main/java/org/fuchsiawinch/node/http/OperatorRoutes.java
@@ -22,6 +22,7 @@
 import org.fuchsiawinch.protocol.node.NodeReply;
 import org.fuchsiawinch.protocol.record.LogRecord;
 import org.fuchsiawinch.runtime.MetricsText;
+import org.fuchsiawinch.wire.PeerMessage;
 import org.fuchsiawinch.wire.PlatformMessages;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.server.HttpServerRequest;
@@ -40,6 +41,7 @@
     private final NodeStatus status;
     private final Recorder recorder;
     private final Supplier<List<PlatformMessages.ListedWorker>> workerList;
+    private final Supplier<List<PeerMessage.NodeStatusMessage>> nodeList;
 
     OperatorRoutes(
             NodeLoop loop,
@@ -50,7 +52,8 @@
             MetricRegistry metrics,
             NodeStatus status,
             Recorder recorder,
-            Supplier<List<PlatformMessages.ListedWorker>> workerList) {
+            Supplier<List<PlatformMessages.ListedWorker>> workerList,
+            Supplier<List<PeerMessage.NodeStatusMessage>> nodeList) {
         this.loop = loop;
         this.open = open;
         this.doors = doors;
@@ -60,6 +63,7 @@
         this.status = status;
         this.recorder = recorder;
         this.workerList = workerList;
+        this.nodeList = nodeList;
     }
 
     void register(HttpServerRoutes routes) {
@@ -130,7 +134,7 @@
         DocumentBook.Refusal refusal = judged.refusal().get();
         String text = document.get().map(Document::text).orElse("");
         return switch (refusal.code()) {
-            case CONFLICT, ALREADY_FOUNDED, NOT_FOUNDED, NOT_IN_FORCE ->
+            case CONFLICT, ALREADY_FOUNDED, NOT_FOUNDED, NOT_IN_FORCE, UNDECIDED ->
                 new Answer(
                         409, new Views.ConflictView(refusal.code().name(), refusal.detail(), judged.version(), text));
             case NOT_OWNER, BAD_SIGNATURE -> Answer.error(403, refusal.code().name(), refusal.detail());
@@ -227,6 +231,11 @@
     }
 
     private Mono<Answer> nodes() {
+        List<PeerMessage.NodeStatusMessage> known = nodeList.get();
+        if (!known.isEmpty()) {
+            return Mono.just(
+                    Answer.ok(known.stream().map(NodeStatus.NodeView::of).toList()));
+        }
         return loop.ask((machine, nowMs) -> Answer.ok(List.of(status.view(machine))));
     }
 
--- /dev/null
+++ b/node/src/main/java/org/fuchsiawinch/node/peer/PeerLink.java
@@ -0,0 +1,114 @@
+package org.fuchsiawinch.node.peer;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+
+import com.codahale.metrics.Meter;
+import com.codahale.metrics.MetricRegistry;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import org.fuchsiawinch.membership.Endpoint;
+import org.fuchsiawinch.model.FuchsiawinchException;
+import org.fuchsiawinch.wire.PeerCodec;
+import org.fuchsiawinch.wire.PeerMessage;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+import reactor.netty.Connection;
+import reactor.netty.DisposableServer;
+import reactor.netty.tcp.TcpClient;
+import reactor.netty.tcp.TcpServer;
+
+/**
+ * Sends and takes frames between nodes over TCP: a length of four bytes, a tag, a MessagePack message. A message that
+ * cannot be sent is dropped, and its connection closed; the protocols above send again. Thread-safe.
+ */
+final class PeerLink {
+
+    private static final int LENGTH_BYTES = 4;
+    private static final int MAX_FRAME_BYTES = 1024 * 1024;
+    private static final int CONNECT_TIMEOUT_MS = 1000;
+    private static final int QUEUE_MESSAGES = 256;
+    private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(30);
+
+    private final PeerCodec codec;
+    private final Consumer<PeerMessage> receiver;
+    private final Meter sentBytes;
+    private final Meter receivedBytes;
+    private final Meter refused;
+    private final Map<Endpoint, Outgoing> outgoing = new ConcurrentHashMap<>();
+
+    PeerLink(PeerCodec codec, Consumer<PeerMessage> receiver, MetricRegistry metrics) {
+        this.codec = codec;
+        this.receiver = receiver;
+        this.sentBytes = metrics.meter("peer.sent_bytes");
+        this.receivedBytes = metrics.meter("peer.received_bytes");
+        this.refused = metrics.meter("peer.refused_frames");
+    }
+
+    DisposableServer listen(String host, int port) {
+        return TcpServer.create()
+                .host(host)
+                .port(port)
+                .doOnConnection(connection -> {
+                    frames(connection);
+                    connection.onReadIdle(IDLE_TIMEOUT.toMillis(), connection::dispose);
+                })
+                .handle((in, out) ->
+                        in.receive().asByteArray().doOnNext(this::take).then())
+                .bindNow();
+    }
+
+    void send(Endpoint to, PeerMessage message) {
+        byte[] frame = codec.encode(message);
+        sentBytes.mark(frame.length + LENGTH_BYTES);
+        outgoing.computeIfAbsent(to, this::open).offer(frame);
+    }
+
+    private Outgoing open(Endpoint to) {
+        Outgoing link = new Outgoing();
+        TcpClient.create()
+                .host(to.host())
+                .port(to.port())
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .doOnConnected(PeerLink::frames)
+                .handle((in, out) -> out.send(
+                                link.frames.asFlux().map(frame -> Unpooled.wrappedBuffer(frame)), frame -> true)
+                        .then())
+                .connect()
+                .flatMap(connection -> connection.onDispose())
+                .onErrorResume(error -> Mono.empty())
+                .doFinally(signal -> outgoing.remove(to, link))
+                .subscribe();
+        return link;
+    }
+
+    private void take(byte[] frame) {
+        receivedBytes.mark(frame.length + LENGTH_BYTES);
+        try {
+            receiver.accept(codec.decode(frame));
+        } catch (FuchsiawinchException e) {
+            refused.mark();
+        }
+    }
+
+    private static void frames(Connection connection) {
+        connection.addHandlerLast(
+                "frame-in", new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
+        connection.addHandlerLast("frame-out", new LengthFieldPrepender(LENGTH_BYTES));
+    }
+
+    /** Frames that wait for one connection. */
+    private static final class Outgoing {
+        private final Sinks.Many<byte[]> frames =
+                Sinks.many().unicast().onBackpressureBuffer(new ArrayBlockingQueue<>(QUEUE_MESSAGES));
+
+        private synchronized void offer(byte[] frame) {
+            frames.tryEmitNext(frame);
+        }
+    }
+}
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/fold/DocumentBook.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/fold/DocumentBook.java
@@ -18,6 +18,37 @@
      */
     Optional<Refusal> apply(LogRecord record);
 
+    /**
+     * Takes a record that concerns the document, at its offset.
+     *
+     * @param offset offset of the record in the log
+     * @param record the record
+     * @return empty if it took effect or changed nothing rightly, else a typed refusal
+     */
+    default Optional<Refusal> apply(long offset, LogRecord record) {
+        return apply(record);
+    }
+
+    /**
+     * Copies the document for a node that cannot read the log.
+     *
+     * @param throughOffset offset of the last record that this node has read
+     * @return the copy, or empty if none is in force or the book gives no copies
+     */
+    default Optional<Offer> offer(long throughOffset) {
+        return Optional.empty();
+    }
+
+    /**
+     * Takes a newer document from another node.
+     *
+     * @param offer the other node's copy
+     * @return whether it is in force now; false if it is not newer or not valid
+     */
+    default boolean adopt(Offer offer) {
+        return false;
+    }
+
     /**
      * Gives the document in force.
      *
@@ -43,6 +74,15 @@
      */
     record InForce(int version, String text, Policy policy) {}
 
+    /**
+     * A copy of the document for another node.
+     *
+     * @param version its version
+     * @param text its whole text
+     * @param throughOffset offset of the last log record that it reflects
+     */
+    record Offer(int version, String text, long throughOffset) {}
+
     /**
      * Why a document record was refused.
      *
@@ -65,6 +105,8 @@
             BAD_SIGNATURE,
             /** The resulting document is not valid. */
             INVALID,
+            /** The copy of another node reflects the record; the history shows whether it was accepted. */
+            UNDECIDED,
             /** The republished version is not the one in force, or its text differs. */
             NOT_IN_FORCE
         }
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/fold/LedgerBook.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/fold/LedgerBook.java
@@ -16,7 +16,7 @@
 public final class LedgerBook implements DocumentBook {
 
     private DocumentLedger ledger = DocumentLedger.atLogStart();
-    private long steps;
+    private long lastOffset = -1;
 
     /** Creates a book with no document in force. */
     public LedgerBook() {
@@ -25,14 +25,20 @@
 
     @Override
     public Optional<Refusal> apply(LogRecord record) {
+        return apply(lastOffset + 1, record);
+    }
+
+    @Override
+    public Optional<Refusal> apply(long offset, LogRecord record) {
+        lastOffset = Math.max(lastOffset, offset);
         if (record instanceof LogRecord.DocumentFounded founded) {
-            return step(new LedgerRecord.Genesis(founded.text()));
+            return step(offset, new LedgerRecord.Genesis(founded.text()));
         }
         if (record instanceof LogRecord.DocumentProposed proposed) {
-            return propose(proposed);
+            return propose(offset, proposed);
         }
         if (record instanceof LogRecord.DocumentRepublished copy) {
-            return compare(copy);
+            return compare(offset, copy);
         }
         return Optional.empty();
     }
@@ -56,19 +62,39 @@
         return ledger.history();
     }
 
-    private Optional<Refusal> propose(LogRecord.DocumentProposed proposed) {
+    @Override
+    public Optional<Offer> offer(long throughOffset) {
+        return ledger.republication(throughOffset)
+                .filter(copy -> copy.version() > 0)
+                .map(copy -> new Offer(copy.version(), copy.text(), copy.throughOffset()));
+    }
+
+    @Override
+    public boolean adopt(Offer offer) {
+        int before = ledger.version();
+        LedgerStep step =
+                ledger.adopt(LedgerRecord.Republication.of(offer.version(), offer.text(), offer.throughOffset()));
+        ledger = step.ledger();
+        return ledger.version() > before;
+    }
+
+    private Optional<Refusal> propose(long offset, LogRecord.DocumentProposed proposed) {
         Optional<Section> section = Section.ofKey(proposed.section());
         if (section.isEmpty()) {
             return Optional.of(new Refusal(Refusal.Code.INVALID, "unknown section " + proposed.section()));
         }
-        return step(new LedgerRecord.Proposal(
-                proposed.team(), section.get(), proposed.baseVersion(), proposed.text(), proposed.signature()));
+        return step(
+                offset,
+                new LedgerRecord.Proposal(
+                        proposed.team(), section.get(), proposed.baseVersion(), proposed.text(), proposed.signature()));
     }
 
     /** Takes a copy over if none is in force, as after a snapshot; else compares it with the one in force. */
-    private Optional<Refusal> compare(LogRecord.DocumentRepublished copy) {
+    private Optional<Refusal> compare(long offset, LogRecord.DocumentRepublished copy) {
         if (ledger.current().isEmpty()) {
-            return adopt(copy);
+            return adopt(new Offer(copy.version(), copy.text(), offset))
+                    ? Optional.empty()
+                    : Optional.of(new Refusal(Refusal.Code.NOT_IN_FORCE, "version " + copy.version()));
         }
         boolean same = ledger.current()
                 .filter(document -> document.version() == copy.version())
@@ -79,19 +105,9 @@
                 : Optional.of(new Refusal(Refusal.Code.NOT_IN_FORCE, "version " + copy.version()));
     }
 
-    private Optional<Refusal> adopt(LogRecord.DocumentRepublished copy) {
-        LedgerStep step = ledger.adopt(LedgerRecord.Republication.of(copy.version(), copy.text(), steps));
-        steps++;
-        ledger = step.ledger();
-        return ledger.version() == copy.version()
-                ? Optional.empty()
-                : Optional.of(new Refusal(Refusal.Code.NOT_IN_FORCE, "version " + copy.version()));
-    }
-
-    private Optional<Refusal> step(LedgerRecord record) {
+    private Optional<Refusal> step(long offset, LedgerRecord record) {
         boolean founding = record instanceof LedgerRecord.Genesis;
-        LedgerStep step = ledger.apply(steps, record);
-        steps++;
+        LedgerStep step = ledger.apply(offset, record);
         ledger = step.ledger();
         return refusalOf(step.outcome(), founding);
     }
@@ -101,6 +117,9 @@
             Refusal.Code code = founding ? Refusal.Code.ALREADY_FOUNDED : Refusal.Code.CONFLICT;
             return Optional.of(new Refusal(code, "version " + conflict.currentVersion() + " is in force"));
         }
+        if (outcome instanceof LedgerOutcome.AlreadyApplied) {
+            return Optional.of(new Refusal(Refusal.Code.UNDECIDED, "reflected by the copy of another node"));
+        }
         if (outcome instanceof LedgerOutcome.BadSignature bad) {
             return Optional.of(new Refusal(Refusal.Code.BAD_SIGNATURE, "team " + bad.team()));
         }
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/fold/LogFold.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/fold/LogFold.java
@@ -94,7 +94,9 @@
         nextOffset = done.upToOffset();
         logTimeMs = done.logTimeMs();
         if (done.documentVersion() > 0) {
-            document.apply(new LogRecord.DocumentRepublished(done.documentVersion(), done.documentText()));
+            document.apply(
+                    done.upToOffset() - 1,
+                    new LogRecord.DocumentRepublished(done.documentVersion(), done.documentText()));
         }
         for (LogRecord.SnapshotChunk chunk : snapshot.chunks()) {
             chunk.writers().forEach(writer -> writers.put(writer.writer(), writer));
@@ -257,7 +259,7 @@
         if (record instanceof LogRecord.Unrecognised) {
             return Optional.of(VoidCode.UNRECOGNISED);
         }
-        documentRefusal = document.apply(record);
+        documentRefusal = document.apply(offset, record);
         return documentRefusal.map(refusal -> VoidCode.DOCUMENT_REFUSED);
     }
 
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeInput.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeInput.java
@@ -6,6 +6,7 @@
 import org.fuchsiawinch.model.JobSpec;
 import org.fuchsiawinch.model.WorkerId;
 import org.fuchsiawinch.model.WorkerSpec;
+import org.fuchsiawinch.protocol.fold.DocumentBook;
 import org.fuchsiawinch.protocol.record.Envelope;
 import org.fuchsiawinch.protocol.record.LogRecord;
 import org.fuchsiawinch.protocol.worker.WorkerReply;
@@ -110,6 +111,13 @@
      */
     record DocumentChange(long requestId, LogRecord record) implements NodeInput {}
 
+    /**
+     * Another node offers its document; taken only while this node cannot read the log.
+     *
+     * @param offer the other node's copy
+     */
+    record DocumentOffered(DocumentBook.Offer offer) implements NodeInput {}
+
     /** Time passed; sent several times a second. */
     record Tick() implements NodeInput {}
 
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeMachine.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeMachine.java
@@ -131,6 +131,16 @@
         return owner.active();
     }
 
+    /**
+     * Says whether the log was read to its end a short time ago.
+     *
+     * @param nowMs present time in ms since the epoch
+     * @return false while the log is down or this node is cut off from it
+     */
+    public boolean readsLog(long nowMs) {
+        return nowMs - endReachedMs <= READ_FRESH_MS;
+    }
+
     /**
      * Says why a job waits, if this node schedules it.
      *
@@ -159,6 +169,8 @@
             gapFound(gap.firstOffset());
         } else if (input instanceof NodeInput.LogEndReached) {
             endReached(nowMs);
+        } else if (input instanceof NodeInput.DocumentOffered offered) {
+            documentOffered(offered.offer(), nowMs);
         } else if (input instanceof NodeInput.AppendDone done) {
             appender.done(done.firstSequence());
         } else if (input instanceof NodeInput.AppendFailed failed) {
@@ -317,6 +329,16 @@
         owner.documentChanged(nowMs);
     }
 
+    /** Takes a peer's document while the log cannot be read; with the log, its own order decides. */
+    private void documentOffered(DocumentBook.Offer offer, long nowMs) {
+        if (nowMs - endReachedMs <= READ_FRESH_MS || offer.version() <= documentVersion) {
+            return;
+        }
+        if (fold.document().adopt(offer)) {
+            followDocument(nowMs);
+        }
+    }
+
     private void endReached(long nowMs) {
         if (recovery.isPresent()) {
             return;
--- a/runtime/src/main/java/org/fuchsiawinch/runtime/Setting.java
+++ b/runtime/src/main/java/org/fuchsiawinch/runtime/Setting.java
@@ -39,6 +39,17 @@
                 "non-blank text");
     }
 
+    /**
+     * Defines a text setting that may be empty.
+     *
+     * @param flag name of the flag
+     * @param description line of the help text
+     * @return a setting that is empty by default
+     */
+    public static Setting<String> optionalText(String flag, String description) {
+        return new Setting<>(flag, description, Optional.of(""), Optional::of, "text or empty");
+    }
+
     /**
      * Defines a whole number.
      *
--- a/runtime/src/main/java/org/fuchsiawinch/runtime/SettingsReader.java
+++ b/runtime/src/main/java/org/fuchsiawinch/runtime/SettingsReader.java
@@ -127,11 +127,6 @@
             problems.add(new SettingProblem(SettingProblem.Code.MISSING, setting.flag(), "give " + setting.expected()));
             return;
         }
-        if (text.get().isEmpty()
-                && setting.defaultText().filter(String::isEmpty).isPresent()) {
-            values.put(setting.flag(), "");
-            return;
-        }
         Optional<?> value = setting.parser().apply(text.get());
         if (value.isEmpty()) {
             problems.add(new SettingProblem(
--- a/wire/src/main/java/org/fuchsiawinch/wire/Mappers.java
+++ b/wire/src/main/java/org/fuchsiawinch/wire/Mappers.java
@@ -11,6 +11,7 @@
 import com.fasterxml.jackson.databind.jsontype.NamedType;
 import com.fasterxml.jackson.databind.jsontype.TypeIdResolver;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import org.fuchsiawinch.membership.MembershipMessage;
 import org.fuchsiawinch.protocol.record.JobOutcome;
 import org.fuchsiawinch.protocol.record.LogRecord;
 import org.fuchsiawinch.protocol.worker.WorkerCommand;
@@ -42,6 +43,16 @@
         return mapper;
     }
 
+    /** Makes the mapper of messages between nodes. */
+    static ObjectMapper peers() {
+        ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
+        mapper.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+        mapper.registerModule(new Jdk8Module());
+        registerSealed(mapper, PeerMessage.class);
+        registerSealed(mapper, MembershipMessage.class);
+        return mapper;
+    }
+
     private static void registerSealed(ObjectMapper mapper, Class<?> sealedType) {
         mapper.addMixIn(sealedType, NamedByKind.class);
         for (Class<?> permitted : sealedType.getPermittedSubclasses()) {
--- a/wire/src/main/java/org/fuchsiawinch/wire/RecordCodec.java
+++ b/wire/src/main/java/org/fuchsiawinch/wire/RecordCodec.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.fuchsiawinch.protocol.record.Envelope;
+import org.msgpack.core.MessagePackException;
 
 /** Encodes log records as MessagePack maps. Thread-safe. */
 public final class RecordCodec {
@@ -36,7 +37,7 @@
     public Envelope decode(byte[] bytes) {
         try {
             return mapper.readValue(bytes, Envelope.class);
-        } catch (IOException e) {
+        } catch (IOException | MessagePackException e) {
             throw new CodecException("Envelope", bytes.length, e);
         }
     }
--- /dev/null
+++ b/wire/src/main/java/org/fuchsiawinch/wire/UntrustedPeerException.java
@@ -0,0 +1,18 @@
+package org.fuchsiawinch.wire;
+
+import org.fuchsiawinch.model.FuchsiawinchException;
+
+/** Reports a frame whose tag was not made with the shared secret. */
+public final class UntrustedPeerException extends FuchsiawinchException {
+
+    private static final long serialVersionUID = 1L;
+
+    /**
+     * Creates the exception.
+     *
+     * @param lengthBytes length of the frame in bytes
+     */
+    public UntrustedPeerException(int lengthBytes) {
+        super("frame of " + lengthBytes + " bytes without a valid tag");
+    }
+}
