Show the bound that puts a target out of reach

Change: lower bounds of completion time and of the longest wait of jobs that run one after another, beside each verdict.

--- a/replay/src/main/java/org/fuchsiawinch/replay/cli/ReplayCommand.java
+++ b/replay/src/main/java/org/fuchsiawinch/replay/cli/ReplayCommand.java
@@ -22,6 +22,7 @@
 import org.fuchsiawinch.replay.ReplayResult;
 import org.fuchsiawinch.replay.ReplayRunner;
 import org.fuchsiawinch.replay.SchedulingPolicy;
+import org.fuchsiawinch.replay.measure.LowerBounds;
 import org.fuchsiawinch.replay.measure.Measures;
 import org.fuchsiawinch.replay.outcome.Outcome;
 import org.fuchsiawinch.replay.outcome.OutcomeReadResult;
@@ -163,9 +164,10 @@
         List<Measures> all = new ArrayList<>(List.of(ours.measures()));
         all.addAll(baselines);
         out.print(ResultPrinter.table(ours.trace(), all));
+        LowerBounds bounds = LowerBounds.of(input.trace());
         boolean met = true;
         for (Target target : job.targets()) {
-            Target.Verdict verdict = target.judge(ours.measures(), baselines);
+            Target.Verdict verdict = target.judge(ours.measures(), baselines, bounds);
             out.println(ResultPrinter.verdict(verdict));
             met &= verdict.met();
         }
--- a/replay/src/main/java/org/fuchsiawinch/replay/cli/ResultPrinter.java
+++ b/replay/src/main/java/org/fuchsiawinch/replay/cli/ResultPrinter.java
@@ -64,15 +64,23 @@
         Target target = verdict.target();
         return String.format(
                 Locale.ROOT,
-                "%-6s %-18s measured=%.3f limit=%.3f relative_to=%s at_most=%.2f",
-                verdict.met() ? "met" : "missed",
+                "%-12s %-18s measured=%.3f limit=%.3f lower_bound=%.3f relative_to=%s at_most=%.2f",
+                status(verdict),
                 target.measure().label(),
                 verdict.value(),
                 verdict.limit(),
+                verdict.bound(),
                 target.reference(),
                 target.atMost());
     }
 
+    private static String status(Target.Verdict verdict) {
+        if (verdict.met()) {
+            return "met";
+        }
+        return verdict.outOfReach() ? "out-of-reach" : "missed";
+    }
+
     private static String line(List<Measures> all, Function<Column, String> cell) {
         StringBuilder text = new StringBuilder();
         for (Column column : COLUMNS) {
--- /dev/null
+++ b/replay/src/main/java/org/fuchsiawinch/replay/measure/LowerBounds.java
@@ -0,0 +1,114 @@
+package org.fuchsiawinch.replay.measure;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.fuchsiawinch.model.JobId;
+import org.fuchsiawinch.model.Resources;
+import org.fuchsiawinch.model.Shape;
+import org.fuchsiawinch.model.WorkerSpec;
+import org.fuchsiawinch.replay.check.ShapePacker;
+import org.fuchsiawinch.replay.trace.Trace;
+import org.fuchsiawinch.replay.trace.TraceEvent;
+
+/**
+ * Values that no schedule of a trace can go below, whatever its policy.
+ *
+ * @param completionMeanMs mean of each request's run time on the fastest workers that hold it, in ms
+ * @param completionP95Ms 95th percentile of the same
+ * @param largestJobWaitMs longest wait in ms among jobs of a shape that fits only once at a time, so that they run one
+ *     after another
+ */
+public record LowerBounds(double completionMeanMs, double completionP95Ms, double largestJobWaitMs) {
+
+    /**
+     * Works out the bounds of a trace.
+     *
+     * @param trace the trace
+     * @return its bounds
+     */
+    public static LowerBounds of(Trace trace) {
+        Map<WorkerSpec, Resources> workers = new LinkedHashMap<>();
+        Set<JobId> cancelled = new HashSet<>();
+        for (TraceEvent event : trace.events()) {
+            if (event instanceof TraceEvent.WorkerJoins joins) {
+                workers.put(joins.worker(), joins.worker().capacity());
+            } else if (event instanceof TraceEvent.Cancel cancel) {
+                cancelled.add(cancel.job());
+            }
+        }
+        List<Ideal> ideals = ideals(trace, workers, cancelled);
+        Distribution runs = Distribution.of(ideals.stream().map(Ideal::runMs).toList());
+        return new LowerBounds(runs.meanMs(), runs.p95Ms(), serialWaitMs(ideals, workers));
+    }
+
+    private static List<Ideal> ideals(Trace trace, Map<WorkerSpec, Resources> workers, Set<JobId> cancelled) {
+        Map<Shape, Double> speeds = new HashMap<>();
+        List<Ideal> ideals = new ArrayList<>();
+        for (TraceEvent event : trace.events()) {
+            if (!(event instanceof TraceEvent.Submit submit)) {
+                continue;
+            }
+            Shape shape = submit.job().spec().shape();
+            double speed = speeds.computeIfAbsent(shape, wanted -> bestSpeed(wanted, workers));
+            boolean counts = !submit.job().alwaysFails()
+                    && !cancelled.contains(submit.job().spec().id());
+            if (counts && speed > 0) {
+                ideals.add(new Ideal(shape, submit.atMs(), (long) (submit.job().trueRunMs() / speed)));
+            }
+        }
+        return ideals;
+    }
+
+    /** Gives the highest speed at which some choice of workers holds the shape, or 0 if none does. */
+    private static double bestSpeed(Shape shape, Map<WorkerSpec, Resources> workers) {
+        Map<WorkerSpec, Resources> fastest = new LinkedHashMap<>();
+        List<WorkerSpec> bySpeed = workers.keySet().stream()
+                .sorted((one, other) -> Double.compare(other.speed(), one.speed()))
+                .toList();
+        for (WorkerSpec worker : bySpeed) {
+            fastest.put(worker, worker.capacity());
+            if (ShapePacker.copies(fastest, shape) > 0) {
+                return worker.speed();
+            }
+        }
+        return 0;
+    }
+
+    private static double serialWaitMs(List<Ideal> ideals, Map<WorkerSpec, Resources> workers) {
+        Map<Shape, List<Ideal>> byShape = new LinkedHashMap<>();
+        ideals.forEach(ideal -> byShape.computeIfAbsent(ideal.shape(), shape -> new ArrayList<>())
+                .add(ideal));
+        double bound = 0;
+        for (Map.Entry<Shape, List<Ideal>> entry : byShape.entrySet()) {
+            if (ShapePacker.copies(workers, entry.getKey()) == 1) {
+                bound = Math.max(bound, serialWaitMs(entry.getValue()));
+            }
+        }
+        return bound;
+    }
+
+    /**
+     * For each group submitted between two times, all but the last one run before the last one starts.
+     */
+    private static double serialWaitMs(List<Ideal> inOrder) {
+        double bound = 0;
+        for (int first = 0; first < inOrder.size(); first++) {
+            long sumMs = 0;
+            long latestMs = 0;
+            for (Ideal ideal : inOrder.subList(first, inOrder.size())) {
+                sumMs += ideal.runMs();
+                latestMs = Math.max(latestMs, ideal.submitMs() + ideal.runMs());
+                bound = Math.max(bound, inOrder.get(first).submitMs() + sumMs - latestMs);
+            }
+        }
+        return bound;
+    }
+
+    private record Ideal(Shape shape, long submitMs, long runMs) {}
+}
--- a/replay/src/main/java/org/fuchsiawinch/replay/outcome/Measure.java
+++ b/replay/src/main/java/org/fuchsiawinch/replay/outcome/Measure.java
@@ -4,29 +4,33 @@
 import java.util.Optional;
 import java.util.function.ToDoubleFunction;
 
+import org.fuchsiawinch.replay.measure.LowerBounds;
 import org.fuchsiawinch.replay.measure.Measures;
 
 /** Measures that an outcome can set a target for; lower is better in each. */
 public enum Measure {
     /** Mean completion time in ms. */
-    COMPLETION_MEAN("completion-mean", measures -> measures.completionMs().meanMs()),
+    COMPLETION_MEAN("completion-mean", measures -> measures.completionMs().meanMs(), LowerBounds::completionMeanMs),
     /** 95th percentile of completion time in ms. */
-    COMPLETION_P95("completion-p95", measures -> measures.completionMs().p95Ms()),
+    COMPLETION_P95("completion-p95", measures -> measures.completionMs().p95Ms(), LowerBounds::completionP95Ms),
     /** Time average of fragmentation, a share. */
-    FRAGMENTATION("fragmentation", Measures::fragmentation),
+    FRAGMENTATION("fragmentation", Measures::fragmentation, bounds -> 0),
     /** Longest wait of the largest jobs in ms. */
-    LARGEST_JOB_WAIT("largest-job-wait", measures -> measures.largestJobWaitMs().maxMs()),
+    LARGEST_JOB_WAIT(
+            "largest-job-wait", measures -> measures.largestJobWaitMs().maxMs(), LowerBounds::largestJobWaitMs),
     /** Highest guaranteed-start delay as a share of the reclaim bound. */
-    GUARANTEED_START("guaranteed-start", Measures::guaranteedStartShareOfBound),
+    GUARANTEED_START("guaranteed-start", Measures::guaranteedStartShareOfBound, bounds -> 0),
     /** Number of broken promises. */
-    PROMISES_BROKEN("promises-broken", Measures::violations);
+    PROMISES_BROKEN("promises-broken", Measures::violations, bounds -> 0);
 
     private final String label;
     private final ToDoubleFunction<Measures> value;
+    private final ToDoubleFunction<LowerBounds> bound;
 
-    Measure(String label, ToDoubleFunction<Measures> value) {
+    Measure(String label, ToDoubleFunction<Measures> value, ToDoubleFunction<LowerBounds> bound) {
         this.label = label;
         this.value = value;
+        this.bound = bound;
     }
 
     /**
@@ -59,4 +63,14 @@
     public double of(Measures measures) {
         return value.applyAsDouble(measures);
     }
+
+    /**
+     * Reads the value that no schedule can go below.
+     *
+     * @param bounds bounds of the trace
+     * @return the bound; 0 where none is known
+     */
+    public double boundOf(LowerBounds bounds) {
+        return bound.applyAsDouble(bounds);
+    }
 }
