--- a/core/src/main/java/org/fuchsiawinch/core/internal/GangPlacer.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/GangPlacer.java
@@ -1,12 +1,13 @@
 package org.fuchsiawinch.core.internal;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.PriorityQueue;
 
 import org.fuchsiawinch.core.SchedulerFeature;
 import org.fuchsiawinch.core.SchedulerFeatures;
+import org.fuchsiawinch.model.Adjacency;
 import org.fuchsiawinch.model.Objective;
 import org.fuchsiawinch.model.Shape;
 
@@ -40,7 +41,7 @@
 
     /** Counts the parts that a worker can take for a request. */
     int room(Worker worker, PlaceRequest request) {
-        if (!worker.open() || request.avoid().contains(worker.id())) {
+        if (!worker.open() || request.avoids(worker.id())) {
             return 0;
         }
         int room = worker.room(request.space(), request.part(), acceleratorsOnly);
@@ -98,6 +99,44 @@
         return best.gang();
     }
 
+    /** Says whether a gang fits somewhere, leaving the request's limits aside. */
+    boolean fits(PlaceRequest request) {
+        if (!adjacencyOn) {
+            return place(request).isPresent();
+        }
+        FitMemo.Key key = FitMemo.Key.of(request);
+        if (pool.memo().knownMisfit(key, this::fitsAround)) {
+            return false;
+        }
+        boolean fits = false;
+        for (DataCentre dataCentre : pool.dataCentres()) {
+            fits = fits || fitsIn(dataCentre, request);
+        }
+        if (!fits) {
+            pool.memo().misfit(key);
+        }
+        return fits;
+    }
+
+    private boolean fitsIn(DataCentre dataCentre, PlaceRequest request) {
+        if (request.adjacency() == Adjacency.DATA_CENTRE) {
+            return total(dataCentre, request) >= request.parts();
+        }
+        for (Rack rack : dataCentre.racks()) {
+            if (!rack.mayHold(request.space(), request.part(), acceleratorsOnly)) {
+                continue;
+            }
+            if (request.adjacency() == Adjacency.RACK && total(rack, request) >= request.parts()) {
+                return true;
+            }
+            if (request.adjacency() == Adjacency.WORKER
+                    && rack.workers().stream().anyMatch(worker -> room(worker, request) >= request.parts())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Says whether a shape fits into the domain of a worker. */
     private boolean fitsAround(FitMemo.Key key, Worker worker) {
         if (!worker.open()) {
@@ -190,25 +229,22 @@
         for (Worker worker : workers) {
             int room = room(worker, request);
             if (room > 0) {
-                candidates.add(new Candidate(worker, room, preference(worker)));
+                candidates.add(new Candidate(worker, room, preference(worker), candidates.size()));
                 total = Math.min(total + room, request.parts());
             }
         }
         if (total < request.parts()) {
             return Optional.empty();
         }
-        candidates.sort(Comparator.comparingDouble(Candidate::preference));
-        return Optional.of(take(candidates, request.parts()));
+        return Optional.of(take(new PriorityQueue<>(candidates), request.parts()));
     }
 
-    private static Gang take(List<Candidate> candidates, int parts) {
+    private static Gang take(PriorityQueue<Candidate> candidates, int parts) {
         List<Worker> workers = new ArrayList<>();
         List<Integer> counts = new ArrayList<>();
         int left = parts;
-        for (Candidate candidate : candidates) {
-            if (left == 0) {
-                break;
-            }
+        while (left > 0) {
+            Candidate candidate = candidates.remove();
             int taken = Math.min(left, candidate.room());
             workers.add(candidate.worker());
             counts.add(taken);
@@ -266,7 +302,14 @@
         return capacity == 0 ? 0 : Math.max(0, accelerators) / (double) capacity;
     }
 
-    private record Candidate(Worker worker, int room, double preference) {}
+    private record Candidate(Worker worker, int room, double preference, int order) implements Comparable<Candidate> {
+
+        @Override
+        public int compareTo(Candidate other) {
+            int byPreference = Double.compare(preference, other.preference);
+            return byPreference != 0 ? byPreference : Integer.compare(order, other.order);
+        }
+    }
 
     /** Keeps the candidate of the lowest score. */
     private final class Best {
--- a/core/src/main/java/org/fuchsiawinch/core/internal/PlaceRequest.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/PlaceRequest.java
@@ -55,6 +55,10 @@
         return limit == RoomLimit.NONE && avoid.isEmpty();
     }
 
+    boolean avoids(WorkerId worker) {
+        return !avoid.isEmpty() && avoid.contains(worker);
+    }
+
     PlaceRequest avoiding(Set<WorkerId> workers) {
         return new PlaceRequest(parts, part, adjacency, space, workers, limit, surcharge);
     }
--- a/core/src/main/java/org/fuchsiawinch/core/internal/Reservations.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Reservations.java
@@ -19,10 +19,12 @@
 
     private static final long MIN_OVERDUE_MS = 1_000;
     private static final int OVERDUE_DIVISOR = 10;
+    private static final long REVIEW_INTERVAL_MS = 10_000;
     private static final int LARGE_ACCELERATORS = 2;
 
     private final State state;
     private Reservation current;
+    private long reviewDueMs;
 
     Reservations(State state) {
         this.state = state;
@@ -78,6 +80,10 @@
         for (Worker worker : current.gang().workers()) {
             closed |= !worker.open();
         }
+        if (!closed && state.nowMs() < reviewDueMs) {
+            return;
+        }
+        reviewDueMs = state.nowMs() + REVIEW_INTERVAL_MS;
         Optional<Reservation> found = find(current.job());
         if (closed) {
             current = found.orElse(null);
--- a/core/src/main/java/org/fuchsiawinch/core/internal/Starter.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Starter.java
@@ -158,35 +158,27 @@
             return reserved;
         }
         Shape shape = job.spec().shape();
-        PlaceRequest request = PlaceRequest.of(shape.parts(), part, shape.adjacency(), Space.SPARE)
-                .avoiding(job.failedOn())
-                .limitedBy(reservations.limitFor(job, part));
-        if (state.placer
-                .place(request.within(Space.FREE).limitedBy(PlaceRequest.RoomLimit.NONE))
-                .isEmpty()) {
+        PlaceRequest request = PlaceRequest.of(shape.parts(), part, shape.adjacency(), Space.FREE);
+        if (!state.placer.fits(request)) {
             return Optional.of(ReasonCode.WAIT_CAPACITY);
         }
-        Optional<Gang> spare = state.placer.place(request);
+        request = request.avoiding(job.failedOn()).limitedBy(reservations.limitFor(job, part));
+        Optional<Gang> spare = state.placer.place(request.within(Space.SPARE));
         if (spare.isPresent()) {
             return startAt(job, part, spare.get(), lent, ReasonCode.START_SPARE);
         }
-        Optional<Gang> free = state.placer.place(request.within(Space.FREE));
-        if (free.isPresent() && lent) {
+        Optional<Gang> free = state.placer.place(request);
+        if (free.isEmpty()) {
+            return Optional.of(reservations.holdsBack(job) ? ReasonCode.WAIT_RESERVATION : ReasonCode.WAIT_CAPACITY);
+        }
+        if (lent) {
             return startAt(job, part, free.get(), true, ReasonCode.START_LENT);
         }
-        Optional<Gang> cleared = free.isPresent() ? state.keeper.makeWay(request.within(Space.FREE)) : free;
+        Optional<Gang> cleared = state.keeper.makeWay(request);
         if (cleared.isPresent()) {
             return startAt(job, part, cleared.get(), false, ReasonCode.START_SPARE);
         }
-        if (free.isPresent()) {
-            return Optional.of(
-                    job.spec().reclaimable() ? ReasonCode.WAIT_PROTECTS_GUARANTEE : ReasonCode.WAIT_NOT_ON_LENT);
-        }
-        boolean heldBack = reservations.holdsBack(job)
-                && state.placer
-                        .place(request.within(lent ? Space.FREE : Space.SPARE).limitedBy(PlaceRequest.RoomLimit.NONE))
-                        .isPresent();
-        return Optional.of(heldBack ? ReasonCode.WAIT_RESERVATION : ReasonCode.WAIT_CAPACITY);
+        return Optional.of(job.spec().reclaimable() ? ReasonCode.WAIT_PROTECTS_GUARANTEE : ReasonCode.WAIT_NOT_ON_LENT);
     }
 
     private Optional<ReasonCode> startAt(Job job, Resources part, Gang gang, boolean lent, ReasonCode code) {
