Keep retries, probes and overruns from harming sound work

Cause: a job that had failed on every worker waited for ever; probes were sent to workers that had left; a kind of job with short run times ended a longer one before its declared time; a recovered attempt could lose its guarantee to a spending limit.

Change: failed workers are avoided only where others could hold the shape; probes wait for the worker; overruns count from the larger of declared and corrected run time; recovery ignores the limit that the start had passed.

--- a/core/src/main/java/org/fuchsiawinch/core/internal/Defragmenter.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Defragmenter.java
@@ -60,7 +60,7 @@
         Shape shape = job.spec().shape();
         boolean firm = !starter.lendable(job);
         PlaceRequest request = PlaceRequest.of(shape.parts(), part, shape.adjacency(), Space.ANY)
-                .avoiding(job.failedOn())
+                .avoiding(job.avoid())
                 .limitedBy((worker, room) -> clearable(worker, part, firm))
                 .chargedBy(gang -> moved(gang, part));
         return state.placer.place(request).flatMap(gang -> state.victims
@@ -73,6 +73,7 @@
         return attempt.standing() != Standing.GUARANTEED
                 && !attempt.stopping()
                 && attempt.job().spec().checkpointable()
+                && attempt.job().spec().idempotent()
                 && state.nowMs() - attempt.startedMs() >= MIN_RUN_BEFORE_MOVE_MS;
     }
 
--- a/core/src/main/java/org/fuchsiawinch/core/internal/Estimator.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Estimator.java
@@ -65,7 +65,7 @@
         double whole = declared * factor;
         double left = Math.max(whole * MIN_REMAINING_SHARE, whole - job.savedWorkMs());
         double worst = policy.timeOverrunFactor() > 0
-                ? left * policy.timeOverrunFactor()
+                ? Math.max(left, declared) * policy.timeOverrunFactor()
                 : Math.max(left, declared * policy.maxFactor());
         return new RunEstimate((long) Math.ceil(left / speed), (long) Math.ceil(worst / speed), factor);
     }
--- a/core/src/main/java/org/fuchsiawinch/core/internal/FaultTracker.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/FaultTracker.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 
 import org.fuchsiawinch.core.SchedulerFeature;
 import org.fuchsiawinch.core.SchedulerFeatures;
@@ -107,11 +108,12 @@
         successMs.keySet().retainAll(failures.keySet());
     }
 
-    /** Lists the quarantined workers whose probe is due and marks it as sent. */
-    List<WorkerId> dueProbes(long nowMs) {
+    /** Lists the quarantined workers that are here and whose probe is due, and marks it as sent. */
+    List<WorkerId> dueProbes(Predicate<WorkerId> here, long nowMs) {
+        quarantined.entrySet().removeIf(entry -> entry.getValue().outlived(nowMs) && !here.test(entry.getKey()));
         List<WorkerId> due = new ArrayList<>();
         quarantined.forEach((worker, state) -> {
-            if (!state.probing && state.probeAtMs <= nowMs) {
+            if (!state.probing && state.probeAtMs <= nowMs && here.test(worker)) {
                 state.probing = true;
                 due.add(worker);
             }
@@ -165,5 +167,9 @@
             this.delayMs = delayMs;
             this.probeAtMs = probeAtMs;
         }
+
+        private boolean outlived(long nowMs) {
+            return nowMs - probeAtMs > MAX_PROBE_DELAY_MS;
+        }
     }
 }
--- a/core/src/main/java/org/fuchsiawinch/core/internal/GuaranteeClaimer.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/GuaranteeClaimer.java
@@ -112,7 +112,7 @@
         Shape shape = unit.shape();
         PlaceRequest request = PlaceRequest.of(
                         shape.parts(), larger(shape.perPart(), part), shape.adjacency(), Space.SPARE)
-                .avoiding(job.failedOn());
+                .avoiding(job.avoid());
         unit.place(state.placer.place(request).orElse(before));
     }
 
@@ -148,7 +148,7 @@
         Shape shape = unit.shape();
         Resources need = larger(shape.perPart(), part);
         PlaceRequest request = PlaceRequest.of(shape.parts(), need, shape.adjacency(), Space.CLAIMABLE)
-                .avoiding(job.failedOn())
+                .avoiding(job.avoid())
                 .chargedBy(gang -> cost(gang, need));
         unit.place(state.placer.place(request).orElse(before));
     }
@@ -167,7 +167,7 @@
     }
 
     private Optional<Gang> pack(GuaranteeUnit unit, Job job, Resources part, boolean freeOnly) {
-        Set<WorkerId> avoid = job.failedOn();
+        Set<WorkerId> avoid = job.avoid();
         PlaceRequest request = PlaceRequest.of(
                         job.spec().shape().parts(),
                         part,
--- a/core/src/main/java/org/fuchsiawinch/core/internal/Job.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Job.java
@@ -20,6 +20,7 @@
     private double savedWorkMs;
     private int failures;
     private Set<WorkerId> failedOn = Set.of();
+    private boolean avoidsFailures = true;
     private Attempt attempt;
     private Claim claim;
     private JobClass jobClass;
@@ -87,6 +88,7 @@
         return failures;
     }
 
+    /** Workers that the job has failed on. */
     Set<WorkerId> failedOn() {
         return failedOn;
     }
@@ -99,8 +101,13 @@
         failedOn.add(worker);
     }
 
-    void clearFailedOn() {
-        failedOn = Set.of();
+    /** Workers that the next attempt must not use. */
+    Set<WorkerId> avoid() {
+        return avoidsFailures ? failedOn : Set.of();
+    }
+
+    void avoidsFailures(boolean on) {
+        avoidsFailures = on;
     }
 
     /** Running attempt, or null. */
--- a/core/src/main/java/org/fuchsiawinch/core/internal/Promoter.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Promoter.java
@@ -46,12 +46,19 @@
 
     /** Counts an attempt to its workspace's guarantee if that has room; says whether it did. */
     boolean promote(Attempt attempt) {
+        return promote(attempt, state.has(SchedulerFeature.SPEND_LIMIT));
+    }
+
+    /** Counts a recovered attempt to its guarantee; its cost was admitted when it started. */
+    boolean promoteRecovered(Attempt attempt) {
+        return promote(attempt, false);
+    }
+
+    private boolean promote(Attempt attempt, boolean limited) {
         WorkspaceLedger ledger = state.ledger(attempt.job().spec().workspace());
         long rate = starter.rate(false) * attempt.accelerators();
         long worst = ledger.worst(rate, attempt.estimate().worstMs());
-        if (attempt.standing() == Standing.LENT
-                && state.has(SchedulerFeature.SPEND_LIMIT)
-                && !ledger.limitAllows(worst, state.nowMs())) {
+        if (attempt.standing() == Standing.LENT && limited && !ledger.limitAllows(worst, state.nowMs())) {
             return false;
         }
         Standing before = attempt.standing();
--- a/core/src/main/java/org/fuchsiawinch/core/internal/Recovery.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Recovery.java
@@ -39,7 +39,7 @@
         attempt.stand(lent ? Standing.LENT : Standing.FIRM, null);
         attempt.rate(starter.rate(lent) * job.accelerators(), event.startedMs());
         starter.begin(attempt);
-        promoter.promote(attempt);
+        promoter.promoteRecovered(attempt);
         Arrays.stream(gang.workers()).filter(Worker::overCommitted).forEach(worker -> List.copyOf(worker.units())
                 .forEach(unit -> moveIfOver(worker, unit)));
     }
--- a/core/src/main/java/org/fuchsiawinch/core/internal/Reservations.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Reservations.java
@@ -275,7 +275,7 @@
         }
 
         private int room(Worker worker, long atMs) {
-            if (!worker.open() || job.failedOn().contains(worker.id())) {
+            if (!worker.open() || job.avoid().contains(worker.id())) {
                 return 0;
             }
             int room = busyAt(worker, atMs).room(worker.capacity(), part);
--- a/core/src/main/java/org/fuchsiawinch/core/internal/Starter.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Starter.java
@@ -162,7 +162,7 @@
         if (!state.placer.fits(request)) {
             return Optional.of(ReasonCode.WAIT_CAPACITY);
         }
-        request = request.avoiding(job.failedOn()).limitedBy(reservations.limitFor(job, part));
+        request = request.avoiding(job.avoid()).limitedBy(reservations.limitFor(job, part));
         Optional<Gang> spare = state.placer.place(request.within(Space.SPARE));
         if (spare.isPresent()) {
             return startAt(job, part, spare.get(), lent, ReasonCode.START_SPARE);
--- a/core/src/main/java/org/fuchsiawinch/core/internal/State.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/State.java
@@ -119,7 +119,7 @@
                 job.spec().shape(),
                 grant(job),
                 job.spec().reclaimable(),
-                job.failedOn().isEmpty() ? job.failedOn() : new TreeSet<>(job.failedOn()));
+                job.avoid().isEmpty() ? job.avoid() : new TreeSet<>(job.avoid()));
     }
 
     /** Notes that some job may fit which did not before. */
--- a/core/src/main/java/org/fuchsiawinch/core/internal/Waiting.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Waiting.java
@@ -30,6 +30,9 @@
         if (job.spec().deadlineMs().isPresent()) {
             byDeadline.add(job);
         }
+        if (!job.failedOn().isEmpty()) {
+            job.avoidsFailures(state.pool.couldHoldNow(job.spec().shape(), job.failedOn()));
+        }
         state.queue.add(job, state.classKey(job));
     }
 
--- a/core/src/main/java/org/fuchsiawinch/core/internal/WorkerEvents.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/WorkerEvents.java
@@ -82,11 +82,15 @@
     }
 
     void sendDueProbes() {
-        for (WorkerId id : state.faults.dueProbes(state.nowMs())) {
+        for (WorkerId id : state.faults.dueProbes(this::here, state.nowMs())) {
             state.emit(new Decision.ProbeWorker(id, Reason.of(ReasonCode.WORKER_PROBE_DUE)));
         }
     }
 
+    private boolean here(WorkerId id) {
+        return state.pool.find(id).map(Worker::joined).orElse(false);
+    }
+
     /** Tells once of each guarantee that lost its place and found no other. */
     void raiseLossAlarms() {
         if (state.keeper.takeUnplaced()) {
--- a/core/src/main/java/org/fuchsiawinch/core/internal/WorkerPool.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/WorkerPool.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 
 import org.fuchsiawinch.model.Shape;
@@ -110,11 +111,25 @@
         return possible.computeIfAbsent(shape, this::computePossible);
     }
 
+    /** Says whether the open workers but for some could hold a shape, if nothing else ran. */
+    boolean couldHoldNow(Shape shape, Set<WorkerId> without) {
+        return holds(
+                joinedWorkers().stream()
+                        .filter(worker -> worker.open() && !without.contains(worker.id()))
+                        .map(Worker::spec)
+                        .toList(),
+                shape);
+    }
+
     private boolean computePossible(Shape shape) {
-        Map<String, Long> rooms = new HashMap<>();
         List<WorkerSpec> known = new ArrayList<>(departed.values());
         joinedWorkers().forEach(worker -> known.add(worker.spec()));
-        for (WorkerSpec spec : known) {
+        return holds(known, shape);
+    }
+
+    private static boolean holds(List<WorkerSpec> workers, Shape shape) {
+        Map<String, Long> rooms = new HashMap<>();
+        for (WorkerSpec spec : workers) {
             String domain =
                     switch (shape.adjacency()) {
                         case WORKER -> spec.id().value();
--- a/core/src/test/java/org/fuchsiawinch/core/FaultsTest.java
+++ b/core/src/test/java/org/fuchsiawinch/core/FaultsTest.java
@@ -90,6 +90,13 @@
         assertFalse(cell.workersOf("j").contains(first));
     }
 
+    @Test
+    public void jobReturnsToAWorkerItFailedOnIfThereIsNoOther() {
+        Cell cell = cell(null).workers(1, 1).submit(job("j", "a", 1));
+        cell.fail("j", TaskFailure.WORK_FAILED).stopped("j", false);
+        assertTrue(cell.runs("j"));
+    }
+
     @Test
     public void faultyWorkersDoNotMakeAJobPoison() {
         Cell cell = cell(null).workers(4, 8);
