--- /dev/null
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/fold/LogFold.java
@@ -0,0 +1,414 @@
+package org.fuchsiawinch.protocol.fold;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+
+import org.fuchsiawinch.model.CellId;
+import org.fuchsiawinch.model.JobId;
+import org.fuchsiawinch.model.NodeId;
+import org.fuchsiawinch.protocol.ProtocolFeature;
+import org.fuchsiawinch.protocol.record.AttemptEnd;
+import org.fuchsiawinch.protocol.record.CellSnapshot;
+import org.fuchsiawinch.protocol.record.Envelope;
+import org.fuchsiawinch.protocol.record.JobOutcome;
+import org.fuchsiawinch.protocol.record.JobSnapshot;
+import org.fuchsiawinch.protocol.record.LogRecord;
+import org.fuchsiawinch.protocol.record.WriterSnapshot;
+
+/**
+ * The state that every node derives from the log, record by record. Two nodes that have read the same records have the
+ * same state. Not thread-safe: one thread owns a fold.
+ */
+public final class LogFold {
+
+    private static final long WRITER_KEEP_MS = 24 * 3_600_000L;
+
+    private final DocumentBook document;
+    private final boolean deduplicates;
+    private final Map<NodeId, WriterSnapshot> writers = new HashMap<>();
+    private final SnapshotBook snapshots = new SnapshotBook();
+    private final Forgetting forgetting = new Forgetting();
+    private final Map<CellId, CellEntry> cells = new HashMap<>();
+    private final Map<JobId, JobEntry> jobs = new LinkedHashMap<>();
+    private Optional<DocumentBook.Refusal> documentRefusal = Optional.empty();
+    private long nextOffset;
+    private long logTimeMs;
+    private long snapshotMs;
+
+    /**
+     * Creates the state before the first record.
+     *
+     * @param document folds the document's records
+     */
+    public LogFold(DocumentBook document) {
+        this(document, ProtocolFeature.defaults());
+    }
+
+    /**
+     * Creates the state before the first record.
+     *
+     * @param document folds the document's records
+     * @param features enabled safety mechanisms
+     */
+    public LogFold(DocumentBook document, Set<ProtocolFeature> features) {
+        this.document = document;
+        this.deduplicates = features.contains(ProtocolFeature.DEDUPLICATION);
+    }
+
+    /**
+     * Takes the next record.
+     *
+     * @param offset its offset
+     * @param envelope the record
+     * @return empty if it took effect, else why it is void
+     */
+    public Optional<VoidCode> apply(long offset, Envelope envelope) {
+        nextOffset = offset + 1;
+        NodeId writer = envelope.id().writer();
+        WriterSnapshot last = writers.get(writer);
+        if (deduplicates && last != null && envelope.id().sequence() <= last.lastSequence()) {
+            return Optional.of(VoidCode.DUPLICATE_RECORD);
+        }
+        writers.put(writer, new WriterSnapshot(writer, envelope.id().sequence(), envelope.writtenMs()));
+        logTimeMs = Math.max(logTimeMs, envelope.writtenMs());
+        forgetting.due(logTimeMs).forEach(jobs::remove);
+        return applyRecord(offset, envelope);
+    }
+
+    /**
+     * Takes over the state of a snapshot, in place of the records before it. Only before the first record.
+     *
+     * @param snapshot the whole snapshot
+     */
+    public void load(SnapshotBook.Whole snapshot) {
+        LogRecord.SnapshotDone done = snapshot.done();
+        nextOffset = done.upToOffset();
+        logTimeMs = done.logTimeMs();
+        if (done.documentVersion() > 0) {
+            document.apply(new LogRecord.DocumentRepublished(done.documentVersion(), done.documentText()));
+        }
+        for (LogRecord.SnapshotChunk chunk : snapshot.chunks()) {
+            chunk.writers().forEach(writer -> writers.put(writer.writer(), writer));
+            chunk.cells().forEach(cell -> cells.put(cell.cell(), CellEntry.of(cell)));
+            chunk.jobs().forEach(job -> loadJob(JobEntry.of(job)));
+        }
+    }
+
+    /**
+     * Describes the state before the next record.
+     *
+     * @param number number of the snapshot
+     * @param chunkBytes size in bytes that a chunk is to stay under, if its first job does
+     * @return the records of the snapshot, its end last
+     */
+    public List<LogRecord> snapshot(long number, int chunkBytes) {
+        List<LogRecord> records = new ArrayList<>();
+        List<WriterSnapshot> liveWriters = writers.values().stream()
+                .filter(writer -> writer.lastMs() + WRITER_KEEP_MS > logTimeMs)
+                .sorted(Comparator.comparing(writer -> writer.writer().value()))
+                .toList();
+        List<CellSnapshot> allCells = cells.entrySet().stream()
+                .map(entry -> entry.getValue().snapshot(entry.getKey()))
+                .sorted(Comparator.comparing(cell -> cell.cell().value()))
+                .toList();
+        records.add(new LogRecord.SnapshotChunk(number, 0, liveWriters, allCells, List.of()));
+        List<JobSnapshot> some = new ArrayList<>();
+        int bytes = 0;
+        for (JobEntry job : jobs.values()) {
+            JobSnapshot next = job.snapshot();
+            if (!some.isEmpty() && bytes + next.estimatedBytes() > chunkBytes) {
+                records.add(new LogRecord.SnapshotChunk(number, records.size(), List.of(), List.of(), some));
+                some = new ArrayList<>();
+                bytes = 0;
+            }
+            some.add(next);
+            bytes += next.estimatedBytes();
+        }
+        if (!some.isEmpty()) {
+            records.add(new LogRecord.SnapshotChunk(number, records.size(), List.of(), List.of(), some));
+        }
+        int version = document.inForce().map(DocumentBook.InForce::version).orElse(0);
+        String text = document.inForce().map(DocumentBook.InForce::text).orElse("");
+        records.add(new LogRecord.SnapshotDone(number, records.size(), nextOffset, logTimeMs, version, text));
+        return records;
+    }
+
+    /**
+     * Says when the last whole snapshot ended.
+     *
+     * @return its writer's time in ms since the epoch; 0 if none was read
+     */
+    public long snapshotMs() {
+        return snapshotMs;
+    }
+
+    /**
+     * Gives the latest writer's time in the log.
+     *
+     * @return time in ms since the epoch; 0 before the first record
+     */
+    public long logTimeMs() {
+        return logTimeMs;
+    }
+
+    /**
+     * Gives the offset that is to be read next.
+     *
+     * @return the offset
+     */
+    public long nextOffset() {
+        return nextOffset;
+    }
+
+    /**
+     * Gives the folded document.
+     *
+     * @return the document's state
+     */
+    public DocumentBook document() {
+        return document;
+    }
+
+    /**
+     * Gives the judgement of the last document record.
+     *
+     * @return why it was refused, or empty if it took effect
+     */
+    public Optional<DocumentBook.Refusal> lastDocumentRefusal() {
+        return documentRefusal;
+    }
+
+    /**
+     * Looks a job up.
+     *
+     * @param job the job
+     * @return its entry, or empty if no record of it was read
+     */
+    public Optional<JobEntry> job(JobId job) {
+        return Optional.ofNullable(jobs.get(job));
+    }
+
+    /**
+     * Gives all jobs in order of acceptance.
+     *
+     * @return a read-only view
+     */
+    public Collection<JobEntry> jobs() {
+        return Collections.unmodifiableCollection(jobs.values());
+    }
+
+    /**
+     * Looks a cell up.
+     *
+     * @param cell the cell
+     * @return its entry
+     */
+    public CellEntry cell(CellId cell) {
+        return cells.getOrDefault(cell, CellEntry.UNCLAIMED);
+    }
+
+    private Optional<VoidCode> applyRecord(long offset, Envelope envelope) {
+        LogRecord record = envelope.record();
+        NodeId writer = envelope.id().writer();
+        long nowMs = envelope.writtenMs();
+        if (record instanceof LogRecord.CellClaimed claimed) {
+            return claim(offset, writer, claimed, nowMs);
+        }
+        if (record instanceof LogRecord.CellHeld held) {
+            return hold(offset, writer, held, nowMs);
+        }
+        if (record instanceof LogRecord.CellReleased released) {
+            return release(writer, released, nowMs);
+        }
+        if (record instanceof LogRecord.JobAccepted accepted) {
+            return accept(accepted, nowMs);
+        }
+        if (record instanceof LogRecord.JobCancelled cancelled) {
+            return cancel(cancelled);
+        }
+        if (record instanceof LogRecord.AttemptPlaced placed) {
+            return place(writer, placed, nowMs);
+        }
+        if (record instanceof LogRecord.AttemptReleased released) {
+            return releaseAttempt(writer, released);
+        }
+        if (record instanceof LogRecord.AttemptEnded ended) {
+            return endAttempt(writer, ended);
+        }
+        if (record instanceof LogRecord.JobFinished finished) {
+            return finish(writer, finished, nowMs);
+        }
+        if (record instanceof LogRecord.SnapshotChunk chunk) {
+            snapshots.add(writer, chunk);
+            return Optional.empty();
+        }
+        if (record instanceof LogRecord.SnapshotDone done) {
+            return finishSnapshot(writer, done, nowMs);
+        }
+        if (record instanceof LogRecord.Unrecognised) {
+            return Optional.of(VoidCode.UNRECOGNISED);
+        }
+        documentRefusal = document.apply(record);
+        return documentRefusal.map(refusal -> VoidCode.DOCUMENT_REFUSED);
+    }
+
+    private Optional<VoidCode> finishSnapshot(NodeId writer, LogRecord.SnapshotDone done, long nowMs) {
+        if (snapshots.finish(writer, done).isEmpty()) {
+            return Optional.of(VoidCode.INCOMPLETE_SNAPSHOT);
+        }
+        snapshotMs = nowMs;
+        return Optional.empty();
+    }
+
+    private void loadJob(JobEntry job) {
+        jobs.put(job.spec().id(), job);
+        if (job.status() == JobStatus.FINISHED) {
+            forgetting.finished(job);
+        }
+    }
+
+    private Optional<VoidCode> claim(long offset, NodeId writer, LogRecord.CellClaimed claimed, long nowMs) {
+        CellEntry cell = cell(claimed.cell());
+        if (claimed.epoch() != cell.epoch() + 1 || !writer.equals(claimed.owner())) {
+            return Optional.of(VoidCode.STALE_EPOCH);
+        }
+        cells.put(claimed.cell(), cell.claimed(claimed.epoch(), writer, offset, nowMs));
+        return Optional.empty();
+    }
+
+    private Optional<VoidCode> hold(long offset, NodeId writer, LogRecord.CellHeld held, long nowMs) {
+        CellEntry cell = cell(held.cell());
+        if (!cell.ownedBy(writer, held.epoch())) {
+            return Optional.of(VoidCode.STALE_EPOCH);
+        }
+        cells.put(held.cell(), cell.held(offset, nowMs));
+        return Optional.empty();
+    }
+
+    private Optional<VoidCode> release(NodeId writer, LogRecord.CellReleased released, long nowMs) {
+        CellEntry cell = cell(released.cell());
+        if (!cell.ownedBy(writer, released.epoch())) {
+            return Optional.of(VoidCode.STALE_EPOCH);
+        }
+        cells.put(released.cell(), cell.released(nowMs));
+        return Optional.empty();
+    }
+
+    private Optional<VoidCode> accept(LogRecord.JobAccepted accepted, long nowMs) {
+        JobId id = accepted.job().id();
+        if (deduplicates && jobs.containsKey(id)) {
+            return Optional.of(VoidCode.DUPLICATE_JOB);
+        }
+        OptionalLong deadlineMs = accepted.job().deadlineMs();
+        boolean late = deadlineMs.isPresent() && deadlineMs.getAsLong() <= logTimeMs;
+        if (late && !accepted.job().idempotent()) {
+            return Optional.of(VoidCode.PAST_DEADLINE);
+        }
+        jobs.put(id, JobEntry.accepted(accepted.cell(), accepted.job(), accepted.payload(), nowMs));
+        return Optional.empty();
+    }
+
+    private Optional<VoidCode> cancel(LogRecord.JobCancelled cancelled) {
+        JobEntry job = jobs.get(cancelled.job());
+        if (job == null) {
+            return Optional.of(VoidCode.UNKNOWN_JOB);
+        }
+        if (job.status() == JobStatus.FINISHED || job.cancelled()) {
+            return Optional.of(VoidCode.WRONG_STATUS);
+        }
+        jobs.put(cancelled.job(), job.withCancel());
+        return Optional.empty();
+    }
+
+    private Optional<VoidCode> place(NodeId writer, LogRecord.AttemptPlaced placed, long nowMs) {
+        JobEntry job = jobs.get(placed.attempt().job());
+        Optional<VoidCode> refused = checkOwner(writer, placed.cell(), placed.epoch(), job);
+        if (refused.isPresent()) {
+            return refused;
+        }
+        if (job.status() != JobStatus.WAITING) {
+            return Optional.of(VoidCode.WRONG_STATUS);
+        }
+        if (!job.repeatable()) {
+            return Optional.of(VoidCode.NOT_REPEATABLE);
+        }
+        if (placed.attempt().number() != job.attemptNumber() + 1) {
+            return Optional.of(VoidCode.WRONG_ATTEMPT);
+        }
+        jobs.put(placed.attempt().job(), job.placed(placed.placements(), placed.lent(), nowMs));
+        return Optional.empty();
+    }
+
+    private Optional<VoidCode> releaseAttempt(NodeId writer, LogRecord.AttemptReleased released) {
+        JobEntry job = jobs.get(released.attempt().job());
+        Optional<VoidCode> refused = checkOwner(writer, released.cell(), released.epoch(), job);
+        if (refused.isPresent()) {
+            return refused;
+        }
+        if (job.status() != JobStatus.PLACED) {
+            return Optional.of(VoidCode.WRONG_STATUS);
+        }
+        if (!released.attempt().equals(job.attempt())) {
+            return Optional.of(VoidCode.WRONG_ATTEMPT);
+        }
+        jobs.put(released.attempt().job(), job.released());
+        return Optional.empty();
+    }
+
+    private Optional<VoidCode> endAttempt(NodeId writer, LogRecord.AttemptEnded ended) {
+        JobEntry job = jobs.get(ended.attempt().job());
+        Optional<VoidCode> refused = checkOwner(writer, ended.cell(), ended.epoch(), job);
+        if (refused.isPresent()) {
+            return refused;
+        }
+        if (job.status() != JobStatus.PLACED && job.status() != JobStatus.RELEASED) {
+            return Optional.of(VoidCode.WRONG_STATUS);
+        }
+        if (!ended.attempt().equals(job.attempt())) {
+            return Optional.of(VoidCode.WRONG_ATTEMPT);
+        }
+        jobs.put(ended.attempt().job(), job.waiting(ended.end() == AttemptEnd.CHECKPOINTED));
+        return Optional.empty();
+    }
+
+    private Optional<VoidCode> finish(NodeId writer, LogRecord.JobFinished finished, long nowMs) {
+        JobEntry job = jobs.get(finished.job());
+        Optional<VoidCode> refused = checkOwner(writer, finished.cell(), finished.epoch(), job);
+        if (refused.isPresent()) {
+            return refused;
+        }
+        if (job.status() == JobStatus.FINISHED) {
+            return Optional.of(VoidCode.WRONG_STATUS);
+        }
+        boolean notRun = finished.outcome() instanceof JobOutcome.NotRun;
+        if (notRun && (job.everReleased() || job.status() != JobStatus.WAITING)) {
+            return Optional.of(VoidCode.WRONG_STATUS);
+        }
+        if (finished.outcome() instanceof JobOutcome.Completed && job.status() != JobStatus.RELEASED) {
+            return Optional.of(VoidCode.WRONG_STATUS);
+        }
+        JobEntry ended = job.finished(finished.outcome(), nowMs);
+        jobs.put(finished.job(), ended);
+        forgetting.finished(ended);
+        return Optional.empty();
+    }
+
+    private Optional<VoidCode> checkOwner(NodeId writer, CellId cell, long epoch, JobEntry job) {
+        if (!cell(cell).ownedBy(writer, epoch)) {
+            return Optional.of(VoidCode.STALE_EPOCH);
+        }
+        if (job == null || !job.cell().equals(cell)) {
+            return Optional.of(VoidCode.UNKNOWN_JOB);
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/CellOwner.java
@@ -0,0 +1,441 @@
+package org.fuchsiawinch.protocol.node.internal;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Supplier;
+
+import org.fuchsiawinch.core.Decision;
+import org.fuchsiawinch.core.Reason;
+import org.fuchsiawinch.core.ReasonCode;
+import org.fuchsiawinch.core.Scheduler;
+import org.fuchsiawinch.core.SchedulerEvent;
+import org.fuchsiawinch.model.AttemptId;
+import org.fuchsiawinch.model.JobId;
+import org.fuchsiawinch.model.JobSpec;
+import org.fuchsiawinch.model.WorkerId;
+import org.fuchsiawinch.model.WorkerSpec;
+import org.fuchsiawinch.protocol.fold.CellEntry;
+import org.fuchsiawinch.protocol.fold.JobEntry;
+import org.fuchsiawinch.protocol.fold.JobStatus;
+import org.fuchsiawinch.protocol.fold.LogFold;
+import org.fuchsiawinch.protocol.node.NodeEffect;
+import org.fuchsiawinch.protocol.node.NodeEvent;
+import org.fuchsiawinch.protocol.node.NodeSettings;
+import org.fuchsiawinch.protocol.record.JobOutcome;
+import org.fuchsiawinch.protocol.record.LogRecord;
+import org.fuchsiawinch.protocol.worker.WorkerReply;
+
+/**
+ * Runs the scheduler of a cell while this node owns it: takes inventory, turns decisions into records and records that
+ * were read back into worker commands. Not thread-safe.
+ */
+public final class CellOwner {
+
+    private static final long SCHEDULER_TICK_MS = 1000;
+    private static final int MAX_REASONS = 10_000;
+
+    private enum Phase {
+        IDLE,
+        INVENTORY,
+        ACTIVE
+    }
+
+    private final NodeSettings settings;
+    private final Supplier<Scheduler> schedulers;
+    private final Supplier<LogFold> folds;
+    private final Outlet outlet;
+    private final Leases leases;
+    private final AttemptDriver attempts;
+    private final WorkerPool workers;
+    private final Set<JobId> finishing = new HashSet<>();
+    private final Map<JobId, Reason> reasons = new LinkedHashMap<>();
+    private final Deadlines deadlines = new Deadlines();
+    private Phase phase = Phase.IDLE;
+    private Scheduler scheduler;
+    private long epoch;
+    private long tookMs;
+    private long schedulerTickMs;
+    private boolean handingOver;
+
+    /**
+     * Creates an owner that owns nothing yet.
+     *
+     * @param settings the node's settings
+     * @param schedulers makes a scheduler for each take-over
+     * @param folds gives the node's log state
+     * @param outlet takes records and effects
+     */
+    public CellOwner(NodeSettings settings, Supplier<Scheduler> schedulers, Supplier<LogFold> folds, Outlet outlet) {
+        this.settings = settings;
+        this.schedulers = schedulers;
+        this.folds = folds;
+        this.outlet = outlet;
+        this.leases = new Leases(settings);
+        this.attempts = new AttemptDriver(settings, outlet, this::decide, leases);
+        this.workers = new WorkerPool(settings, outlet, this::decide, attempts, leases);
+    }
+
+    /**
+     * Says whether this node schedules the cell.
+     *
+     * @return true from the end of the inventory until the cell is lost
+     */
+    public boolean active() {
+        return phase == Phase.ACTIVE;
+    }
+
+    /**
+     * Starts the inventory after the node's claim was read back.
+     *
+     * @param cell the cell as claimed
+     * @param nowMs present time in ms since the epoch
+     */
+    public void take(CellEntry cell, long nowMs) {
+        drop();
+        phase = Phase.INVENTORY;
+        epoch = cell.epoch();
+        tookMs = nowMs;
+        leases.begin(cell.heldMs());
+        attempts.begin(epoch);
+        workers.begin(epoch, earlierLeasesEndMs(cell), nowMs);
+    }
+
+    /**
+     * Takes a sign of life of this owner that was read back.
+     *
+     * @param writtenMs time in ms since the epoch at which it was written
+     */
+    public void held(long writtenMs) {
+        leases.held(writtenMs);
+    }
+
+    /**
+     * Starts no new work and grants no lease beyond one from now: the cell is given up.
+     *
+     * @param nowMs present time in ms since the epoch
+     */
+    public void handOver(long nowMs) {
+        handingOver = true;
+        leases.endAfterLease(nowMs);
+    }
+
+    /** Forgets everything after the cell was lost or given up. */
+    public void drop() {
+        phase = Phase.IDLE;
+        workers.clear();
+        attempts.clear();
+        finishing.clear();
+        reasons.clear();
+        deadlines.clear();
+        scheduler = null;
+    }
+
+    /**
+     * Takes the platform's list of workers.
+     *
+     * @param all all listed workers
+     * @param leaving those that are about to leave
+     * @param nowMs present time in ms since the epoch
+     */
+    public void listed(List<WorkerSpec> all, List<WorkerId> leaving, long nowMs) {
+        workers.listed(all, leaving, phase != Phase.IDLE, nowMs);
+    }
+
+    /**
+     * Takes a worker's answer.
+     *
+     * @param id the worker
+     * @param ofEpoch epoch of the command that it answers
+     * @param reply the answer
+     * @param nowMs present time in ms since the epoch
+     */
+    public void replied(WorkerId id, long ofEpoch, WorkerReply reply, long nowMs) {
+        if (phase == Phase.IDLE || ofEpoch != epoch) {
+            return;
+        }
+        if (reply.fence() > epoch) {
+            leases.fenced();
+            return;
+        }
+        if (!workers.replied(id, reply, nowMs)) {
+            return;
+        }
+        if (phase == Phase.INVENTORY) {
+            activateWhenReady(nowMs);
+            return;
+        }
+        attempts.advanceAll(nowMs);
+    }
+
+    /**
+     * Takes a record of this cell that took effect.
+     *
+     * @param record the record
+     * @param nowMs present time in ms since the epoch
+     */
+    public void recordApplied(LogRecord record, long nowMs) {
+        if (phase != Phase.ACTIVE) {
+            return;
+        }
+        if (record instanceof LogRecord.JobAccepted accepted) {
+            deadlines.add(accepted.job());
+            decide(new SchedulerEvent.JobSubmitted(accepted.job()), nowMs);
+        } else if (record instanceof LogRecord.JobCancelled cancelled) {
+            decide(new SchedulerEvent.JobCancelled(cancelled.job()), nowMs);
+        } else if (record instanceof LogRecord.AttemptPlaced placed) {
+            boolean usable = placed.placements().stream().allMatch(place -> workers.usable(place.worker()));
+            attempts.placed(placed.attempt(), payload(placed.attempt().job()), usable, nowMs);
+        } else if (record instanceof LogRecord.AttemptReleased released) {
+            attempts.released(released.attempt(), nowMs);
+        } else if (record instanceof LogRecord.AttemptEnded ended) {
+            fold().job(ended.attempt().job()).map(JobEntry::spec).ifPresent(deadlines::add);
+            attempts.ended(ended.attempt(), ended.end(), nowMs);
+        } else if (record instanceof LogRecord.JobFinished finished) {
+            finishing.remove(finished.job());
+            attempts.finished(finished.job(), finished.outcome() instanceof JobOutcome.Completed, nowMs);
+        }
+    }
+
+    /**
+     * Takes an own record that is void.
+     *
+     * @param record the record
+     * @param nowMs present time in ms since the epoch
+     */
+    public void recordVoid(LogRecord record, long nowMs) {
+        if (phase != Phase.ACTIVE) {
+            return;
+        }
+        if (record instanceof LogRecord.AttemptPlaced placed) {
+            attempts.neverPlaced(placed.attempt(), nowMs);
+            return;
+        }
+        if (!(record instanceof LogRecord.JobFinished finished)) {
+            return;
+        }
+        finishing.remove(finished.job());
+        if (finished.outcome() instanceof JobOutcome.NotRun notRun
+                && fold().job(finished.job()).filter(JobEntry::everReleased).isPresent()) {
+            finish(finished.job(), new JobOutcome.Broken(notRun.code()), nowMs);
+        }
+    }
+
+    /**
+     * Takes a change of the document in force.
+     *
+     * @param nowMs present time in ms since the epoch
+     */
+    public void documentChanged(long nowMs) {
+        if (phase != Phase.ACTIVE) {
+            return;
+        }
+        fold().document()
+                .inForce()
+                .ifPresent(document -> decide(new SchedulerEvent.PolicyChanged(document.policy()), nowMs));
+    }
+
+    /**
+     * Renews leases, detects silent workers and lets the scheduler know the time.
+     *
+     * @param nowMs present time in ms since the epoch
+     */
+    public void tick(long nowMs) {
+        if (phase == Phase.IDLE) {
+            return;
+        }
+        workers.renewLeases(nowMs);
+        if (phase == Phase.INVENTORY) {
+            activateWhenReady(nowMs);
+            return;
+        }
+        workers.checkSilence(nowMs);
+        workers.removeGone(nowMs);
+        deadlines.passed(nowMs).forEach(job -> endIfWaiting(job, nowMs));
+        attempts.advanceAll(nowMs);
+        if (nowMs - schedulerTickMs >= SCHEDULER_TICK_MS) {
+            schedulerTickMs = nowMs;
+            decide(new SchedulerEvent.Tick(), nowMs);
+        }
+    }
+
+    /**
+     * Says why a job waits.
+     *
+     * @param job the job
+     * @param nowMs present time in ms since the epoch
+     * @return the scheduler's reason, or empty if it does not wait here
+     */
+    public Optional<Reason> waitReason(JobId job, long nowMs) {
+        return scheduler == null ? Optional.empty() : scheduler.waitReason(job, nowMs);
+    }
+
+    /**
+     * Gives the reason of the last decision on a job in this ownership.
+     *
+     * @param job the job
+     * @return the reason, or empty
+     */
+    public Optional<Reason> lastReason(JobId job) {
+        return Optional.ofNullable(reasons.get(job));
+    }
+
+    private long earlierLeasesEndMs(CellEntry cell) {
+        long grantedUntilMs = Math.max(cell.earlierHeldMs() + settings.renewHorizonMs(), cell.releasedMs());
+        return grantedUntilMs + settings.leaseMs() + settings.clockDriftMs();
+    }
+
+    private void activateWhenReady(long nowMs) {
+        boolean waited = nowMs - tookMs >= settings.inventoryWaitMs();
+        if (waited || workers.allReached()) {
+            activate(nowMs);
+        }
+    }
+
+    private void activate(long nowMs) {
+        phase = Phase.ACTIVE;
+        scheduler = schedulers.get();
+        schedulerTickMs = nowMs;
+        documentChanged(nowMs);
+        int reached = workers.activate(nowMs);
+        recoverJobs(nowMs);
+        outlet.emit(new NodeEffect.Report(
+                new NodeEvent.CellActive(settings.cell(), epoch, reached, workers.size() - reached)));
+    }
+
+    private void recoverJobs(long nowMs) {
+        List<JobEntry> waiting = new ArrayList<>();
+        Set<AttemptId> recovered = new HashSet<>();
+        for (JobEntry job : List.copyOf(fold().jobs())) {
+            if (!job.cell().equals(settings.cell()) || job.status() == JobStatus.FINISHED) {
+                continue;
+            }
+            deadlines.add(job.spec());
+            if (job.status() == JobStatus.WAITING) {
+                waiting.add(job);
+                continue;
+            }
+            recovered.add(job.attempt());
+            attempts.recover(job, nowMs);
+            decide(
+                    new SchedulerEvent.AttemptRecovered(job.spec(), job.attempt(), job.placements(), job.attemptMs()),
+                    nowMs);
+        }
+        attempts.keepOnly(recovered);
+        for (JobEntry job : waiting) {
+            decide(new SchedulerEvent.JobSubmitted(job.spec()), nowMs);
+        }
+        for (JobEntry job : List.copyOf(fold().jobs())) {
+            if (job.cell().equals(settings.cell()) && job.cancelled() && job.status() != JobStatus.FINISHED) {
+                decide(new SchedulerEvent.JobCancelled(job.spec().id()), nowMs);
+            }
+        }
+        attempts.advanceAll(nowMs);
+    }
+
+    private LogFold fold() {
+        return folds.get();
+    }
+
+    private byte[] payload(JobId job) {
+        return fold().job(job).map(JobEntry::payload).orElse(new byte[0]);
+    }
+
+    private void decide(SchedulerEvent event, long nowMs) {
+        if (phase != Phase.ACTIVE) {
+            return;
+        }
+        for (Decision decision : scheduler.decide(event, nowMs)) {
+            outlet.emit(new NodeEffect.Report(new NodeEvent.Decided(decision)));
+            carryOut(decision, nowMs);
+        }
+    }
+
+    private void noteReason(JobId job, Reason reason) {
+        reasons.remove(job);
+        reasons.put(job, reason);
+        if (reasons.size() > MAX_REASONS) {
+            reasons.remove(reasons.keySet().iterator().next());
+        }
+    }
+
+    private void carryOut(Decision decision, long nowMs) {
+        if (decision instanceof Decision.StartGang start) {
+            noteReason(start.attempt().job(), start.reason());
+            startGang(start, nowMs);
+        } else if (decision instanceof Decision.StopGang stop) {
+            noteReason(stop.attempt().job(), stop.reason());
+            attempts.stop(stop.attempt(), stop.mode(), nowMs);
+        } else if (decision instanceof Decision.EndJob end) {
+            noteReason(end.job(), end.reason());
+            String code = end.reason().code().name();
+            boolean released =
+                    fold().job(end.job()).filter(JobEntry::everReleased).isPresent();
+            JobOutcome outcome = released
+                    ? new JobOutcome.Broken(code)
+                    : new JobOutcome.NotRun(code, end.reason().retryAfterMs());
+            finish(end.job(), outcome, nowMs);
+        } else if (decision instanceof Decision.ProbeWorker probe) {
+            attempts.probe(probe.worker(), nowMs);
+        }
+    }
+
+    private void startGang(Decision.StartGang start, long nowMs) {
+        Optional<JobEntry> job = fold().job(start.attempt().job());
+        if (job.isEmpty() || handingOver) {
+            return;
+        }
+        if (job.get().status() == JobStatus.FINISHED
+                || finishing.contains(job.get().spec().id())) {
+            decide(new SchedulerEvent.JobCancelled(start.attempt().job()), nowMs);
+            decide(new SchedulerEvent.AttemptStopped(start.attempt(), false), nowMs);
+            return;
+        }
+        if (late(job.get().spec(), nowMs)) {
+            endIfWaiting(job.get().spec().id(), nowMs);
+            decide(new SchedulerEvent.AttemptStopped(start.attempt(), false), nowMs);
+            return;
+        }
+        if (!job.get().repeatable()) {
+            finish(job.get().spec().id(), new JobOutcome.Broken(ReasonCode.END_BROKEN_NOT_REPEATABLE.name()), nowMs);
+            return;
+        }
+        attempts.start(start.attempt(), job.get().spec(), start.placements());
+        outlet.append(
+                new LogRecord.AttemptPlaced(settings.cell(), epoch, start.attempt(), start.placements(), start.lent()),
+                nowMs);
+    }
+
+    /** Ends a job that has not run by its deadline; work under way may still finish. */
+    private void endIfWaiting(JobId job, long nowMs) {
+        Optional<JobEntry> entry = fold().job(job).filter(found -> found.status() == JobStatus.WAITING);
+        if (entry.isEmpty() || attempts.holds(job)) {
+            return;
+        }
+        String code = ReasonCode.END_DEADLINE.name();
+        JobOutcome outcome = entry.get().everReleased()
+                ? new JobOutcome.Broken(code)
+                : new JobOutcome.NotRun(code, OptionalLong.empty());
+        finish(job, outcome, nowMs);
+        decide(new SchedulerEvent.JobCancelled(job), nowMs);
+    }
+
+    private static boolean late(JobSpec job, long nowMs) {
+        return job.deadlineMs().isPresent() && job.deadlineMs().getAsLong() <= nowMs;
+    }
+
+    private void finish(JobId job, JobOutcome outcome, long nowMs) {
+        boolean finished = fold().job(job)
+                .filter(entry -> entry.status() == JobStatus.FINISHED)
+                .isPresent();
+        if (finished || !finishing.add(job)) {
+            return;
+        }
+        outlet.append(new LogRecord.JobFinished(settings.cell(), epoch, job, outcome), nowMs);
+    }
+}
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/package-info.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Log records, their fold, and the node state machine without input or output.
+ * Features of the protocol between nodes, log and workers.
  */
 package org.fuchsiawinch.protocol;
