--- /dev/null
+++ b/explore/src/test/java/org/fuchsiawinch/explore/DisabledFeatureTest.java
@@ -0,0 +1,39 @@
+package org.fuchsiawinch.explore;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.fuchsiawinch.explore.Violation.Promise;
+import org.fuchsiawinch.protocol.ProtocolFeature;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertTrue;
+
+/** Shows that the explorer notices each safety mechanism that is switched off. */
+public class DisabledFeatureTest {
+
+    private static final int SEEDS = 2000;
+    private static final int THREADS = 4;
+
+    @DataProvider
+    public Object[][] features() {
+        return new Object[][] {
+            {ProtocolFeature.READ_BACK, Promise.AT_MOST_ONCE},
+            {ProtocolFeature.DEDUPLICATION, Promise.AT_MOST_ONCE},
+            {ProtocolFeature.GANG_TRIAL, Promise.GANG_WHOLE},
+            {ProtocolFeature.FENCING, Promise.NO_OVERCOMMIT},
+            {ProtocolFeature.DOCUMENT_BASE_CHECK, Promise.DOCUMENT_ONE_WINNER},
+        };
+    }
+
+    @Test(dataProvider = "features")
+    public void explorerFindsItsAbsence(ProtocolFeature feature, Promise broken) {
+        List<Promise> found = new ArrayList<>();
+        new Explorer(ProtocolFeature.without(feature)).explore(1, SEEDS, THREADS, result -> {
+            result.violations().forEach(violation -> found.add(violation.promise()));
+            return !found.contains(broken);
+        });
+        assertTrue(found.contains(broken), feature + " off broke no " + broken + " over " + SEEDS + " seeds");
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/fold/JobEntry.java
@@ -0,0 +1,236 @@
+package org.fuchsiawinch.protocol.fold;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.fuchsiawinch.model.AttemptId;
+import org.fuchsiawinch.model.CellId;
+import org.fuchsiawinch.model.JobSpec;
+import org.fuchsiawinch.model.Placement;
+import org.fuchsiawinch.protocol.record.JobOutcome;
+import org.fuchsiawinch.protocol.record.JobSnapshot;
+
+/**
+ * A job by the log. Immutable; each record makes a new entry.
+ *
+ * @param cell the cell that runs it
+ * @param spec the job
+ * @param payload what the work is told; empty once finished
+ * @param payloadSha256 digest of the payload, lower-case hex; stays after the payload is dropped
+ * @param submittedMs time in ms since the epoch of its record
+ * @param status where it stands
+ * @param attemptNumber number of the current or last attempt; 0 before the first
+ * @param placements placements of the current attempt; empty while waiting
+ * @param lent whether the current attempt runs on lent capacity
+ * @param attemptMs time in ms since the epoch of the current attempt's placement
+ * @param everReleased whether any attempt was released
+ * @param resumable whether the last released attempt ended with its progress saved
+ * @param cancelled whether its caller cancelled it
+ * @param finishedMs time in ms since the epoch of its outcome; 0 before
+ * @param outcome how it ended
+ */
+public record JobEntry(
+        CellId cell,
+        JobSpec spec,
+        byte[] payload,
+        String payloadSha256,
+        long submittedMs,
+        JobStatus status,
+        int attemptNumber,
+        List<Placement> placements,
+        boolean lent,
+        long attemptMs,
+        boolean everReleased,
+        boolean resumable,
+        boolean cancelled,
+        long finishedMs,
+        Optional<JobOutcome> outcome) {
+
+    /**
+     * Makes the entry of a new job.
+     *
+     * @param cell the cell
+     * @param spec the job
+     * @param payload what the work is told
+     * @param nowMs time in ms since the epoch of its record
+     * @return the entry
+     */
+    public static JobEntry accepted(CellId cell, JobSpec spec, byte[] payload, long nowMs) {
+        Builder entry = new Builder();
+        entry.cell = cell;
+        entry.spec = spec;
+        entry.payload = payload;
+        entry.payloadSha256 = Sha256.hex(payload);
+        entry.submittedMs = nowMs;
+        return entry.build();
+    }
+
+    /**
+     * Names the current attempt, or the last one.
+     *
+     * @return the attempt
+     */
+    public AttemptId attempt() {
+        return new AttemptId(spec.id(), attemptNumber);
+    }
+
+    /**
+     * Says whether another attempt may be placed: none was released yet, or the work may be run again, or it resumes
+     * from saved progress.
+     *
+     * @return false if another attempt could run the work twice
+     */
+    public boolean repeatable() {
+        return !everReleased || spec.idempotent() || (spec.checkpointable() && resumable);
+    }
+
+    /**
+     * Says whether a request is for this very job.
+     *
+     * @param other the requested job
+     * @param digest digest of the requested payload, lower-case hex
+     * @return false if the job id stands for something else
+     */
+    public boolean sameAs(JobSpec other, String digest) {
+        return spec.equals(other) && payloadSha256.equals(digest);
+    }
+
+    JobSnapshot snapshot() {
+        return new JobSnapshot(
+                cell,
+                spec,
+                payload,
+                payloadSha256,
+                submittedMs,
+                status.name(),
+                attemptNumber,
+                placements,
+                lent,
+                attemptMs,
+                everReleased,
+                resumable,
+                cancelled,
+                finishedMs,
+                outcome);
+    }
+
+    static JobEntry of(JobSnapshot job) {
+        return new JobEntry(
+                job.cell(),
+                job.spec(),
+                job.payload(),
+                job.payloadSha256(),
+                job.submittedMs(),
+                JobStatus.valueOf(job.status()),
+                job.attemptNumber(),
+                job.placements(),
+                job.lent(),
+                job.attemptMs(),
+                job.everReleased(),
+                job.resumable(),
+                job.cancelled(),
+                job.finishedMs(),
+                job.outcome());
+    }
+
+    JobEntry placed(List<Placement> where, boolean onLent, long nowMs) {
+        Builder entry = new Builder(this);
+        entry.status = JobStatus.PLACED;
+        entry.attemptNumber = attemptNumber + 1;
+        entry.placements = where;
+        entry.lent = onLent;
+        entry.attemptMs = nowMs;
+        return entry.build();
+    }
+
+    JobEntry released() {
+        Builder entry = new Builder(this);
+        entry.status = JobStatus.RELEASED;
+        entry.everReleased = true;
+        entry.resumable = false;
+        return entry.build();
+    }
+
+    JobEntry waiting(boolean checkpointed) {
+        Builder entry = new Builder(this);
+        entry.resumable = status == JobStatus.RELEASED ? checkpointed : resumable;
+        entry.status = JobStatus.WAITING;
+        entry.placements = List.of();
+        entry.lent = false;
+        entry.attemptMs = 0;
+        return entry.build();
+    }
+
+    JobEntry withCancel() {
+        Builder entry = new Builder(this);
+        entry.cancelled = true;
+        return entry.build();
+    }
+
+    JobEntry finished(JobOutcome how, long nowMs) {
+        Builder entry = new Builder(this);
+        entry.payload = new byte[0];
+        entry.status = JobStatus.FINISHED;
+        entry.finishedMs = nowMs;
+        entry.outcome = Optional.of(how);
+        return entry.build();
+    }
+
+    /** Changes a copy of an entry. */
+    private static final class Builder {
+        private CellId cell;
+        private JobSpec spec;
+        private byte[] payload;
+        private String payloadSha256;
+        private long submittedMs;
+        private JobStatus status = JobStatus.WAITING;
+        private int attemptNumber;
+        private List<Placement> placements = List.of();
+        private boolean lent;
+        private long attemptMs;
+        private boolean everReleased;
+        private boolean resumable;
+        private boolean cancelled;
+        private long finishedMs;
+        private Optional<JobOutcome> outcome = Optional.empty();
+
+        private Builder() {}
+
+        private Builder(JobEntry from) {
+            cell = from.cell;
+            spec = from.spec;
+            payload = from.payload;
+            payloadSha256 = from.payloadSha256;
+            submittedMs = from.submittedMs;
+            status = from.status;
+            attemptNumber = from.attemptNumber;
+            placements = from.placements;
+            lent = from.lent;
+            attemptMs = from.attemptMs;
+            everReleased = from.everReleased;
+            resumable = from.resumable;
+            cancelled = from.cancelled;
+            finishedMs = from.finishedMs;
+            outcome = from.outcome;
+        }
+
+        private JobEntry build() {
+            return new JobEntry(
+                    cell,
+                    spec,
+                    payload,
+                    payloadSha256,
+                    submittedMs,
+                    status,
+                    attemptNumber,
+                    placements,
+                    lent,
+                    attemptMs,
+                    everReleased,
+                    resumable,
+                    cancelled,
+                    finishedMs,
+                    outcome);
+        }
+    }
+}
