Let work inside other guarantees excuse a late guaranteed start

Cause: the checker protected only jobs that a guarantee covered at their submit, though a job that a guarantee covers since holds it as rightly. Change: at most one running attempt for each guaranteed shape stays; a test shows that lent work in the way is still no excuse.

--- a/replay/src/main/java/org/fuchsiawinch/replay/check/GuaranteeCheck.java
+++ b/replay/src/main/java/org/fuchsiawinch/replay/check/GuaranteeCheck.java
@@ -98,7 +98,6 @@
         }
         if (GuaranteeCoverage.allFit(rules, shapes)) {
             claims.put(job.id(), new Claim(submitted.atMs(), policy.lending().reclaimBoundMs()));
-            witness.protect(job.id());
         }
     }
 
@@ -152,7 +151,6 @@
     private void close(JobId job) {
         open.remove(job);
         claims.remove(job);
-        witness.release(job);
     }
 
     private void expire(long nowMs, Consumer<Violation> report) {
--- a/replay/src/main/java/org/fuchsiawinch/replay/check/GuaranteeCoverage.java
+++ b/replay/src/main/java/org/fuchsiawinch/replay/check/GuaranteeCoverage.java
@@ -39,6 +39,22 @@
         return true;
     }
 
+    /** Picks, in the given order, the shapes that get a guaranteed shape of their own. */
+    static List<Integer> indexesInside(WorkspacePolicy rules, List<Shape> shapes) {
+        List<Shape> slots = slots(rules);
+        List<Integer> inside = new ArrayList<>();
+        for (int index = 0; index < shapes.size(); index++) {
+            Shape shape = shapes.get(index);
+            Optional<Shape> slot =
+                    slots.stream().filter(free -> covers(free, shape)).findFirst();
+            if (slot.isPresent()) {
+                slots.remove(slot.get());
+                inside.add(index);
+            }
+        }
+        return inside;
+    }
+
     private static List<Shape> slots(WorkspacePolicy rules) {
         List<Shape> slots = new ArrayList<>();
         for (Guarantee guarantee : rules.guarantees()) {
--- a/replay/src/main/java/org/fuchsiawinch/replay/check/ShapeWitness.java
+++ b/replay/src/main/java/org/fuchsiawinch/replay/check/ShapeWitness.java
@@ -1,8 +1,11 @@
 package org.fuchsiawinch.replay.check;
 
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -10,29 +13,40 @@
 import org.fuchsiawinch.model.AttemptId;
 import org.fuchsiawinch.model.JobId;
 import org.fuchsiawinch.model.JobSpec;
+import org.fuchsiawinch.model.Policy;
 import org.fuchsiawinch.model.Resources;
 import org.fuchsiawinch.model.Shape;
 import org.fuchsiawinch.model.TaskId;
 import org.fuchsiawinch.model.WorkerId;
 import org.fuchsiawinch.model.WorkerSpec;
 import org.fuchsiawinch.model.WorkspaceId;
+import org.fuchsiawinch.model.WorkspacePolicy;
 import org.fuchsiawinch.replay.history.HistoryEvent;
 
 /**
  * Tells whether the workers that serve could hold a shape if everything were reclaimed that may be. What stays is work
- * within guarantees, and non-repeatable work that was there before the last loss of capacity. Not thread-safe.
+ * inside guarantees, at most one attempt for each guaranteed shape, and non-repeatable work that was there before the
+ * last loss of capacity. Where more attempts run than a workspace has guaranteed shapes, those stay that the scheduler
+ * doesn't count as lent, then the oldest. Not thread-safe.
  */
 final class ShapeWitness {
 
     private final Map<WorkerId, WorkerSpec> serving = new TreeMap<>();
     private final Map<WorkerId, WorkerSpec> known = new HashMap<>();
     private final Map<JobId, JobSpec> jobs = new HashMap<>();
-    private final Set<JobId> protectedJobs = new HashSet<>();
+    private final Set<AttemptId> lent = new HashSet<>();
     private final Map<TaskId, Running> running = new LinkedHashMap<>();
+    private Policy policy;
     private long lastLossMs = -1;
 
     void see(HistoryEvent event) {
-        if (event instanceof HistoryEvent.WorkerUp up) {
+        if (event instanceof HistoryEvent.PolicyInForce inForce) {
+            policy = inForce.policy();
+        } else if (event instanceof HistoryEvent.StartDecided start && start.lent()) {
+            lent.add(start.attempt());
+        } else if (event instanceof HistoryEvent.AttemptPromoted promoted) {
+            lent.remove(promoted.attempt());
+        } else if (event instanceof HistoryEvent.WorkerUp up) {
             serve(up.worker());
         } else if (event instanceof HistoryEvent.WorkerDown down) {
             lose(down.worker(), down.atMs());
@@ -49,14 +63,6 @@
         }
     }
 
-    void protect(JobId job) {
-        protectedJobs.add(job);
-    }
-
-    void release(JobId job) {
-        protectedJobs.remove(job);
-    }
-
     boolean fitsEmpty(Shape shape) {
         Map<WorkerSpec, Resources> free = new LinkedHashMap<>();
         serving.values().forEach(worker -> free.put(worker, worker.capacity()));
@@ -66,9 +72,11 @@
     boolean fits(Shape shape) {
         Map<WorkerId, Resources> free = new TreeMap<>();
         serving.values().forEach(worker -> free.put(worker.id(), worker.capacity()));
+        Set<AttemptId> inside = insideGuarantees();
         running.forEach((task, part) -> {
             JobSpec job = jobs.get(task.attempt().job());
-            if (stays(job, task.attempt(), part)) {
+            boolean unmovable = !job.reclaimable() && part.sinceMs() <= lastLossMs;
+            if (unmovable || inside.contains(task.attempt())) {
                 free.computeIfPresent(
                         part.worker(), (id, left) -> left.minus(job.shape().perPart()));
             }
@@ -81,9 +89,10 @@
     /** Counts the accelerators of a workspace that may not be reclaimed now. */
     int heldForGood(WorkspaceId workspace) {
         int sum = 0;
+        Set<AttemptId> inside = insideGuarantees();
         for (Map.Entry<TaskId, Running> entry : running.entrySet()) {
             JobSpec job = jobs.get(entry.getKey().attempt().job());
-            boolean held = protectedJobs.contains(job.id()) || !job.reclaimable();
+            boolean held = inside.contains(entry.getKey().attempt()) || !job.reclaimable();
             if (held && job.workspace().equals(workspace)) {
                 sum += job.shape().perPart().accelerators();
             }
@@ -91,8 +100,27 @@
         return sum;
     }
 
-    private boolean stays(JobSpec job, AttemptId attempt, Running part) {
-        return protectedJobs.contains(attempt.job()) || !job.reclaimable() && part.sinceMs() <= lastLossMs;
+    private Set<AttemptId> insideGuarantees() {
+        Map<WorkspaceId, List<AttemptId>> byWorkspace = new LinkedHashMap<>();
+        running.keySet().stream()
+                .map(TaskId::attempt)
+                .distinct()
+                .sorted(Comparator.comparing(lent::contains))
+                .forEach(attempt -> byWorkspace
+                        .computeIfAbsent(jobs.get(attempt.job()).workspace(), workspace -> new ArrayList<>())
+                        .add(attempt));
+        Set<AttemptId> inside = new HashSet<>();
+        byWorkspace.forEach((workspace, attempts) -> {
+            WorkspacePolicy rules = policy.workspaces().get(workspace);
+            if (rules == null) {
+                return;
+            }
+            List<Shape> shapes = attempts.stream()
+                    .map(attempt -> jobs.get(attempt.job()).shape())
+                    .toList();
+            GuaranteeCoverage.indexesInside(rules, shapes).forEach(index -> inside.add(attempts.get(index)));
+        });
+        return inside;
     }
 
     private void serve(WorkerSpec worker) {
--- a/replay/src/test/java/org/fuchsiawinch/replay/check/Facts.java
+++ b/replay/src/test/java/org/fuchsiawinch/replay/check/Facts.java
@@ -60,9 +60,13 @@
     }
 
     public static JobSpec job(String id, int parts, boolean idempotent) {
+        return jobOf(PLANS.value(), id, parts, idempotent);
+    }
+
+    public static JobSpec jobOf(String workspace, String id, int parts, boolean idempotent) {
         return new JobSpec(
                 new JobId(id),
-                PLANS,
+                new WorkspaceId(workspace),
                 "bundle",
                 new Shape(parts, PART, Adjacency.RACK),
                 10_000,
--- a/replay/src/test/java/org/fuchsiawinch/replay/check/PromiseCheckerTest.java
+++ b/replay/src/test/java/org/fuchsiawinch/replay/check/PromiseCheckerTest.java
@@ -86,6 +86,12 @@
         assertEquals(facts.broken(Promise.GUARANTEE_RECLAIMABLE), 0);
     }
 
+    @Test
+    public void lentWorkInTheWayIsNoExcuseAndWorkInsideAGuaranteeIs() {
+        assertEquals(lateBehindOtherWorkspace(2).broken(Promise.GUARANTEE_RECLAIMABLE), 0);
+        assertEquals(lateBehindOtherWorkspace(1, 1).broken(Promise.GUARANTEE_RECLAIMABLE), 1);
+    }
+
     @Test
     public void refusalOfAGuaranteedSubmitIsFound() {
         Facts facts = fleet().submit(1_000, Facts.job("j", 2, true));
@@ -154,6 +160,20 @@
         assertEquals(twoAcceleratorsForAnHour(2 * 3_600_000 - 1).broken(Promise.SPEND_WITHIN_LIMIT), 1);
     }
 
+    /** A worker of three is held by another workspace's gangs while a guaranteed pair waits past its bound. */
+    private static Facts lateBehindOtherWorkspace(int... gangs) {
+        Facts facts = new Facts().policyInForce(NO_LIMIT).worker("w1", 3);
+        for (int index = 0; index < gangs.length; index++) {
+            String job = "other-" + index;
+            facts.submit(0, Facts.jobOf("others", job, gangs[index], true));
+            for (int part = 0; part < gangs[index]; part++) {
+                facts.partStarts(1, job, 1, part, "w1");
+            }
+        }
+        facts.submit(1_000, Facts.job("j", 2, true));
+        return facts.partStarts(1_001 + Facts.BOUND_MS, "j", 1, 0, "w1");
+    }
+
     private static Facts fleet() {
         return new Facts().policyInForce(NO_LIMIT).worker("w1", 2).worker("w2", 2);
     }
