Weigh stranded capacity by the largest shape and retry fewer classes

Change: the order of start delays a gang by its run time over its accelerators; a placement's score counts the change of free accelerators that the largest guaranteed shape cannot use, in that shape's domain; a class whose shape is a known misfit stays blocked; memory overruns of work that may not be repeated are booked while the workers have the memory.

--- a/core/src/main/java/org/fuchsiawinch/core/internal/DataCentre.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/DataCentre.java
@@ -9,6 +9,9 @@
     private final String name;
     private final TreeMap<String, Rack> racks = new TreeMap<>();
 
+    private boolean stale = true;
+    private int freeAccelerators;
+
     DataCentre(String name) {
         this.name = name;
     }
@@ -17,6 +20,20 @@
         return name;
     }
 
+    void markStale() {
+        stale = true;
+    }
+
+    /** Accelerators of open workers that nothing uses and that are held for nothing. */
+    int freeAccelerators() {
+        if (stale) {
+            stale = false;
+            freeAccelerators = 0;
+            racks.values().forEach(rack -> freeAccelerators += rack.freeAccelerators());
+        }
+        return freeAccelerators;
+    }
+
     Collection<Rack> racks() {
         return racks.values();
     }
--- a/core/src/main/java/org/fuchsiawinch/core/internal/Engine.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Engine.java
@@ -185,7 +185,7 @@
         boolean grew = true;
         while (grew) {
             if (state.takeCapacityGrew()) {
-                state.queue.capacityGrew();
+                state.queue.capacityGrew(this::mayFit);
             }
             startGuaranteed();
             startReserved();
@@ -195,10 +195,16 @@
         }
     }
 
+    private boolean mayFit(JobClass group) {
+        return group.waitCode() != ReasonCode.WAIT_CAPACITY
+                || !state.placer.knownMisfit(group.fitKey())
+                || claimer.hasRoom(group.key());
+    }
+
     /** Starts what fits into guarantees before anything else takes the capacity. */
     private void startGuaranteed() {
         for (JobClass group : state.queue.ready()) {
-            if (!claimer.hasRoom(group.key().workspace())) {
+            if (!claimer.hasRoom(group.key())) {
                 continue;
             }
             boolean started = true;
--- a/core/src/main/java/org/fuchsiawinch/core/internal/FitMemo.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/FitMemo.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.function.BiPredicate;
 
@@ -22,19 +23,56 @@
     private final Map<Key, Boolean> misfits = new HashMap<>();
     private final Set<Worker> grown = new LinkedHashSet<>();
 
-    /**
-     * A search without limits.
-     *
-     * @param parts number of parts
-     * @param part granted resources of each part
-     * @param adjacency closeness of the parts
-     * @param space which capacity may be taken
-     */
-    record Key(int parts, Resources part, Adjacency adjacency, Space space) {
+    /** A search without limits; keeps its hash code because it is looked up for each class of jobs. */
+    static final class Key {
+
+        private final int parts;
+        private final Resources part;
+        private final Adjacency adjacency;
+        private final Space space;
+        private final int hash;
+
+        Key(int parts, Resources part, Adjacency adjacency, Space space) {
+            this.parts = parts;
+            this.part = part;
+            this.adjacency = adjacency;
+            this.space = space;
+            this.hash = Objects.hash(parts, part, adjacency.ordinal(), space.ordinal());
+        }
 
         static Key of(PlaceRequest request) {
             return new Key(request.parts(), request.part(), request.adjacency(), request.space());
         }
+
+        int parts() {
+            return parts;
+        }
+
+        Resources part() {
+            return part;
+        }
+
+        Adjacency adjacency() {
+            return adjacency;
+        }
+
+        Space space() {
+            return space;
+        }
+
+        @Override
+        public int hashCode() {
+            return hash;
+        }
+
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Key key
+                    && parts == key.parts
+                    && adjacency == key.adjacency
+                    && space == key.space
+                    && part.equals(key.part);
+        }
     }
 
     /** Notes that a worker may have more room than before. */
--- a/core/src/main/java/org/fuchsiawinch/core/internal/GangPlacer.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/GangPlacer.java
@@ -18,6 +18,7 @@
  */
 final class GangPlacer {
 
+    private static final double WORKER_LEFTOVER_WEIGHT = 0.3;
     private static final double RACK_LEFTOVER_WEIGHT = 0.1;
 
     private final WorkerPool pool;
@@ -99,6 +100,11 @@
         return best.gang();
     }
 
+    /** Says whether a shape has been found to fit nowhere and no capacity for it has come free since. */
+    boolean knownMisfit(FitMemo.Key key) {
+        return adjacencyOn && pool.memo().knownMisfit(key, this::fitsAround);
+    }
+
     /** Says whether a gang fits somewhere, leaving the request's limits aside. */
     boolean fits(PlaceRequest request) {
         if (!adjacencyOn) {
@@ -268,33 +274,49 @@
             return 0;
         }
         double slowest = 0;
-        double split = 0;
+        double left = 0;
+        int taken = 0;
         for (int i = 0; i < gang.workers().length; i++) {
             Worker worker = gang.workers()[i];
-            int taken = gang.counts()[i] * request.part().accelerators();
+            int here = gang.counts()[i] * request.part().accelerators();
             slowest = Math.max(slowest, pool.slowness(worker.speed()));
-            split += shapesLost(worker, taken) + share(worker.freeAccelerators() - taken, worker);
+            left += share(worker.freeAccelerators() - here, worker);
+            taken += here;
         }
         Rack rack = gang.workers()[0].rack();
-        double rackLeft = rack.freeAccelerators() / (double) Math.max(1, rack.capacityAccelerators());
-        split = split / gang.workers().length + RACK_LEFTOVER_WEIGHT * rackLeft;
+        double split = stranded(gang, request.part().accelerators(), taken)
+                + WORKER_LEFTOVER_WEIGHT * left / gang.workers().length
+                + RACK_LEFTOVER_WEIGHT * rack.freeAccelerators() / Math.max(1, rack.capacityAccelerators());
         return fragmentationShare * split + (1 - fragmentationShare) * slowest;
     }
 
-    /** Counts how many of the largest guaranteed shape no longer fit once the accelerators are taken. */
-    private int shapesLost(Worker worker, int taken) {
+    /**
+     * Change of the free accelerators that the largest guaranteed shape cannot use, as a share of that shape, once the
+     * gang has taken its own.
+     */
+    private double stranded(Gang gang, int perPart, int taken) {
         if (largestShape.isEmpty() || taken == 0) {
             return 0;
         }
         Shape shape = largestShape.get();
         int size = Math.max(1, shape.accelerators());
-        int free =
-                switch (shape.adjacency()) {
-                    case WORKER -> worker.freeAccelerators();
-                    case RACK -> worker.rack().freeAccelerators();
-                    default -> 0;
-                };
-        return Math.max(0, free) / size - Math.max(0, free - taken) / size;
+        Rack rack = gang.workers()[0].rack();
+        double change = 0;
+        switch (shape.adjacency()) {
+            case WORKER -> {
+                for (int i = 0; i < gang.workers().length; i++) {
+                    change += change(gang.workers()[i].freeAccelerators(), gang.counts()[i] * perPart, size);
+                }
+            }
+            case RACK -> change = change(rack.freeAccelerators(), taken, size);
+            default -> change = change(rack.dataCentre().freeAccelerators(), taken, size);
+        }
+        return change / size;
+    }
+
+    private static int change(int free, int taken, int size) {
+        int before = Math.max(0, free);
+        return Math.max(0, before - taken) % size - before % size;
     }
 
     private static double share(int accelerators, Worker worker) {
--- a/core/src/main/java/org/fuchsiawinch/core/internal/GuaranteeClaimer.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/GuaranteeClaimer.java
@@ -11,7 +11,6 @@
 import org.fuchsiawinch.model.Resources;
 import org.fuchsiawinch.model.Shape;
 import org.fuchsiawinch.model.WorkerId;
-import org.fuchsiawinch.model.WorkspaceId;
 
 /**
  * Finds room for a job inside its workspace's guarantee: on free capacity if there is any, else where the least work is
@@ -46,9 +45,15 @@
                                 || (unit.empty() || pack(unit, job, part, false).isPresent())));
     }
 
-    /** Says whether some guarantee of a workspace has a place and is not in full use. */
-    boolean hasRoom(WorkspaceId workspace) {
-        return state.keeper.units(workspace).stream().anyMatch(unit -> unit.placed() && !unit.full());
+    /** Says whether some guarantee of the workspace has a place, is not in full use and is large enough. */
+    boolean hasRoom(JobClass.Key key) {
+        for (GuaranteeUnit unit : state.keeper.units(key.workspace())) {
+            boolean large = unit.shape().accelerators() >= key.shape().accelerators();
+            if (large && unit.placed() && !unit.full()) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** Says whether a shape fits inside a guaranteed one wherever that is placed. */
--- a/core/src/main/java/org/fuchsiawinch/core/internal/JobClass.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/JobClass.java
@@ -21,18 +21,26 @@
             .thenComparingLong(Job::sequence);
 
     private final Key key;
+    private final FitMemo.Key fitKey;
     private final TreeSet<Job> jobs = new TreeSet<>(ORDER);
     private ReasonCode waitCode = ReasonCode.WAIT_CAPACITY;
     private boolean blocked;
 
     JobClass(Key key) {
         this.key = key;
+        this.fitKey =
+                new FitMemo.Key(key.shape().parts(), key.part(), key.shape().adjacency(), Space.FREE);
     }
 
     Key key() {
         return key;
     }
 
+    /** Search for free capacity of the class's shape. */
+    FitMemo.Key fitKey() {
+        return fitKey;
+    }
+
     TreeSet<Job> jobs() {
         return jobs;
     }
--- a/core/src/main/java/org/fuchsiawinch/core/internal/JobQueue.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/JobQueue.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 
 import org.fuchsiawinch.core.ReasonCode;
 import org.fuchsiawinch.model.WorkspaceId;
@@ -77,10 +78,14 @@
         blocked.add(group);
     }
 
-    void capacityGrew() {
-        blocked.forEach(group -> group.blocked(false));
-        ready.addAll(blocked);
-        blocked.clear();
+    /** Looks again at the classes that may fit now. */
+    void capacityGrew(Predicate<JobClass> mayFit) {
+        List<JobClass> again = blocked.stream().filter(mayFit).toList();
+        for (JobClass group : again) {
+            blocked.remove(group);
+            group.blocked(false);
+            ready.add(group);
+        }
     }
 
     /** Lists all waiting jobs in order of start. */
--- a/core/src/main/java/org/fuchsiawinch/core/internal/Overruns.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Overruns.java
@@ -43,14 +43,19 @@
         }
     }
 
-    /** Takes a report of a part's peak memory in MiB. */
+    /**
+     * Takes a report of a part's peak memory in MiB. Work that may not be run again is left running beyond the policy's
+     * factor while its workers have the memory free.
+     */
     void memory(Attempt attempt, int usedMb) {
         attempt.raisePeakMemory(usedMb);
         int grantedMb = attempt.part().memoryMb() + attempt.addedMemoryMb();
         if (!state.has(SchedulerFeature.OVERRUNS) || usedMb <= grantedMb || attempt.stopping()) {
             return;
         }
-        if (usedMb <= attempt.part().memoryMb() * estimates().memoryOverrunFactor()) {
+        boolean borne = usedMb <= attempt.part().memoryMb() * estimates().memoryOverrunFactor();
+        boolean once = !attempt.job().spec().reclaimable();
+        if (borne || (once && fits(attempt, usedMb - grantedMb))) {
             Occupancy.addMemory(attempt, usedMb - grantedMb);
             return;
         }
@@ -60,6 +65,19 @@
         stopper.stop(attempt, cause, save ? StopMode.CHECKPOINT : StopMode.STOP);
     }
 
+    /** Says whether all workers of an attempt have free memory to grow each part by some MiB. */
+    private static boolean fits(Attempt attempt, int megabytes) {
+        Gang gang = attempt.gang();
+        for (int i = 0; i < gang.workers().length; i++) {
+            Worker worker = gang.workers()[i];
+            int neededMb = worker.used().memoryMb() + worker.held().memoryMb() + megabytes * gang.counts()[i];
+            if (neededMb > worker.capacity().memoryMb()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** Raises the memory of a job's next attempt, or finds that no worker has as much. */
     StopCause exhausted(Job job, int neededMb) {
         job.raiseMemoryFloor(neededMb);
--- a/core/src/main/java/org/fuchsiawinch/core/internal/Rack.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Rack.java
@@ -51,6 +51,7 @@
 
     void markStale() {
         stale = true;
+        dataCentre.markStale();
     }
 
     int freeAccelerators() {
--- a/core/src/main/java/org/fuchsiawinch/core/internal/Waiting.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Waiting.java
@@ -57,7 +57,7 @@
 
     /**
      * Time of submit plus some run times: short jobs pass long ones that came before them, but none passes a job that
-     * came earlier by more than the difference.
+     * came earlier by more than the difference. The more accelerators a gang needs, the less it is passed.
      */
     private long orderKey(Job job) {
         if (!state.has(SchedulerFeature.OBJECTIVE)) {
@@ -69,7 +69,8 @@
                         .orElse(new Objective(0, 1))
                         .fragmentationShare();
         long runMs = state.estimator.estimate(job, 1.0).runMs();
-        return job.submittedMs() + (long) (RUN_TIMES_OF_DELAY * completionShare * runMs);
+        int accelerators = Math.max(1, job.accelerators());
+        return job.submittedMs() + (long) (RUN_TIMES_OF_DELAY * completionShare * runMs / accelerators);
     }
 
     private static long deadlineMs(Job job) {
--- a/model/src/main/java/org/fuchsiawinch/model/EstimatePolicy.java
+++ b/model/src/main/java/org/fuchsiawinch/model/EstimatePolicy.java
@@ -7,8 +7,8 @@
  * @param minSamples fewest finished jobs of a kind before a correction applies
  * @param minFactor lowest correction factor
  * @param maxFactor highest correction factor
- * @param timeOverrunFactor factor over the larger of declared and corrected run time at which an attempt is ended; 0 for
- *     never
+ * @param timeOverrunFactor factor over the larger of declared and corrected run time at which an attempt is ended; 0
+ *     for never
  * @param memoryOverrunFactor factor over the granted memory at which an attempt is ended
  */
 public record EstimatePolicy(
