--- a/core/src/main/java/org/fuchsiawinch/core/internal/GuaranteeClaimer.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/GuaranteeClaimer.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 
 import org.fuchsiawinch.core.SchedulerFeature;
 import org.fuchsiawinch.model.Adjacency;
@@ -69,13 +70,23 @@
                 && wanted.perPart().times(wanted.parts()).fitsIn(all);
     }
 
+    /** Finds room in the smallest guaranteed shape that has any, so that larger ones stay whole for larger jobs. */
     Optional<Offer> offer(Job job, Resources part) {
-        List<GuaranteeUnit> units = candidates(job, part);
-        Optional<Offer> free = free(job, part, units);
-        if (free.isPresent() || !state.has(SchedulerFeature.RECLAIM)) {
-            return free;
+        TreeMap<Integer, List<GuaranteeUnit>> bySize = new TreeMap<>();
+        for (GuaranteeUnit unit : candidates(job, part)) {
+            bySize.computeIfAbsent(unit.shape().accelerators(), size -> new ArrayList<>())
+                    .add(unit);
         }
-        return cheapest(job, part, units);
+        for (List<GuaranteeUnit> units : bySize.values()) {
+            Optional<Offer> offer = free(job, part, units);
+            if (offer.isEmpty() && state.has(SchedulerFeature.RECLAIM)) {
+                offer = cheapest(job, part, units);
+            }
+            if (offer.isPresent()) {
+                return offer;
+            }
+        }
+        return Optional.empty();
     }
 
     private boolean mayHold(GuaranteeUnit unit, Job job, Resources part) {
--- a/core/src/test/java/org/fuchsiawinch/core/GuaranteesTest.java
+++ b/core/src/test/java/org/fuchsiawinch/core/GuaranteesTest.java
@@ -111,6 +111,19 @@
         assertTrue(cell.runs("b0"));
     }
 
+    @Test
+    public void smallJobLeavesTheLargeGuaranteeWhole() {
+        Cell cell = Cell.with(null)
+                .policy(Map.of("a", workspace(guarantee(8, 1), guarantee(2, 1)), "b", workspace()))
+                .workers(2, 8)
+                .submit(job("b0", "b", 8))
+                .submit(job("b1", "b", 8))
+                .submit(job("small", "a", 2))
+                .submit(job("large", "a", 8));
+        assertEquals(cell.waits("small").orElseThrow(), ReasonCode.WAIT_RECLAIM);
+        assertEquals(cell.waits("large").orElseThrow(), ReasonCode.WAIT_RECLAIM);
+    }
+
     @Test
     public void lentWorkIsPromotedWhenItsGuaranteeHasRoom() {
         assertEquals(promotions(null), 1);
