--- a/core/src/main/java/org/fuchsiawinch/core/internal/GangPlacer.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/GangPlacer.java
@@ -1,12 +1,13 @@
 package org.fuchsiawinch.core.internal;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.PriorityQueue;
 
 import org.fuchsiawinch.core.SchedulerFeature;
 import org.fuchsiawinch.core.SchedulerFeatures;
+import org.fuchsiawinch.model.Adjacency;
 import org.fuchsiawinch.model.Objective;
 import org.fuchsiawinch.model.Shape;
 
@@ -17,6 +18,7 @@
  */
 final class GangPlacer {
 
+    private static final double WORKER_LEFTOVER_WEIGHT = 0.3;
     private static final double RACK_LEFTOVER_WEIGHT = 0.1;
 
     private final WorkerPool pool;
@@ -40,7 +42,7 @@
 
     /** Counts the parts that a worker can take for a request. */
     int room(Worker worker, PlaceRequest request) {
-        if (!worker.open() || request.avoid().contains(worker.id())) {
+        if (!worker.open() || request.avoids(worker.id())) {
             return 0;
         }
         int room = worker.room(request.space(), request.part(), acceleratorsOnly);
@@ -98,6 +100,49 @@
         return best.gang();
     }
 
+    /** Says whether a shape has been found to fit nowhere and no capacity for it has come free since. */
+    boolean knownMisfit(FitMemo.Key key) {
+        return adjacencyOn && pool.memo().knownMisfit(key, this::fitsAround);
+    }
+
+    /** Says whether a gang fits somewhere, leaving the request's limits aside. */
+    boolean fits(PlaceRequest request) {
+        if (!adjacencyOn) {
+            return place(request).isPresent();
+        }
+        FitMemo.Key key = FitMemo.Key.of(request);
+        if (pool.memo().knownMisfit(key, this::fitsAround)) {
+            return false;
+        }
+        boolean fits = false;
+        for (DataCentre dataCentre : pool.dataCentres()) {
+            fits = fits || fitsIn(dataCentre, request);
+        }
+        if (!fits) {
+            pool.memo().misfit(key);
+        }
+        return fits;
+    }
+
+    private boolean fitsIn(DataCentre dataCentre, PlaceRequest request) {
+        if (request.adjacency() == Adjacency.DATA_CENTRE) {
+            return total(dataCentre, request) >= request.parts();
+        }
+        for (Rack rack : dataCentre.racks()) {
+            if (!rack.mayHold(request.space(), request.part(), acceleratorsOnly)) {
+                continue;
+            }
+            if (request.adjacency() == Adjacency.RACK && total(rack, request) >= request.parts()) {
+                return true;
+            }
+            if (request.adjacency() == Adjacency.WORKER
+                    && rack.workers().stream().anyMatch(worker -> room(worker, request) >= request.parts())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Says whether a shape fits into the domain of a worker. */
     private boolean fitsAround(FitMemo.Key key, Worker worker) {
         if (!worker.open()) {
@@ -190,25 +235,22 @@
         for (Worker worker : workers) {
             int room = room(worker, request);
             if (room > 0) {
-                candidates.add(new Candidate(worker, room, preference(worker)));
+                candidates.add(new Candidate(worker, room, preference(worker), candidates.size()));
                 total = Math.min(total + room, request.parts());
             }
         }
         if (total < request.parts()) {
             return Optional.empty();
         }
-        candidates.sort(Comparator.comparingDouble(Candidate::preference));
-        return Optional.of(take(candidates, request.parts()));
+        return Optional.of(take(new PriorityQueue<>(candidates), request.parts()));
     }
 
-    private static Gang take(List<Candidate> candidates, int parts) {
+    private static Gang take(PriorityQueue<Candidate> candidates, int parts) {
         List<Worker> workers = new ArrayList<>();
         List<Integer> counts = new ArrayList<>();
         int left = parts;
-        for (Candidate candidate : candidates) {
-            if (left == 0) {
-                break;
-            }
+        while (left > 0) {
+            Candidate candidate = candidates.remove();
             int taken = Math.min(left, candidate.room());
             workers.add(candidate.worker());
             counts.add(taken);
@@ -232,33 +274,49 @@
             return 0;
         }
         double slowest = 0;
-        double split = 0;
+        double left = 0;
+        int taken = 0;
         for (int i = 0; i < gang.workers().length; i++) {
             Worker worker = gang.workers()[i];
-            int taken = gang.counts()[i] * request.part().accelerators();
+            int here = gang.counts()[i] * request.part().accelerators();
             slowest = Math.max(slowest, pool.slowness(worker.speed()));
-            split += shapesLost(worker, taken) + share(worker.freeAccelerators() - taken, worker);
+            left += share(worker.freeAccelerators() - here, worker);
+            taken += here;
         }
         Rack rack = gang.workers()[0].rack();
-        double rackLeft = rack.freeAccelerators() / (double) Math.max(1, rack.capacityAccelerators());
-        split = split / gang.workers().length + RACK_LEFTOVER_WEIGHT * rackLeft;
+        double split = stranded(gang, request.part().accelerators(), taken)
+                + WORKER_LEFTOVER_WEIGHT * left / gang.workers().length
+                + RACK_LEFTOVER_WEIGHT * rack.freeAccelerators() / Math.max(1, rack.capacityAccelerators());
         return fragmentationShare * split + (1 - fragmentationShare) * slowest;
     }
 
-    /** Counts how many of the largest guaranteed shape no longer fit once the accelerators are taken. */
-    private int shapesLost(Worker worker, int taken) {
+    /**
+     * Change of the free accelerators that the largest guaranteed shape cannot use, as a share of that shape, once the
+     * gang has taken its own.
+     */
+    private double stranded(Gang gang, int perPart, int taken) {
         if (largestShape.isEmpty() || taken == 0) {
             return 0;
         }
         Shape shape = largestShape.get();
         int size = Math.max(1, shape.accelerators());
-        int free =
-                switch (shape.adjacency()) {
-                    case WORKER -> worker.freeAccelerators();
-                    case RACK -> worker.rack().freeAccelerators();
-                    default -> 0;
-                };
-        return Math.max(0, free) / size - Math.max(0, free - taken) / size;
+        Rack rack = gang.workers()[0].rack();
+        double change = 0;
+        switch (shape.adjacency()) {
+            case WORKER -> {
+                for (int i = 0; i < gang.workers().length; i++) {
+                    change += change(gang.workers()[i].freeAccelerators(), gang.counts()[i] * perPart, size);
+                }
+            }
+            case RACK -> change = change(rack.freeAccelerators(), taken, size);
+            default -> change = change(rack.dataCentre().freeAccelerators(), taken, size);
+        }
+        return change / size;
+    }
+
+    private static int change(int free, int taken, int size) {
+        int before = Math.max(0, free);
+        return Math.max(0, before - taken) % size - before % size;
     }
 
     private static double share(int accelerators, Worker worker) {
@@ -266,7 +324,14 @@
         return capacity == 0 ? 0 : Math.max(0, accelerators) / (double) capacity;
     }
 
-    private record Candidate(Worker worker, int room, double preference) {}
+    private record Candidate(Worker worker, int room, double preference, int order) implements Comparable<Candidate> {
+
+        @Override
+        public int compareTo(Candidate other) {
+            int byPreference = Double.compare(preference, other.preference);
+            return byPreference != 0 ? byPreference : Integer.compare(order, other.order);
+        }
+    }
 
     /** Keeps the candidate of the lowest score. */
     private final class Best {
--- a/core/src/main/java/org/fuchsiawinch/core/internal/GuaranteeClaimer.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/GuaranteeClaimer.java
@@ -5,13 +5,13 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 
 import org.fuchsiawinch.core.SchedulerFeature;
 import org.fuchsiawinch.model.Adjacency;
 import org.fuchsiawinch.model.Resources;
 import org.fuchsiawinch.model.Shape;
 import org.fuchsiawinch.model.WorkerId;
-import org.fuchsiawinch.model.WorkspaceId;
 
 /**
  * Finds room for a job inside its workspace's guarantee: on free capacity if there is any, else where the least work is
@@ -46,9 +46,15 @@
                                 || (unit.empty() || pack(unit, job, part, false).isPresent())));
     }
 
-    /** Says whether some guarantee of a workspace has a place and is not in full use. */
-    boolean hasRoom(WorkspaceId workspace) {
-        return state.keeper.units(workspace).stream().anyMatch(unit -> unit.placed() && !unit.full());
+    /** Says whether some guarantee of the workspace has a place, is not in full use and is large enough. */
+    boolean hasRoom(JobClass.Key key) {
+        for (GuaranteeUnit unit : state.keeper.units(key.workspace())) {
+            boolean large = unit.shape().accelerators() >= key.shape().accelerators();
+            if (large && unit.placed() && !unit.full()) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** Says whether a shape fits inside a guaranteed one wherever that is placed. */
@@ -64,13 +70,23 @@
                 && wanted.perPart().times(wanted.parts()).fitsIn(all);
     }
 
+    /** Finds room in the smallest guaranteed shape that has any, so that larger ones stay whole for larger jobs. */
     Optional<Offer> offer(Job job, Resources part) {
-        List<GuaranteeUnit> units = candidates(job, part);
-        Optional<Offer> free = free(job, part, units);
-        if (free.isPresent() || !state.has(SchedulerFeature.RECLAIM)) {
-            return free;
+        TreeMap<Integer, List<GuaranteeUnit>> bySize = new TreeMap<>();
+        for (GuaranteeUnit unit : candidates(job, part)) {
+            bySize.computeIfAbsent(unit.shape().accelerators(), size -> new ArrayList<>())
+                    .add(unit);
+        }
+        for (List<GuaranteeUnit> units : bySize.values()) {
+            Optional<Offer> offer = free(job, part, units);
+            if (offer.isEmpty() && state.has(SchedulerFeature.RECLAIM)) {
+                offer = cheapest(job, part, units);
+            }
+            if (offer.isPresent()) {
+                return offer;
+            }
         }
-        return cheapest(job, part, units);
+        return Optional.empty();
     }
 
     private boolean mayHold(GuaranteeUnit unit, Job job, Resources part) {
@@ -112,7 +128,7 @@
         Shape shape = unit.shape();
         PlaceRequest request = PlaceRequest.of(
                         shape.parts(), larger(shape.perPart(), part), shape.adjacency(), Space.SPARE)
-                .avoiding(job.failedOn());
+                .avoiding(job.avoid());
         unit.place(state.placer.place(request).orElse(before));
     }
 
@@ -148,7 +164,7 @@
         Shape shape = unit.shape();
         Resources need = larger(shape.perPart(), part);
         PlaceRequest request = PlaceRequest.of(shape.parts(), need, shape.adjacency(), Space.CLAIMABLE)
-                .avoiding(job.failedOn())
+                .avoiding(job.avoid())
                 .chargedBy(gang -> cost(gang, need));
         unit.place(state.placer.place(request).orElse(before));
     }
@@ -167,7 +183,7 @@
     }
 
     private Optional<Gang> pack(GuaranteeUnit unit, Job job, Resources part, boolean freeOnly) {
-        Set<WorkerId> avoid = job.failedOn();
+        Set<WorkerId> avoid = job.avoid();
         PlaceRequest request = PlaceRequest.of(
                         job.spec().shape().parts(),
                         part,
