Let a small job give a larger guarantee back

Change: such work counts as lent once a smaller guarantee covers it and a job of the larger size waits.

--- a/core/src/main/java/org/fuchsiawinch/core/internal/Defragmenter.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Defragmenter.java
@@ -58,7 +58,7 @@
         }
         Resources part = job.jobClass().key().part();
         Shape shape = job.spec().shape();
-        boolean firm = !starter.lendable(job);
+        boolean firm = !state.lendable(job);
         PlaceRequest request = PlaceRequest.of(shape.parts(), part, shape.adjacency(), Space.ANY)
                 .avoiding(job.avoid())
                 .limitedBy((worker, room) -> clearable(worker, part, firm))
--- a/core/src/main/java/org/fuchsiawinch/core/internal/GuaranteeClaimer.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/GuaranteeClaimer.java
@@ -70,8 +70,47 @@
                 && wanted.perPart().times(wanted.parts()).fitsIn(all);
     }
 
-    /** Finds room in the smallest guaranteed shape that has any, so that larger ones stay whole for larger jobs. */
+    /** Finds room inside a guarantee; work that holds a larger guarantee than it needs gives way to the job. */
     Optional<Offer> offer(Job job, Resources part) {
+        Optional<Offer> offer = find(job, part);
+        if (offer.isPresent() || !state.has(SchedulerFeature.RECLAIM) || !displaceSmaller(job)) {
+            return offer;
+        }
+        return find(job, part);
+    }
+
+    /** Counts smaller work as lent that holds a guarantee of the job's size while a smaller one is empty. */
+    private boolean displaceSmaller(Job job) {
+        List<GuaranteeUnit> units = state.keeper.units(job.spec().workspace());
+        for (GuaranteeUnit unit : units) {
+            boolean wanted = unit.placed()
+                    && !unit.hasPending()
+                    && covers(unit.shape(), job.spec().shape());
+            if (wanted
+                    && unit.attempts().size() == 1
+                    && displaceable(unit.attempts().get(0), job, units)) {
+                Attempt holder = unit.attempts().get(0);
+                state.keeper.lend(holder);
+                state.ledger(job.spec().workspace()).outside().add(holder);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean displaceable(Attempt holder, Job job, List<GuaranteeUnit> units) {
+        if (holder.stopping() || holder.accelerators() >= job.accelerators() || !state.lendable(holder.job())) {
+            return false;
+        }
+        return units.stream()
+                .anyMatch(unit -> unit.placed()
+                        && unit.empty()
+                        && unit.shape().accelerators() < job.accelerators()
+                        && covers(unit.shape(), holder.job().spec().shape()));
+    }
+
+    /** Finds room in the smallest guaranteed shape that has any, so that larger ones stay whole for larger jobs. */
+    private Optional<Offer> find(Job job, Resources part) {
         TreeMap<Integer, List<GuaranteeUnit>> bySize = new TreeMap<>();
         for (GuaranteeUnit unit : candidates(job, part)) {
             bySize.computeIfAbsent(unit.shape().accelerators(), size -> new ArrayList<>())
--- a/core/src/main/java/org/fuchsiawinch/core/internal/GuaranteeKeeper.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/GuaranteeKeeper.java
@@ -140,12 +140,22 @@
 
     /** Takes an attempt out of its unit; its own capacity stays committed. */
     void eject(Attempt attempt) {
+        leave(attempt);
+        attempt.stand(Standing.FIRM, null);
+        Occupancy.commit(attempt, 1);
+    }
+
+    /** Takes an attempt out of its unit; it may be reclaimed from now on. */
+    void lend(Attempt attempt) {
+        leave(attempt);
+        attempt.stand(Standing.LENT, null);
+    }
+
+    private static void leave(Attempt attempt) {
         GuaranteeUnit unit = attempt.unit();
         unit.give(attempt.gang(), attempt.part(), attempt.excessMemoryMb());
         unit.attempts().remove(attempt);
         attempt.excessMemoryMb(null);
-        attempt.stand(Standing.FIRM, null);
-        Occupancy.commit(attempt, 1);
     }
 
     /** Finds a place for firm work that is free once units without work are moved elsewhere, and moves them. */
--- a/core/src/main/java/org/fuchsiawinch/core/internal/Recovery.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Recovery.java
@@ -35,7 +35,7 @@
         RunEstimate estimate = state.estimator.estimate(job, gang.slowestSpeed());
         Attempt attempt =
                 new Attempt(event.attempt(), job, gang, event.job().shape().perPart(), estimate, event.startedMs());
-        boolean lent = starter.lendable(job);
+        boolean lent = state.lendable(job);
         attempt.stand(lent ? Standing.LENT : Standing.FIRM, null);
         attempt.rate(starter.rate(lent) * job.accelerators(), event.startedMs());
         starter.begin(attempt);
--- a/core/src/main/java/org/fuchsiawinch/core/internal/Starter.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Starter.java
@@ -8,7 +8,6 @@
 import org.fuchsiawinch.core.ReasonCode;
 import org.fuchsiawinch.core.SchedulerFeature;
 import org.fuchsiawinch.model.AttemptId;
-import org.fuchsiawinch.model.LendingPolicy;
 import org.fuchsiawinch.model.Policy;
 import org.fuchsiawinch.model.PricePolicy;
 import org.fuchsiawinch.model.Resources;
@@ -128,7 +127,7 @@
     }
 
     private boolean firm(Claim claim) {
-        return claim.unit() == null && !lendable(claim.job());
+        return claim.unit() == null && !state.lendable(claim.job());
     }
 
     private static boolean free(Claim claim) {
@@ -152,7 +151,7 @@
     }
 
     private Optional<ReasonCode> startOutside(Job job, Resources part) {
-        boolean lent = lendable(job);
+        boolean lent = state.lendable(job);
         Optional<ReasonCode> reserved = reservations.bars(job);
         if (reserved.isPresent()) {
             return reserved;
@@ -191,14 +190,6 @@
         return Optional.empty();
     }
 
-    /** Says whether a job may run on lent capacity: it can be stopped within the bound and run again. */
-    boolean lendable(Job job) {
-        LendingPolicy lending = state.policy().map(Policy::lending).orElse(new LendingPolicy(false, 0, 0));
-        boolean checkpointInTime = lending.checkpointMs() <= lending.reclaimBoundMs();
-        boolean repeatable = job.spec().idempotent() || (job.spec().checkpointable() && checkpointInTime);
-        return lending.enabled() && repeatable;
-    }
-
     private boolean limitAllows(Job job, Gang gang, long rateMicrosPerHour) {
         if (!state.has(SchedulerFeature.SPEND_LIMIT)) {
             return true;
@@ -240,7 +231,7 @@
 
     private Optional<Reason.Alternative> alternative(Job job, Standing standing, RunEstimate estimate) {
         boolean other = standing == Standing.GUARANTEED;
-        if (other && !lendable(job)) {
+        if (other && !state.lendable(job)) {
             return Optional.empty();
         }
         ReasonCode code = other ? ReasonCode.START_LENT : ReasonCode.WAIT_CAPACITY;
--- a/core/src/main/java/org/fuchsiawinch/core/internal/State.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/State.java
@@ -13,6 +13,7 @@
 import org.fuchsiawinch.core.SchedulerFeatures;
 import org.fuchsiawinch.model.AttemptId;
 import org.fuchsiawinch.model.JobId;
+import org.fuchsiawinch.model.LendingPolicy;
 import org.fuchsiawinch.model.Policy;
 import org.fuchsiawinch.model.Resources;
 import org.fuchsiawinch.model.WorkerId;
@@ -112,6 +113,14 @@
         return pool.maxMemoryMb() < corrected ? job.spec().shape().perPart().memoryMb() : corrected;
     }
 
+    /** Says whether a job may run on lent capacity: it can be stopped within the bound and run again. */
+    boolean lendable(Job job) {
+        LendingPolicy lending = policy.map(Policy::lending).orElse(new LendingPolicy(false, 0, 0));
+        boolean checkpointInTime = lending.checkpointMs() <= lending.reclaimBoundMs();
+        boolean repeatable = job.spec().idempotent() || (job.spec().checkpointable() && checkpointInTime);
+        return lending.enabled() && repeatable;
+    }
+
     JobClass.Key classKey(Job job) {
         return new JobClass.Key(
                 job.spec().workspace(),
--- a/core/src/test/java/org/fuchsiawinch/core/GuaranteesTest.java
+++ b/core/src/test/java/org/fuchsiawinch/core/GuaranteesTest.java
@@ -124,6 +124,19 @@
         assertEquals(cell.waits("large").orElseThrow(), ReasonCode.WAIT_RECLAIM);
     }
 
+    @Test
+    public void smallJobGivesTheLargeGuaranteeBack() {
+        Cell cell = Cell.with(null)
+                .policy(Map.of("a", workspace(guarantee(8, 1), guarantee(2, 1)), "b", workspace()))
+                .workers(2, 8)
+                .submit(job("small0", "a", 2))
+                .submit(job("small1", "a", 2))
+                .submit(job("b0", "b", 8));
+        cell.complete("small0").submit(job("large", "a", 8));
+        assertEquals(cell.waits("large").orElseThrow(), ReasonCode.WAIT_RECLAIM);
+        assertEquals(cell.stops().size(), 1);
+    }
+
     @Test
     public void lentWorkIsPromotedWhenItsGuaranteeHasRoom() {
         assertEquals(promotions(null), 1);
