Tighten the membership tests where a mechanism could be switched off

The one-way link now must raise no suspicion at all, and both other rules have their own step tests.

--- a/explore/src/test/java/org/fuchsiawinch/explore/membership/MembershipFaultTest.java
+++ b/explore/src/test/java/org/fuchsiawinch/explore/membership/MembershipFaultTest.java
@@ -24,6 +24,7 @@
     private static final long HOUR_MS = 3_600_000;
 
     private final List<NodeId> deaths = new ArrayList<>();
+    private final List<NodeId> suspicions = new ArrayList<>();
 
     @DataProvider
     Object[][] protocols() {
@@ -39,12 +40,13 @@
     }
 
     @Test
-    public void aOneWayLinkKillsNoMember() {
+    public void aOneWayLinkRaisesNoSuspicion() {
         VirtualGroup group = started(ProtocolKind.GOSSIP, 8, 0, 12);
         Endpoint from = VirtualGroup.endpoint(0);
         Endpoint to = VirtualGroup.endpoint(1);
         group.network().blocked((sender, receiver) -> sender.equals(from) && receiver.equals(to));
         group.run(600_000);
+        assertEquals(suspicions, List.of());
         assertEquals(deaths, List.of());
         assertTrue(group.agreed());
     }
@@ -56,6 +58,10 @@
         Endpoint address = VirtualGroup.endpoint(0);
         group.network().blocked((sender, receiver) -> receiver.equals(address));
         group.run(SETTLE_MS);
+        group.network()
+                .listener((observer, change, nowMs) -> assertTrue(
+                        observer.equals(deaf) || change.member().id().equals(deaf), observer + " " + change));
+        group.run(SETTLE_MS);
         for (SimulatedNode node : group.network().nodes()) {
             int expected = node.id().equals(deaf) ? node.view().routable().size() : 6;
             assertEquals(node.view().routable().size(), expected, node.id().value());
@@ -174,7 +180,11 @@
         group.run(JOIN_MS);
         assertTrue(group.runUntilAgreed(SETTLE_MS) < SETTLE_MS);
         deaths.clear();
+        suspicions.clear();
         group.network().listener((observer, change, nowMs) -> {
+            if (change.member().state() == MemberState.SUSPECT) {
+                suspicions.add(change.member().id());
+            }
             if (change.member().state() == MemberState.DEAD) {
                 deaths.add(change.member().id());
             }
--- a/membership/src/test/java/org/fuchsiawinch/membership/GossipMembershipTest.java
+++ b/membership/src/test/java/org/fuchsiawinch/membership/GossipMembershipTest.java
@@ -85,6 +85,28 @@
         assertEquals(view.routable(), List.of(peer.id()));
     }
 
+    @Test
+    public void rumoursOfADeadSenderDoNotCount() {
+        step(new Received(new Gossip(peer, List.of())), 0);
+        step(new Received(new Gossip(third, List.of(peer.withState(MemberState.DEAD)))), 10);
+        step(new Received(new Gossip(peer, List.of(third.withState(MemberState.DEAD)))), 20);
+        assertEquals(view.routable(), List.of(third.id()));
+    }
+
+    @Test
+    public void asksForALostPageABoundedNumberOfTimes() {
+        step(new Received(new SyncPage(peer, List.of(third), Optional.of(third.id()))), 0);
+        int asked = 0;
+        for (long nowMs = 0; nowMs < 5_000; nowMs += 100) {
+            for (Outbound outbound : step(new Tick(), nowMs).messages()) {
+                boolean next = outbound.message() instanceof SyncRequest request
+                        && request.after().equals(Optional.of(third.id()));
+                asked += next && outbound.to().equals(peer.endpoint()) ? 1 : 0;
+            }
+        }
+        assertEquals(asked, 4);
+    }
+
     @Test
     public void agreeingViewsExchangeNoPages() {
         step(new Received(new Gossip(peer, List.of())), 0);
