--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/CellOwner.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/CellOwner.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Supplier;
 
@@ -16,6 +17,7 @@
 import org.fuchsiawinch.core.SchedulerEvent;
 import org.fuchsiawinch.model.AttemptId;
 import org.fuchsiawinch.model.JobId;
+import org.fuchsiawinch.model.JobSpec;
 import org.fuchsiawinch.model.WorkerId;
 import org.fuchsiawinch.model.WorkerSpec;
 import org.fuchsiawinch.protocol.fold.CellEntry;
@@ -46,13 +48,14 @@
 
     private final NodeSettings settings;
     private final Supplier<Scheduler> schedulers;
-    private final LogFold fold;
+    private final Supplier<LogFold> folds;
     private final Outlet outlet;
     private final Leases leases;
     private final AttemptDriver attempts;
     private final WorkerPool workers;
     private final Set<JobId> finishing = new HashSet<>();
     private final Map<JobId, Reason> reasons = new LinkedHashMap<>();
+    private final Deadlines deadlines = new Deadlines();
     private Phase phase = Phase.IDLE;
     private Scheduler scheduler;
     private long epoch;
@@ -65,13 +68,13 @@
      *
      * @param settings the node's settings
      * @param schedulers makes a scheduler for each take-over
-     * @param fold the node's log state
+     * @param folds gives the node's log state
      * @param outlet takes records and effects
      */
-    public CellOwner(NodeSettings settings, Supplier<Scheduler> schedulers, LogFold fold, Outlet outlet) {
+    public CellOwner(NodeSettings settings, Supplier<Scheduler> schedulers, Supplier<LogFold> folds, Outlet outlet) {
         this.settings = settings;
         this.schedulers = schedulers;
-        this.fold = fold;
+        this.folds = folds;
         this.outlet = outlet;
         this.leases = new Leases(settings);
         this.attempts = new AttemptDriver(settings, outlet, this::decide, leases);
@@ -129,6 +132,7 @@
         attempts.clear();
         finishing.clear();
         reasons.clear();
+        deadlines.clear();
         scheduler = null;
     }
 
@@ -180,14 +184,17 @@
             return;
         }
         if (record instanceof LogRecord.JobAccepted accepted) {
+            deadlines.add(accepted.job());
             decide(new SchedulerEvent.JobSubmitted(accepted.job()), nowMs);
         } else if (record instanceof LogRecord.JobCancelled cancelled) {
             decide(new SchedulerEvent.JobCancelled(cancelled.job()), nowMs);
         } else if (record instanceof LogRecord.AttemptPlaced placed) {
-            attempts.placed(placed.attempt(), payload(placed.attempt().job()), nowMs);
+            boolean usable = placed.placements().stream().allMatch(place -> workers.usable(place.worker()));
+            attempts.placed(placed.attempt(), payload(placed.attempt().job()), usable, nowMs);
         } else if (record instanceof LogRecord.AttemptReleased released) {
             attempts.released(released.attempt(), nowMs);
         } else if (record instanceof LogRecord.AttemptEnded ended) {
+            fold().job(ended.attempt().job()).map(JobEntry::spec).ifPresent(deadlines::add);
             attempts.ended(ended.attempt(), ended.end(), nowMs);
         } else if (record instanceof LogRecord.JobFinished finished) {
             finishing.remove(finished.job());
@@ -214,7 +221,7 @@
         }
         finishing.remove(finished.job());
         if (finished.outcome() instanceof JobOutcome.NotRun notRun
-                && fold.job(finished.job()).filter(JobEntry::everReleased).isPresent()) {
+                && fold().job(finished.job()).filter(JobEntry::everReleased).isPresent()) {
             finish(finished.job(), new JobOutcome.Broken(notRun.code()), nowMs);
         }
     }
@@ -228,7 +235,7 @@
         if (phase != Phase.ACTIVE) {
             return;
         }
-        fold.document()
+        fold().document()
                 .inForce()
                 .ifPresent(document -> decide(new SchedulerEvent.PolicyChanged(document.policy()), nowMs));
     }
@@ -249,6 +256,7 @@
         }
         workers.checkSilence(nowMs);
         workers.removeGone(nowMs);
+        deadlines.passed(nowMs).forEach(job -> endIfWaiting(job, nowMs));
         attempts.advanceAll(nowMs);
         if (nowMs - schedulerTickMs >= SCHEDULER_TICK_MS) {
             schedulerTickMs = nowMs;
@@ -303,10 +311,11 @@
     private void recoverJobs(long nowMs) {
         List<JobEntry> waiting = new ArrayList<>();
         Set<AttemptId> recovered = new HashSet<>();
-        for (JobEntry job : List.copyOf(fold.jobs())) {
+        for (JobEntry job : List.copyOf(fold().jobs())) {
             if (!job.cell().equals(settings.cell()) || job.status() == JobStatus.FINISHED) {
                 continue;
             }
+            deadlines.add(job.spec());
             if (job.status() == JobStatus.WAITING) {
                 waiting.add(job);
                 continue;
@@ -321,7 +330,7 @@
         for (JobEntry job : waiting) {
             decide(new SchedulerEvent.JobSubmitted(job.spec()), nowMs);
         }
-        for (JobEntry job : List.copyOf(fold.jobs())) {
+        for (JobEntry job : List.copyOf(fold().jobs())) {
             if (job.cell().equals(settings.cell()) && job.cancelled() && job.status() != JobStatus.FINISHED) {
                 decide(new SchedulerEvent.JobCancelled(job.spec().id()), nowMs);
             }
@@ -329,8 +338,12 @@
         attempts.advanceAll(nowMs);
     }
 
+    private LogFold fold() {
+        return folds.get();
+    }
+
     private byte[] payload(JobId job) {
-        return fold.job(job).map(JobEntry::payload).orElse(new byte[0]);
+        return fold().job(job).map(JobEntry::payload).orElse(new byte[0]);
     }
 
     private void decide(SchedulerEvent event, long nowMs) {
@@ -362,7 +375,7 @@
             noteReason(end.job(), end.reason());
             String code = end.reason().code().name();
             boolean released =
-                    fold.job(end.job()).filter(JobEntry::everReleased).isPresent();
+                    fold().job(end.job()).filter(JobEntry::everReleased).isPresent();
             JobOutcome outcome = released
                     ? new JobOutcome.Broken(code)
                     : new JobOutcome.NotRun(code, end.reason().retryAfterMs());
@@ -373,7 +386,7 @@
     }
 
     private void startGang(Decision.StartGang start, long nowMs) {
-        Optional<JobEntry> job = fold.job(start.attempt().job());
+        Optional<JobEntry> job = fold().job(start.attempt().job());
         if (job.isEmpty() || handingOver) {
             return;
         }
@@ -383,6 +396,11 @@
             decide(new SchedulerEvent.AttemptStopped(start.attempt(), false), nowMs);
             return;
         }
+        if (late(job.get().spec(), nowMs)) {
+            endIfWaiting(job.get().spec().id(), nowMs);
+            decide(new SchedulerEvent.AttemptStopped(start.attempt(), false), nowMs);
+            return;
+        }
         if (!job.get().repeatable()) {
             finish(job.get().spec().id(), new JobOutcome.Broken(ReasonCode.END_BROKEN_NOT_REPEATABLE.name()), nowMs);
             return;
@@ -393,8 +411,26 @@
                 nowMs);
     }
 
+    /** Ends a job that has not run by its deadline; work under way may still finish. */
+    private void endIfWaiting(JobId job, long nowMs) {
+        Optional<JobEntry> entry = fold().job(job).filter(found -> found.status() == JobStatus.WAITING);
+        if (entry.isEmpty() || attempts.holds(job)) {
+            return;
+        }
+        String code = ReasonCode.END_DEADLINE.name();
+        JobOutcome outcome = entry.get().everReleased()
+                ? new JobOutcome.Broken(code)
+                : new JobOutcome.NotRun(code, OptionalLong.empty());
+        finish(job, outcome, nowMs);
+        decide(new SchedulerEvent.JobCancelled(job), nowMs);
+    }
+
+    private static boolean late(JobSpec job, long nowMs) {
+        return job.deadlineMs().isPresent() && job.deadlineMs().getAsLong() <= nowMs;
+    }
+
     private void finish(JobId job, JobOutcome outcome, long nowMs) {
-        boolean finished = fold.job(job)
+        boolean finished = fold().job(job)
                 .filter(entry -> entry.status() == JobStatus.FINISHED)
                 .isPresent();
         if (finished || !finishing.add(job)) {
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/WorkerPool.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/WorkerPool.java
@@ -72,13 +72,12 @@
         removeGone(nowMs);
     }
 
-    /** Takes an answer in this epoch; returns false if the worker is not known. */
+    /** Takes an answer in this epoch; returns false if it is late or the worker not known. */
     boolean replied(WorkerId id, WorkerReply reply, long nowMs) {
         WorkerView worker = workers.get(id);
-        if (worker == null) {
+        if (worker == null || !worker.replied(reply.answeredMs(), nowMs)) {
             return false;
         }
-        worker.replied(nowMs);
         if (reply.leaving()) {
             markLeaving(id, nowMs);
         }
@@ -89,6 +88,12 @@
         return true;
     }
 
+    /** Says whether a worker may be given new work. */
+    boolean usable(WorkerId id) {
+        WorkerView worker = workers.get(id);
+        return worker != null && !worker.leaving() && worker.contact() == WorkerView.Contact.REACHED;
+    }
+
     boolean allReached() {
         return !workers.isEmpty()
                 && workers.values().stream().allMatch(worker -> worker.contact() == WorkerView.Contact.REACHED);
@@ -189,8 +194,8 @@
 
     private void reach(WorkerView worker, long nowMs) {
         WorkerView.Contact before = worker.contact();
-        boolean settling = before == WorkerView.Contact.LOST || before == WorkerView.Contact.UNSEEN;
-        if (active && settling && attempts.holdsLost(worker.spec().id())) {
+        boolean joins = before == WorkerView.Contact.LOST || before == WorkerView.Contact.UNSEEN;
+        if (active && joins && attempts.uses(worker.spec().id())) {
             return;
         }
         worker.reached(nowMs + settings.leaseMs() + settings.clockDriftMs());
