--- a/report/src/main/java/org/fuchsiawinch/report/ReportMain.java
+++ b/report/src/main/java/org/fuchsiawinch/report/ReportMain.java
@@ -7,20 +7,28 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.Collectors;
 
 import org.fuchsiawinch.document.Document;
 import org.fuchsiawinch.document.DocumentReader;
 import org.fuchsiawinch.document.DocumentResult;
+import org.fuchsiawinch.replay.LoadResult;
+import org.fuchsiawinch.replay.ReplayInput;
+import org.fuchsiawinch.replay.ReplayLoader;
+import org.fuchsiawinch.replay.SchedulingPolicy;
 import org.fuchsiawinch.report.burn.BurnCalculator;
 import org.fuchsiawinch.report.records.Records;
 import org.fuchsiawinch.report.records.RecordsReader;
 import org.fuchsiawinch.report.records.RecordsResult;
 import org.fuchsiawinch.report.render.ReportFormat;
+import org.fuchsiawinch.report.replay.ReplayRecords;
 import org.fuchsiawinch.runtime.Program;
 import org.fuchsiawinch.runtime.Setting;
+import org.fuchsiawinch.runtime.SettingProblem;
 import org.fuchsiawinch.runtime.Settings;
 import org.fuchsiawinch.runtime.SettingsReader;
 
@@ -28,8 +36,28 @@
 public final class ReportMain {
 
     /** File of records. */
-    public static final Setting<String> RECORDS =
-            Setting.text("records", "file of records, one JSON object a line; - for standard input");
+    public static final Setting<String> RECORDS = Setting.text(
+                    "records", "file of records, one JSON object a line; - for standard input; or give a trace")
+            .withDefault("");
+
+    /** File of a trace. */
+    public static final Setting<String> TRACE =
+            Setting.text("trace", "trace that is replayed for its records").withDefault("");
+
+    /** Scheduler of a replay. */
+    public static final Setting<SchedulingPolicy> POLICY = new Setting<>(
+            "policy",
+            "scheduler that replays the trace",
+            Optional.of(SchedulingPolicy.GUARANTEE.label()),
+            SchedulingPolicy::byLabel,
+            "one of "
+                    + Arrays.stream(SchedulingPolicy.values())
+                            .map(SchedulingPolicy::label)
+                            .collect(Collectors.joining(", ")));
+
+    /** Seed of a replay. */
+    public static final Setting<Long> SEED =
+            Setting.number("seed", "seed of the replay", 0, Long.MAX_VALUE).withDefault("1");
 
     /** File of the document. */
     public static final Setting<String> DOCUMENT =
@@ -78,20 +106,26 @@
         SettingsReader reader = new SettingsReader(
                 "fuchsiawinch-report",
                 "Reports the burn of service levels and spend, from records and the document.",
-                List.of(RECORDS, DOCUMENT, FORMAT, OUTPUT, AT));
+                List.of(RECORDS, TRACE, POLICY, SEED, DOCUMENT, FORMAT, OUTPUT, AT));
         return Program.run(reader, arguments, out, err, settings -> report(settings, out, err));
     }
 
     private static int report(Settings settings, PrintStream out, PrintStream err) {
+        if (settings.value(RECORDS).isEmpty() == settings.value(TRACE).isEmpty()) {
+            err.println(new SettingProblem(
+                    SettingProblem.Code.MISSING, RECORDS.flag(), "give either this or --" + TRACE.flag()));
+            return Program.EXIT_USAGE;
+        }
         Optional<Document> document = document(settings.value(DOCUMENT), err);
-        Optional<Records> records = records(settings.value(RECORDS), err);
+        Optional<Records> records =
+                settings.value(TRACE).isEmpty() ? records(settings.value(RECORDS), err) : replay(settings, err);
         if (document.isEmpty() || records.isEmpty()) {
             return Program.EXIT_USAGE;
         }
         OptionalLong latestMs = records.get().latestMs();
         OptionalLong nowMs = settings.value(AT).isPresent() ? settings.value(AT) : latestMs;
         if (nowMs.isEmpty()) {
-            err.println(settings.value(RECORDS) + ": no records; give --at");
+            err.println(settings.value(RECORDS) + settings.value(TRACE) + ": no records; give --at");
             return Program.EXIT_USAGE;
         }
         String text = settings.value(FORMAT)
@@ -126,6 +160,16 @@
         return Optional.empty();
     }
 
+    private static Optional<Records> replay(Settings settings, PrintStream err) {
+        LoadResult loaded = new ReplayLoader().load(Path.of(settings.value(TRACE)), Path.of(settings.value(DOCUMENT)));
+        if (loaded instanceof LoadResult.Refused refused) {
+            refused.problems().forEach(err::println);
+            return Optional.empty();
+        }
+        ReplayInput input = ((LoadResult.Loaded) loaded).input();
+        return Optional.of(ReplayRecords.of(input, settings.value(POLICY), settings.value(SEED)));
+    }
+
     private static Reader open(String file) throws IOException {
         return file.equals(STANDARD)
                 ? new InputStreamReader(System.in, StandardCharsets.UTF_8)
--- /dev/null
+++ b/report/src/main/java/org/fuchsiawinch/report/replay/RequestTable.java
@@ -0,0 +1,138 @@
+package org.fuchsiawinch.report.replay;
+
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+
+import org.fuchsiawinch.core.ReasonCode;
+import org.fuchsiawinch.model.JobId;
+import org.fuchsiawinch.replay.check.SpendLedger;
+import org.fuchsiawinch.replay.history.HistoryEvent;
+import org.fuchsiawinch.report.records.JobOutcome;
+import org.fuchsiawinch.report.records.JobRecord;
+
+/** Follows each caller's request over refusals and submits again; the last outcome counts. Not thread-safe. */
+final class RequestTable {
+
+    private static final Set<ReasonCode> REFUSALS = EnumSet.of(
+            ReasonCode.END_WORKSPACE_QUEUE_FULL,
+            ReasonCode.END_SYSTEM_QUEUE_FULL,
+            ReasonCode.END_OVER_SPEND_LIMIT,
+            ReasonCode.END_DEADLINE,
+            ReasonCode.END_IMPOSSIBLE_SHAPE,
+            ReasonCode.END_OVER_QUOTA,
+            ReasonCode.END_UNKNOWN_WORKSPACE);
+
+    private final Map<JobId, Request> byOriginal = new LinkedHashMap<>();
+    private final Map<JobId, Request> byId = new HashMap<>();
+    private HistoryEvent.PolicyInForce policy;
+
+    /** What is known of one request. */
+    private static final class Request {
+
+        private final HistoryEvent.JobSubmitted submitted;
+        private final SpendLedger spend = new SpendLedger();
+        private final List<JobId> ids = new ArrayList<>();
+        private OptionalLong startedMs = OptionalLong.empty();
+        private OptionalLong endedMs = OptionalLong.empty();
+        private JobOutcome outcome = JobOutcome.UNKNOWN;
+        private boolean cancelled;
+
+        Request(HistoryEvent.JobSubmitted submitted) {
+            this.submitted = submitted;
+        }
+
+        void end(long atMs, JobOutcome next) {
+            if (outcome != JobOutcome.COMPLETED) {
+                endedMs = OptionalLong.of(atMs);
+                outcome = next;
+            }
+        }
+    }
+
+    void see(HistoryEvent event) {
+        if (event instanceof HistoryEvent.PolicyInForce inForce) {
+            policy = inForce;
+            byOriginal.values().forEach(request -> request.spend.see(inForce));
+        } else if (event instanceof HistoryEvent.JobSubmitted submitted) {
+            submitted(submitted);
+        } else if (event instanceof HistoryEvent.JobCancelRequested cancel) {
+            byId.get(cancel.job()).cancelled = true;
+        } else if (event instanceof HistoryEvent.StartDecided start) {
+            byId.get(start.attempt().job()).spend.see(event);
+        } else if (event instanceof HistoryEvent.AttemptPromoted promoted) {
+            byId.get(promoted.attempt().job()).spend.see(event);
+        } else if (event instanceof HistoryEvent.PartStarted started) {
+            started(started);
+        } else if (event instanceof HistoryEvent.PartEnded ended) {
+            byId.get(ended.task().attempt().job()).spend.see(event);
+        } else if (event instanceof HistoryEvent.ResultDelivered result) {
+            byId.get(result.job()).end(result.atMs(), JobOutcome.COMPLETED);
+        } else if (event instanceof HistoryEvent.EndTold told) {
+            ended(told);
+        }
+    }
+
+    private void submitted(HistoryEvent.JobSubmitted submitted) {
+        Request request = byOriginal.computeIfAbsent(submitted.original(), id -> new Request(submitted));
+        byId.put(submitted.spec().id(), request);
+        request.ids.add(submitted.spec().id());
+        if (policy != null) {
+            request.spend.see(policy);
+        }
+        request.spend.see(submitted);
+    }
+
+    private void started(HistoryEvent.PartStarted started) {
+        Request request = byId.get(started.task().attempt().job());
+        request.spend.see(started);
+        if (request.startedMs.isEmpty()) {
+            request.startedMs = OptionalLong.of(started.atMs());
+        }
+    }
+
+    private void ended(HistoryEvent.EndTold told) {
+        Request request = byId.get(told.job());
+        if (request.cancelled) {
+            request.end(told.atMs(), JobOutcome.CANCELLED);
+        } else if (REFUSALS.contains(told.code())) {
+            request.end(told.atMs(), JobOutcome.REFUSED);
+        } else if (told.ran() && request.startedMs.isPresent()) {
+            request.end(told.atMs(), JobOutcome.FAILED);
+        } else {
+            request.end(told.atMs(), told.ran() ? JobOutcome.UNKNOWN : JobOutcome.NOT_RUN);
+        }
+    }
+
+    List<JobRecord> records(Set<JobId> guaranteed) {
+        List<JobRecord> records = new ArrayList<>();
+        for (Request request : byOriginal.values()) {
+            if (request.endedMs.isPresent()) {
+                records.add(record(request, request.ids.stream().anyMatch(guaranteed::contains)));
+            }
+        }
+        return records;
+    }
+
+    private static JobRecord record(Request request, boolean guaranteed) {
+        double micros = request.spend.spentMicros().values().stream()
+                .mapToDouble(Double::doubleValue)
+                .sum();
+        return new JobRecord(
+                request.submitted.original().value(),
+                request.submitted.spec().workspace(),
+                request.submitted.spec().kind(),
+                guaranteed,
+                request.submitted.firstMs(),
+                request.startedMs,
+                request.endedMs.getAsLong(),
+                request.outcome,
+                request.outcome != JobOutcome.UNKNOWN,
+                Math.round(micros));
+    }
+}
--- a/report/src/test/java/org/fuchsiawinch/report/ReportMainTest.java
+++ b/report/src/test/java/org/fuchsiawinch/report/ReportMainTest.java
@@ -101,6 +101,33 @@
         assertTrue(problems.contains(records.toString()), problems);
     }
 
+    @Test
+    public void recordsAndTraceExcludeEachOther() {
+        assertEquals(run("--document", DOCUMENT), 2);
+        assertEquals(run("--document", DOCUMENT, "--records", "r", "--trace", "t"), 2);
+        assertTrue(err.toString(StandardCharsets.UTF_8).contains("--records: MISSING"));
+    }
+
+    @Test
+    public void aTraceIsReplayedForItsRecords() throws IOException {
+        String trace =
+                Path.of("..", "samples", "traces", "lagilagi-rack-lost.jsonl").toString();
+        assertEquals(run("--trace", trace, "--document", DOCUMENT, "--format", "json"), 0);
+        JsonNode report = new ObjectMapper().readTree(out.toByteArray());
+        long ended = 0;
+        for (JsonNode workspace : report.path("workspaces")) {
+            for (JsonNode count : workspace.path("outcomes")) {
+                ended += count.asLong();
+            }
+        }
+        long submits = Files.readAllLines(Path.of(trace)).stream()
+                .filter(line -> line.contains("\"submit\""))
+                .count();
+        assertEquals(ended, submits, "each request ended once");
+        assertTrue(report.path("samples").size() > 10);
+        assertTrue(report.path("spends").path(0).path("spentMicros").asLong() > 0);
+    }
+
     @Test
     public void anUnwritableOutputFails() {
         String output = Path.of("none", "report.txt").toString();
