Add golden sessions of both users

Whole sessions had no proof: the explorer judges many random ones by their promises, but no file shows what a session looks like, so a change between a request and its answer could pass unseen.

A driver runs three node machines with the real document ledger, scheduler and record codec against the stand-in log and workers on a virtual clock, and writes a line an exchange. Six sessions, each with expectations written from the promises: festival morning, scan match with lost append answers, reclaim, document race, drain of the owner, pause of the owner.

--- /dev/null
+++ b/golden/src/main/java/org/fuchsiawinch/golden/Caller.java
@@ -0,0 +1,58 @@
+package org.fuchsiawinch.golden;
+
+import org.fuchsiawinch.model.JobSpec;
+import org.fuchsiawinch.protocol.node.NodeInput;
+import org.fuchsiawinch.protocol.node.NodeReply;
+
+/**
+ * A caller with one job. A persistent one asks the next node until it has the outcome. Not thread-safe.
+ */
+final class Caller {
+
+    private static final long AGAIN_MS = 200;
+    private static final long WAIT_MS = 30_000;
+
+    private final SessionRunner runner;
+    private final String name;
+    private final JobSpec job;
+    private final byte[] payload;
+    private final boolean persistent;
+    private int node;
+
+    Caller(SessionRunner runner, String name, int node, JobSpec job, byte[] payload, boolean persistent) {
+        this.runner = runner;
+        this.name = name;
+        this.node = node;
+        this.job = job;
+        this.payload = payload;
+        this.persistent = persistent;
+    }
+
+    /** Submits the job and waits for its outcome. */
+    void submit() {
+        String details = Wording.job(job) + " payload=" + Wording.bytes(payload) + " wait-ms=" + WAIT_MS;
+        runner.ask(
+                name,
+                node,
+                "job-submit",
+                details,
+                id -> new NodeInput.JobSubmit(id, job, payload, WAIT_MS),
+                this::took);
+    }
+
+    private void lookUp() {
+        String details = "job=" + job.id() + " wait-ms=" + WAIT_MS;
+        runner.ask(name, node, "job-lookup", details, id -> new NodeInput.JobLookup(id, job.id(), WAIT_MS), this::took);
+    }
+
+    private void took(NodeReply reply) {
+        if (!persistent
+                || (reply instanceof NodeReply.Job known
+                        && known.job().outcome().isPresent())) {
+            return;
+        }
+        node = runner.nodeAfter(node);
+        boolean known = reply instanceof NodeReply.Job || reply instanceof NodeReply.Pending;
+        runner.queue().in(AGAIN_MS, known ? this::lookUp : this::submit);
+    }
+}
--- /dev/null
+++ b/golden/src/main/java/org/fuchsiawinch/golden/GoldenLog.java
@@ -0,0 +1,101 @@
+package org.fuchsiawinch.golden;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import org.fuchsiawinch.platform.log.LogStore;
+import org.fuchsiawinch.protocol.record.Envelope;
+import org.fuchsiawinch.protocol.record.LogRecord;
+import org.fuchsiawinch.wire.RecordCodec;
+
+/** The platform's log with scripted faults. Not thread-safe. */
+final class GoldenLog {
+
+    private static final long ONE_WAY_MS = 2;
+    private static final long TIMEOUT_MS = 1000;
+    private static final long RETENTION_MS = 86_400_000;
+    private static final int READ_LIMIT = 256;
+
+    private final EventQueue queue;
+    private final Transcript transcript;
+    private final RecordCodec codec = new RecordCodec();
+    private final LogStore store = new LogStore(RETENTION_MS);
+    private final List<LostAnswer> lostAnswers = new ArrayList<>();
+    private long downUntilMs;
+
+    GoldenLog(EventQueue queue, Transcript transcript) {
+        this.queue = queue;
+        this.transcript = transcript;
+    }
+
+    /** Takes and gives nothing for a time in ms. */
+    void down(long forMs) {
+        downUntilMs = queue.nowMs() + forMs;
+    }
+
+    /** Loses the answer of a node's next append that has a record of a type; the append takes effect. */
+    void loseAnswer(String node, Class<? extends LogRecord> type) {
+        lostAnswers.add(new LostAnswer(node, type));
+    }
+
+    /** Appends a batch and tells whether it was acknowledged. */
+    void append(String node, List<Envelope> batch, Consumer<Boolean> answer) {
+        if (queue.nowMs() < downUntilMs) {
+            transcript.count(node, "append-timeouts");
+            queue.in(TIMEOUT_MS, () -> answer.accept(false));
+            return;
+        }
+        queue.in(ONE_WAY_MS, () -> store(node, batch, answer));
+    }
+
+    /** Reads from an offset; an outage is a timeout. */
+    void read(long fromOffset, Consumer<LogStore.Slice> answer, Runnable failed) {
+        if (queue.nowMs() < downUntilMs) {
+            queue.in(TIMEOUT_MS, failed);
+            return;
+        }
+        queue.in(ONE_WAY_MS, () -> {
+            LogStore.Slice slice = store.read(fromOffset, READ_LIMIT, queue.nowMs());
+            queue.in(ONE_WAY_MS, () -> answer.accept(slice));
+        });
+    }
+
+    /** Decodes a record as stored. */
+    Envelope decode(byte[] stored) {
+        return codec.decode(stored);
+    }
+
+    private void store(String node, List<Envelope> batch, Consumer<Boolean> answer) {
+        List<byte[]> encoded = batch.stream().map(codec::encode).toList();
+        long offset = store.append(encoded, queue.nowMs());
+        Optional<LostAnswer> lost =
+                lostAnswers.stream().filter(fault -> fault.hits(node, batch)).findFirst();
+        for (Envelope envelope : batch) {
+            write(node, offset, envelope, lost.isPresent());
+            offset++;
+        }
+        lost.ifPresent(lostAnswers::remove);
+        queue.in(lost.isPresent() ? TIMEOUT_MS : ONE_WAY_MS, () -> answer.accept(lost.isEmpty()));
+    }
+
+    private void write(String node, long offset, Envelope envelope, boolean lost) {
+        LogRecord record = envelope.record();
+        if (record instanceof LogRecord.CellHeld && !lost) {
+            transcript.count(node, "cell-held");
+            return;
+        }
+        String place = "offset=" + offset + " sequence=" + envelope.id().sequence();
+        String content = Wording.record(record);
+        String details = place + (content.isEmpty() ? "" : " " + content) + (lost ? " answer=lost" : "");
+        transcript.exchange(queue.nowMs(), node, "log", Wording.kind(record), details);
+    }
+
+    private record LostAnswer(String node, Class<? extends LogRecord> type) {
+
+        private boolean hits(String writer, List<Envelope> batch) {
+            return node.equals(writer) && batch.stream().anyMatch(envelope -> type.isInstance(envelope.record()));
+        }
+    }
+}
--- /dev/null
+++ b/golden/src/main/java/org/fuchsiawinch/golden/GoldenMain.java
@@ -0,0 +1,58 @@
+package org.fuchsiawinch.golden;
+
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+
+import org.fuchsiawinch.runtime.Program;
+
+/** Compares the golden sessions with their files, or rewrites the files. */
+public final class GoldenMain {
+
+    private static final String USAGE = "usage: golden [--write]";
+
+    private final SampleFiles samples;
+    private final PrintStream out;
+
+    GoldenMain(SampleFiles samples, PrintStream out) {
+        this.samples = samples;
+        this.out = out;
+    }
+
+    /**
+     * Runs all sessions; exits with status 0 if the files are as expected, 1 if one differs or an expectation is not
+     * met, 2 on bad arguments. Works in the folder that holds {@code samples}.
+     *
+     * @param arguments empty to compare, {@code --write} to rewrite the files
+     */
+    public static void main(String[] arguments) {
+        List<String> given = List.of(arguments);
+        if (!given.isEmpty() && !given.equals(List.of("--write"))) {
+            System.err.println(USAGE);
+            System.exit(Program.EXIT_USAGE);
+        }
+        GoldenMain golden = new GoldenMain(new SampleFiles(Path.of("samples")), System.out);
+        System.exit(golden.run(Sessions.all(), !given.isEmpty()));
+    }
+
+    /** Compares or writes sessions and gives the exit status. */
+    int run(List<Session> sessions, boolean write) {
+        boolean failed = false;
+        for (Session session : sessions) {
+            SessionResult result = new SessionRunner(session, samples).run();
+            if (write) {
+                samples.write(session.name(), result.transcript());
+            }
+            Optional<String> difference =
+                    TextDiff.between(session.name(), samples.transcript(session.name()), result.transcript());
+            difference.ifPresent(out::println);
+            result.unmet().forEach(out::println);
+            boolean same = difference.isEmpty() && result.unmet().isEmpty();
+            out.println("session=" + session.name() + " lines="
+                    + result.transcript().lines().count() + " as-expected=" + same);
+            failed |= !same;
+        }
+        return failed ? Program.EXIT_FAILED : Program.EXIT_OK;
+    }
+}
--- /dev/null
+++ b/golden/src/main/java/org/fuchsiawinch/golden/GoldenWorker.java
@@ -0,0 +1,36 @@
+package org.fuchsiawinch.golden;
+
+import org.fuchsiawinch.model.WorkerSpec;
+import org.fuchsiawinch.platform.worker.PayloadWork;
+import org.fuchsiawinch.platform.worker.Work;
+import org.fuchsiawinch.platform.worker.WorkerMachine;
+import org.fuchsiawinch.protocol.worker.WorkerCommand;
+import org.fuchsiawinch.protocol.worker.WorkerReply;
+
+/** A worker of a session; counts the parts that it begins to run. Not thread-safe. */
+final class GoldenWorker {
+
+    private final SessionRunner runner;
+    private final WorkerSpec spec;
+    private final Work work = new PayloadWork();
+    private final WorkerMachine machine;
+
+    GoldenWorker(WorkerSpec spec, SessionRunner runner) {
+        this.spec = spec;
+        this.runner = runner;
+        this.machine = new WorkerMachine(spec, this::begin);
+    }
+
+    WorkerSpec spec() {
+        return spec;
+    }
+
+    WorkerReply handle(WorkerCommand command) {
+        return machine.handle(command, runner.clockMs());
+    }
+
+    private Work.Run begin(WorkerCommand.Prepare part) {
+        runner.observed().began(part.task(), runner.queue().nowMs());
+        return work.plan(part);
+    }
+}
--- /dev/null
+++ b/golden/src/main/java/org/fuchsiawinch/golden/OwnerPaused.java
@@ -0,0 +1,44 @@
+package org.fuchsiawinch.golden;
+
+import java.util.List;
+
+import org.fuchsiawinch.model.JobSpec;
+
+/** The node that schedules the cell stands still; another one takes over and fences it off. */
+final class OwnerPaused {
+
+    private static final long PAUSED_AT_MS = 10_250;
+
+    private OwnerPaused() {}
+
+    static Session session() {
+        return new Session("lagilagi-owner-paused", Site.lagilagi(), OwnerPaused::script, 60_000, promises());
+    }
+
+    private static void script(SessionRunner run) {
+        run.submit(5000, "planner", 1, Jobs.plan("hibiscus", 25_000), Jobs.payload(25_000, "bundles"), true);
+        run.submit(10_000, "labasa", 1, reorder("labasa-17"), Jobs.payload(900, "quote"), true);
+        run.submit(10_150, "nausori", 2, reorder("nausori-4"), Jobs.payload(900, "quote"), true);
+        run.pause(PAUSED_AT_MS, 0, 12_000);
+        run.submit(12_000, "savusavu", 2, reorder("savusavu-2"), Jobs.payload(600, "quote"), true);
+        run.submit(20_000, "levuka", 1, reorder("levuka-9"), Jobs.payload(600, "quote"), true);
+    }
+
+    private static JobSpec reorder(String key) {
+        return Jobs.reorder(key, 1000, Jobs.deadline(300_000));
+    }
+
+    private static List<Expectation> promises() {
+        return List.of(
+                Expectation.runs("plans.hibiscus", 8, 1),
+                Expectation.runs("reorders.labasa-17", 1, 1),
+                Expectation.runs("reorders.nausori-4", 1, 1),
+                Expectation.runs("reorders.savusavu-2", 1, 1),
+                Expectation.runs("reorders.levuka-9", 1, 1),
+                Expectation.wholeAnswer("planner", "plans.hibiscus", "bundles", 8),
+                Expectation.wholeAnswer("labasa", "reorders.labasa-17", "quote", 1),
+                Expectation.wholeAnswer("nausori", "reorders.nausori-4", "quote", 1),
+                Expectation.wholeAnswer("savusavu", "reorders.savusavu-2", "quote", 1),
+                Expectation.wholeAnswer("levuka", "reorders.levuka-9", "quote", 1));
+    }
+}
--- /dev/null
+++ b/golden/src/main/java/org/fuchsiawinch/golden/Reclaim.java
@@ -0,0 +1,70 @@
+package org.fuchsiawinch.golden;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+
+/** Background forecasts fill the workers; a bundle plan and a season plan then take their guaranteed shapes back. */
+final class Reclaim {
+
+    private static final int FORECASTS = 6;
+    private static final int FORECAST_PARTS = 32;
+    private static final int CHECKS = 6;
+    private static final int CHECK_PARTS = 8;
+    private static final long RECLAIM_BOUND_MS = 60_000;
+    private static final long END_MS = 300_000;
+
+    private Reclaim() {}
+
+    static Session session() {
+        return new Session("lagilagi-reclaim", Site.lagilagi(), Reclaim::script, END_MS, promises());
+    }
+
+    private static void script(SessionRunner run) {
+        for (int index = 0; index < FORECASTS; index++) {
+            run.submit(
+                    5000 + index * 100,
+                    "forecaster-" + index,
+                    index % 3,
+                    Jobs.forecast("islands-" + index, FORECAST_PARTS, 60_000),
+                    Jobs.payload(60_000, "demand"),
+                    true);
+        }
+        for (int index = 0; index < CHECKS; index++) {
+            run.submit(
+                    8000 + index * 100,
+                    "checker-" + index,
+                    index % 3,
+                    Jobs.certificate("pallet-" + index, CHECK_PARTS, 90_000),
+                    Jobs.payload(90_000, "glow"),
+                    true);
+        }
+        run.submit(20_000, "planner", 1, Jobs.plan("hibiscus", 20_000), Jobs.payload(20_000, "bundles"), true);
+        run.submit(21_000, "season", 2, Jobs.seasonPlan("diwali", 20_000), Jobs.payload(20_000, "season"), true);
+    }
+
+    private static List<Expectation> promises() {
+        List<Expectation> promises = new ArrayList<>();
+        promises.add(Expectation.startedWithin("plans.hibiscus", 20_000, RECLAIM_BOUND_MS));
+        promises.add(Expectation.startedWithin("plans.diwali", 21_000, RECLAIM_BOUND_MS));
+        promises.add(Expectation.runs("plans.hibiscus", 8, 1));
+        promises.add(Expectation.runs("plans.diwali", 16, 1));
+        promises.add(Expectation.wholeAnswer("planner", "plans.hibiscus", "bundles", 8));
+        promises.add(Expectation.wholeAnswer("season", "plans.diwali", "season", 16));
+        List<String> forecasts = IntStream.range(0, FORECASTS)
+                .mapToObj(index -> "forecasts.islands-" + index)
+                .toList();
+        promises.add(Expectation.someRanAgain(forecasts, FORECAST_PARTS));
+        for (int index = 0; index < FORECASTS; index++) {
+            String job = "forecasts.islands-" + index;
+            promises.add(Expectation.wholeAnswer("forecaster-" + index, job, "demand", FORECAST_PARTS));
+            promises.add(Expectation.runsAtMost(job, FORECAST_PARTS, 2));
+        }
+        for (int index = 0; index < CHECKS; index++) {
+            String job = "certificates.pallet-" + index;
+            promises.add(Expectation.wholeAnswer("checker-" + index, job, "glow", CHECK_PARTS));
+            promises.add(Expectation.runsAtMost(job, CHECK_PARTS, 2));
+        }
+        return promises;
+    }
+}
--- /dev/null
+++ b/golden/src/main/java/org/fuchsiawinch/golden/SampleFiles.java
@@ -0,0 +1,53 @@
+package org.fuchsiawinch.golden;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/**
+ * Reads the sample documents and keys, and reads and writes the sessions. Immutable and thread-safe.
+ *
+ * @param folder the folder of all samples
+ */
+record SampleFiles(Path folder) {
+
+    /** Reads the text of a site's document. */
+    String document(String site) {
+        return read(folder.resolve(site).resolve("document.yaml"));
+    }
+
+    /** Reads a team's private key in PEM form. */
+    String key(String site, String team) {
+        return read(folder.resolve(site).resolve("keys").resolve(team + ".sample.pem"));
+    }
+
+    /** Reads a session's transcript; an absent one is empty. */
+    String transcript(String session) {
+        Path file = file(session);
+        return Files.exists(file) ? read(file) : "";
+    }
+
+    /** Writes a session's transcript. */
+    void write(String session, String transcript) {
+        try {
+            Files.createDirectories(file(session).getParent());
+            Files.writeString(file(session), transcript);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private Path file(String session) {
+        return folder.resolve("sessions").resolve(session + ".session");
+    }
+
+    private static String read(Path file) {
+        try {
+            return new String(Files.readAllBytes(file), StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/golden/src/main/java/org/fuchsiawinch/golden/SessionRunner.java
@@ -0,0 +1,258 @@
+package org.fuchsiawinch.golden;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.LongFunction;
+import java.util.function.UnaryOperator;
+
+import org.fuchsiawinch.document.Document;
+import org.fuchsiawinch.document.Section;
+import org.fuchsiawinch.document.ledger.LedgerRecord;
+import org.fuchsiawinch.document.ledger.SectionSigner;
+import org.fuchsiawinch.model.JobId;
+import org.fuchsiawinch.model.JobSpec;
+import org.fuchsiawinch.model.WorkerSpec;
+import org.fuchsiawinch.protocol.node.NodeEffect;
+import org.fuchsiawinch.protocol.node.NodeInput;
+import org.fuchsiawinch.protocol.node.NodeReply;
+import org.fuchsiawinch.protocol.record.LogRecord;
+import org.fuchsiawinch.protocol.worker.WorkerReply;
+
+/** Runs one session: three nodes, the log and the site's workers on a virtual clock. Not thread-safe; used once. */
+final class SessionRunner {
+
+    /** Start of every session in ms since the epoch. */
+    static final long EPOCH_MS = 1_750_000_000_000L;
+
+    private static final int NODES = 3;
+    private static final long FOUNDED_AT_MS = 500;
+
+    private final Session session;
+    private final SampleFiles samples;
+    private final EventQueue queue = new EventQueue();
+    private final Transcript transcript = new Transcript();
+    private final Observed observed = new Observed();
+    private final GoldenLog log = new GoldenLog(queue, transcript);
+    private final List<GoldenNode> nodes = new ArrayList<>();
+    private final Map<String, GoldenWorker> workers = new TreeMap<>();
+    private long requests;
+
+    SessionRunner(Session session, SampleFiles samples) {
+        this.session = session;
+        this.samples = samples;
+        for (WorkerSpec spec : session.site().workers()) {
+            workers.put(spec.id().value(), new GoldenWorker(spec, this));
+        }
+        for (int index = 0; index < NODES; index++) {
+            nodes.add(new GoldenNode(index, this));
+        }
+    }
+
+    /** Runs the session to its end. */
+    SessionResult run() {
+        transcript.note("session=" + session.name() + " site=" + session.site().name() + " workers=" + workers.size()
+                + " nodes=" + NODES + " end=" + session.endMs());
+        nodes.forEach(GoldenNode::start);
+        at(FOUNDED_AT_MS, this::found);
+        session.script().accept(this);
+        queue.runUntil(session.endMs());
+        transcript.summarise();
+        List<String> unmet = new ArrayList<>();
+        for (Expectation expectation : session.expectations()) {
+            Optional<String> difference = expectation.difference().apply(observed);
+            transcript.note("expect " + expectation.text() + " met=" + difference.isEmpty());
+            difference.ifPresent(seen -> unmet.add(session.name() + ": " + expectation.text() + ", but " + seen));
+        }
+        return new SessionResult(transcript.text(), unmet);
+    }
+
+    /** Schedules a step of the script. */
+    void at(long timeMs, Runnable step) {
+        queue.at(timeMs, step);
+    }
+
+    /** A caller submits a job and, if persistent, asks on until it has the outcome. */
+    void submit(long atMs, String caller, int node, JobSpec job, String payload, boolean persistent) {
+        byte[] bytes = payload.getBytes(StandardCharsets.UTF_8);
+        at(atMs, () -> new Caller(this, caller, node, job, bytes, persistent).submit());
+    }
+
+    /** A caller cancels a job. */
+    void cancel(long atMs, String caller, int node, String job) {
+        at(
+                atMs,
+                () -> ask(
+                        caller,
+                        node,
+                        "job-cancel",
+                        "job=" + job,
+                        id -> new NodeInput.JobCancel(id, new JobId(job)),
+                        reply -> {}));
+    }
+
+    /** A caller asks once for a job as it stands. */
+    void lookUp(long atMs, String caller, int node, String job) {
+        at(
+                atMs,
+                () -> ask(
+                        caller,
+                        node,
+                        "job-lookup",
+                        "job=" + job + " wait-ms=0",
+                        id -> new NodeInput.JobLookup(id, new JobId(job), 0),
+                        reply -> {}));
+    }
+
+    /** A team edits a section of the document in force on a node, signs the change and proposes it there. */
+    void propose(long atMs, String team, int node, Section section, UnaryOperator<String> edit) {
+        proposeAs(team, atMs, team, node, section, edit);
+    }
+
+    /** Proposes a change under another name of the operator, so that its answers are told apart. */
+    void proposeAs(String operator, long atMs, String team, int node, Section section, UnaryOperator<String> edit) {
+        at(atMs, () -> {
+            Document base = nodes.get(node).book().document().orElseThrow();
+            SectionSigner signer =
+                    SectionSigner.ofPem(team, samples.key(session.site().name(), team));
+            String text = edit.apply(base.sectionTexts().get(section));
+            LedgerRecord.Proposal signed = signer.sign(team, base, section, text);
+            LogRecord record = new LogRecord.DocumentProposed(
+                    team, section.key(), signed.baseVersion(), signed.sectionText(), signed.signature());
+            change(operator, node, record);
+        });
+    }
+
+    /** The log takes and gives nothing for a time in ms. */
+    void logDown(long atMs, long forMs) {
+        fault(atMs, "log", "outage", "for-ms=" + forMs, () -> log.down(forMs));
+    }
+
+    /** The answer of a node's next append with a record of a type gets lost. */
+    void loseAnswer(long atMs, int node, Class<? extends LogRecord> type) {
+        at(atMs, () -> log.loseAnswer(nodes.get(node).name(), type));
+    }
+
+    /** A node's process stands still for a time in ms. */
+    void pause(long atMs, int node, long forMs) {
+        fault(atMs, "n" + node, "paused", "for-ms=" + forMs, () -> nodes.get(node)
+                .pause(forMs));
+    }
+
+    /** An operator stops a node in a planned way. */
+    void drain(long atMs, int node) {
+        at(atMs, () -> {
+            transcript.exchange(
+                    queue.nowMs(),
+                    "operator",
+                    "n" + node,
+                    "drain",
+                    "open-requests=" + nodes.get(node).open() + " owner="
+                            + nodes.get(node).schedules());
+            nodes.get(node).deliver(new NodeInput.Drain());
+        });
+    }
+
+    /** Sends a request to a node and passes its answer on. */
+    void ask(
+            String party,
+            int index,
+            String kind,
+            String details,
+            LongFunction<NodeInput> input,
+            Consumer<NodeReply> answer) {
+        requests++;
+        long id = requests;
+        long delayMs = session.site().clientMs();
+        GoldenNode node = nodes.get(index);
+        transcript.exchange(queue.nowMs(), party, node.name(), kind, "request=" + id + " " + details);
+        queue.in(
+                delayMs,
+                () -> node.request(
+                        id,
+                        input.apply(id),
+                        reply -> queue.in(delayMs, () -> {
+                            String words = ("request=" + id + " " + Wording.reply(reply)).strip();
+                            transcript.exchange(
+                                    queue.nowMs(), node.name(), party, "reply-" + Wording.kind(reply), words);
+                            observed.answered(party, queue.nowMs(), reply);
+                            answer.accept(reply);
+                        })));
+    }
+
+    /** Carries a command to its worker and the answer back. */
+    void command(GoldenNode node, NodeEffect.Command effect) {
+        GoldenWorker worker = workers.get(effect.worker().value());
+        long delayMs = session.site().workerMs();
+        queue.in(delayMs, () -> {
+            WorkerReply reply = worker.handle(effect.command());
+            queue.in(
+                    delayMs,
+                    () -> node.replied(new NodeInput.WorkerReplied(
+                            effect.worker(), effect.command().epoch(), reply)));
+        });
+    }
+
+    /** Gives the platform's list of workers. */
+    NodeInput.WorkersListed listed() {
+        return new NodeInput.WorkersListed(session.site().workers(), List.of());
+    }
+
+    /** Gives the next node that runs. */
+    int nodeAfter(int index) {
+        int next = (index + 1) % NODES;
+        while (!nodes.get(next).up()) {
+            next = (next + 1) % NODES;
+        }
+        return next;
+    }
+
+    /** Gives the time in ms since the epoch that all clocks show. */
+    long clockMs() {
+        return EPOCH_MS + queue.nowMs();
+    }
+
+    EventQueue queue() {
+        return queue;
+    }
+
+    GoldenLog log() {
+        return log;
+    }
+
+    Transcript transcript() {
+        return transcript;
+    }
+
+    Observed observed() {
+        return observed;
+    }
+
+    private void found() {
+        change(
+                "office",
+                0,
+                new LogRecord.DocumentFounded(samples.document(session.site().name())));
+    }
+
+    private void change(String operator, int node, LogRecord record) {
+        ask(
+                operator,
+                node,
+                Wording.kind(record),
+                Wording.record(record),
+                id -> new NodeInput.DocumentChange(id, record),
+                reply -> {});
+    }
+
+    private void fault(long atMs, String party, String kind, String details, Runnable action) {
+        at(atMs, () -> {
+            transcript.exchange(queue.nowMs(), "platform", party, kind, details);
+            action.run();
+        });
+    }
+}
--- /dev/null
+++ b/golden/src/main/java/org/fuchsiawinch/golden/Site.java
@@ -0,0 +1,47 @@
+package org.fuchsiawinch.golden;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+import org.fuchsiawinch.model.Resources;
+import org.fuchsiawinch.model.WorkerId;
+import org.fuchsiawinch.model.WorkerSpec;
+
+/**
+ * A user's workers and distances.
+ *
+ * @param name folder of its samples
+ * @param clientMs one-way time in ms between callers and nodes
+ * @param workerMs one-way time in ms between nodes and workers
+ * @param workers its workers
+ */
+record Site(String name, long clientMs, long workerMs, List<WorkerSpec> workers) {
+
+    private static final int WORKERS = 30;
+    private static final int CORES_MILLIS = 30_000;
+    private static final int MIB_PER_GIB = 1024;
+
+    /** The wholesale head office: six workers to a rack. */
+    static Site lagilagi() {
+        List<String> racks = List.of("suva-1/a", "suva-1/b", "suva-2/a", "lautoka/a", "nadi/a");
+        return new Site("lagilagi", 3, 1, workers(racks, 6, 128));
+    }
+
+    /** The heritage glazing bureau: eight workers to a rack. */
+    static Site bureau() {
+        List<String> racks = List.of("taipei/a", "taipei/b", "keelung/a", "hsinchu/a");
+        return new Site("bureau", 1, 1, workers(racks, 8, 64));
+    }
+
+    private static List<WorkerSpec> workers(List<String> racks, int perRack, int memoryGib) {
+        Resources capacity = new Resources(CORES_MILLIS, memoryGib * MIB_PER_GIB, 8, 8, 64);
+        List<WorkerSpec> workers = new ArrayList<>();
+        for (int index = 0; index < WORKERS; index++) {
+            String[] place = racks.get(index / perRack).split("/");
+            WorkerId id = new WorkerId(String.format(Locale.ROOT, "w%02d", index));
+            workers.add(new WorkerSpec(id, place[0], place[0] + "-" + place[1], capacity, 1.0));
+        }
+        return List.copyOf(workers);
+    }
+}
--- /dev/null
+++ b/golden/src/main/java/org/fuchsiawinch/golden/TextDiff.java
@@ -0,0 +1,69 @@
+package org.fuchsiawinch.golden;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** Shows where two texts differ. */
+final class TextDiff {
+
+    private static final int CONTEXT_LINES = 3;
+    private static final int MAX_LINES = 8;
+
+    private TextDiff() {}
+
+    /**
+     * Gives the first difference in the unified form with context.
+     *
+     * @param name name of the texts
+     * @param wanted the text of the file
+     * @param found the text of this run
+     * @return the difference; empty if the texts are equal to the byte
+     */
+    static Optional<String> between(String name, String wanted, String found) {
+        if (wanted.equals(found)) {
+            return Optional.empty();
+        }
+        List<String> before = List.of(wanted.split("\n", -1));
+        List<String> after = List.of(found.split("\n", -1));
+        int first = commonStart(before, after);
+        int end = commonEnd(before, after, first);
+        int from = Math.max(0, first - CONTEXT_LINES);
+        List<String> lines = new ArrayList<>();
+        lines.add("--- " + name + " (file)");
+        lines.add("+++ " + name + " (this run)");
+        lines.add("@@ line " + (first + 1) + ", " + (before.size() - end - first) + " lines in the file, "
+                + (after.size() - end - first) + " in this run @@");
+        before.subList(from, first).forEach(line -> lines.add(" " + line));
+        addSome(lines, "-", before.subList(first, before.size() - end));
+        addSome(lines, "+", after.subList(first, after.size() - end));
+        int last = before.size() - end;
+        before.subList(last, Math.min(before.size(), last + CONTEXT_LINES)).forEach(line -> lines.add(" " + line));
+        return Optional.of(String.join("\n", lines));
+    }
+
+    private static int commonStart(List<String> before, List<String> after) {
+        int limit = Math.min(before.size(), after.size());
+        int index = 0;
+        while (index < limit && before.get(index).equals(after.get(index))) {
+            index++;
+        }
+        return index;
+    }
+
+    private static int commonEnd(List<String> before, List<String> after, int start) {
+        int limit = Math.min(before.size(), after.size()) - start;
+        int count = 0;
+        while (count < limit && before.get(before.size() - 1 - count).equals(after.get(after.size() - 1 - count))) {
+            count++;
+        }
+        return count;
+    }
+
+    private static void addSome(List<String> lines, String sign, List<String> changed) {
+        changed.stream().limit(MAX_LINES).forEach(line -> lines.add(sign + line));
+        if (changed.size() > MAX_LINES) {
+            lines.add(sign + "... " + (changed.size() - MAX_LINES) + " more lines");
+        }
+    }
+}
--- /dev/null
+++ b/golden/src/main/java/org/fuchsiawinch/golden/Transcript.java
@@ -0,0 +1,86 @@
+package org.fuchsiawinch.golden;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Writes one line of {@code key=value} pairs an exchange. Exchanges about several parts of one attempt at the same time
+ * share a line; frequent ones are only counted. Not thread-safe.
+ */
+final class Transcript {
+
+    private final List<String> lines = new ArrayList<>();
+    private final Map<String, Map<String, List<Integer>>> grouped = new LinkedHashMap<>();
+    private final Map<String, Map<String, Long>> counts = new TreeMap<>();
+    private long groupedMs;
+
+    /** Adds a line that stands outside the session's time, such as its heading. */
+    void note(String text) {
+        flush();
+        lines.add(text);
+    }
+
+    /** Adds an exchange. */
+    void exchange(long atMs, String from, String to, String kind, String details) {
+        flush();
+        lines.add(line(atMs, from, to, kind, details));
+    }
+
+    /** Adds an exchange about one part, on a line with the others of the same time and details. */
+    void part(long atMs, String from, String to, String kind, String details, String worker, int part) {
+        if (atMs != groupedMs) {
+            flush();
+        }
+        groupedMs = atMs;
+        grouped.computeIfAbsent(line(atMs, from, to, kind, details), key -> new TreeMap<>())
+                .computeIfAbsent(worker, key -> new ArrayList<>())
+                .add(part);
+    }
+
+    /** Counts an exchange that gets no line of its own. */
+    void count(String party, String kind) {
+        counts.computeIfAbsent(party, key -> new TreeMap<>()).merge(kind, 1L, Long::sum);
+    }
+
+    /** Adds the counted exchanges, one line for each party. */
+    void summarise() {
+        flush();
+        counts.forEach((party, kinds) -> {
+            StringBuilder text = new StringBuilder("counted party=" + party);
+            kinds.forEach(
+                    (kind, count) -> text.append(' ').append(kind).append('=').append(count));
+            lines.add(text.toString());
+        });
+    }
+
+    /** Gives the whole text, each line ended by a line feed. */
+    String text() {
+        flush();
+        return String.join("\n", lines) + "\n";
+    }
+
+    private void flush() {
+        grouped.forEach((line, workers) -> {
+            StringBuilder text = new StringBuilder(line + " parts=");
+            workers.forEach((worker, parts) -> {
+                text.append(text.charAt(text.length() - 1) == '=' ? "" : ";").append(worker);
+                text.append(':').append(join(parts));
+            });
+            lines.add(text.toString());
+        });
+        grouped.clear();
+    }
+
+    private static String join(List<Integer> parts) {
+        return String.join(",", parts.stream().sorted().map(String::valueOf).toList());
+    }
+
+    private static String line(long atMs, String from, String to, String kind, String details) {
+        String head = String.format(Locale.ROOT, "t=%06d from=%s to=%s kind=%s", atMs, from, to, kind);
+        return details.isEmpty() ? head : head + " " + details;
+    }
+}
--- /dev/null
+++ b/golden/src/main/java/org/fuchsiawinch/golden/Wording.java
@@ -0,0 +1,179 @@
+package org.fuchsiawinch.golden;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+
+import org.fuchsiawinch.core.Decision;
+import org.fuchsiawinch.core.Reason;
+import org.fuchsiawinch.model.JobSpec;
+import org.fuchsiawinch.model.Placement;
+import org.fuchsiawinch.protocol.fold.JobEntry;
+import org.fuchsiawinch.protocol.fold.Sha256;
+import org.fuchsiawinch.protocol.node.NodeEvent;
+import org.fuchsiawinch.protocol.node.NodeReply;
+import org.fuchsiawinch.protocol.record.JobOutcome;
+import org.fuchsiawinch.protocol.record.LogRecord;
+
+/** Words messages as {@code key=value} pairs in a fixed order. */
+final class Wording {
+
+    private static final int DIGEST_CHARACTERS = 12;
+
+    private Wording() {}
+
+    /** Names the kind of a message: its type's name in lower case with dashes. */
+    static String kind(Object message) {
+        return message.getClass()
+                .getSimpleName()
+                .replaceAll("(?<=[a-z])(?=[A-Z])", "-")
+                .toLowerCase(Locale.ROOT);
+    }
+
+    static String job(JobSpec job) {
+        return "job=" + job.id() + " workspace=" + job.workspace() + " work=" + job.kind() + " gang="
+                + job.shape().parts() + "x" + job.shape().perPart().accelerators() + " adjacency="
+                + job.shape().adjacency() + " declared-ms=" + job.declaredRunMs() + " idempotent=" + job.idempotent()
+                + " checkpointable=" + job.checkpointable() + " urgency=" + job.urgency() + " deadline="
+                + optional(job.deadlineMs(), SessionRunner.EPOCH_MS);
+    }
+
+    static String bytes(byte[] value) {
+        return value.length + ":" + Sha256.hex(value).substring(0, DIGEST_CHARACTERS);
+    }
+
+    static String text(String value) {
+        return bytes(value.getBytes(StandardCharsets.UTF_8));
+    }
+
+    static String reply(NodeReply reply) {
+        if (reply instanceof NodeReply.Job job) {
+            return state(job.job());
+        }
+        if (reply instanceof NodeReply.Refused refused) {
+            return "code=" + refused.code() + " retry-after-ms=" + optional(refused.retryAfterMs(), 0);
+        }
+        if (reply instanceof NodeReply.DocumentJudged judged) {
+            String refusal = judged.refusal()
+                    .map(found -> found.code() + " detail=\"" + found.detail() + "\"")
+                    .orElse("none");
+            return "version=" + judged.version() + " refusal=" + refusal;
+        }
+        return "";
+    }
+
+    static String record(LogRecord record) {
+        if (record instanceof LogRecord.DocumentFounded founded) {
+            return "text=" + text(founded.text());
+        }
+        if (record instanceof LogRecord.DocumentProposed proposed) {
+            return "team=" + proposed.team() + " section=" + proposed.section() + " base=" + proposed.baseVersion()
+                    + " text=" + text(proposed.text()) + " signature=" + text(proposed.signature());
+        }
+        if (record instanceof LogRecord.CellClaimed claimed) {
+            return "cell=" + claimed.cell() + " epoch=" + claimed.epoch();
+        }
+        if (record instanceof LogRecord.CellReleased released) {
+            return "cell=" + released.cell() + " epoch=" + released.epoch();
+        }
+        if (record instanceof LogRecord.JobAccepted accepted) {
+            return "job=" + accepted.job().id() + " payload=" + bytes(accepted.payload());
+        }
+        if (record instanceof LogRecord.JobCancelled cancelled) {
+            return "job=" + cancelled.job();
+        }
+        if (record instanceof LogRecord.AttemptPlaced placed) {
+            return "attempt=" + placed.attempt() + " epoch=" + placed.epoch() + " lent=" + placed.lent();
+        }
+        if (record instanceof LogRecord.AttemptReleased released) {
+            return "attempt=" + released.attempt() + " epoch=" + released.epoch();
+        }
+        if (record instanceof LogRecord.AttemptEnded ended) {
+            return "attempt=" + ended.attempt() + " epoch=" + ended.epoch() + " end=" + ended.end();
+        }
+        if (record instanceof LogRecord.JobFinished finished) {
+            return "job=" + finished.job() + " epoch=" + finished.epoch() + " " + outcome(finished.outcome());
+        }
+        return "";
+    }
+
+    static String event(NodeEvent event) {
+        if (event instanceof NodeEvent.Decided decided) {
+            return decision(decided.decision());
+        }
+        if (event instanceof NodeEvent.CellTaken taken) {
+            return "cell=" + taken.cell() + " epoch=" + taken.epoch();
+        }
+        if (event instanceof NodeEvent.CellLost lost) {
+            return "cell=" + lost.cell() + " epoch=" + lost.epoch();
+        }
+        if (event instanceof NodeEvent.CellActive active) {
+            return "cell=" + active.cell() + " epoch=" + active.epoch() + " workers=" + active.workers() + " in-doubt="
+                    + active.inDoubt();
+        }
+        if (event instanceof NodeEvent.OwnRecordVoid voided) {
+            return "record=" + voided.id().writer() + "/" + voided.id().sequence() + " code=" + voided.code();
+        }
+        if (event instanceof NodeEvent.DocumentInForce document) {
+            return "version=" + document.version();
+        }
+        if (event instanceof NodeEvent.WorkerSilent silent) {
+            return "worker=" + silent.worker();
+        }
+        return "detail=\"" + event + "\"";
+    }
+
+    static String outcome(JobOutcome outcome) {
+        if (outcome instanceof JobOutcome.Completed completed) {
+            return "outcome=completed answer=" + bytes(completed.answer());
+        }
+        if (outcome instanceof JobOutcome.NotRun notRun) {
+            return "outcome=not-run code=" + notRun.code() + " retry-after-ms=" + optional(notRun.retryAfterMs(), 0);
+        }
+        return "outcome=broken code=" + ((JobOutcome.Broken) outcome).code();
+    }
+
+    private static String state(JobEntry job) {
+        String state = "job=" + job.spec().id() + " status=" + job.status();
+        return job.outcome().map(outcome -> state + " " + outcome(outcome)).orElse(state);
+    }
+
+    private static String decision(Decision decision) {
+        String what = "decision=" + kind(decision);
+        if (decision instanceof Decision.StartGang start) {
+            what += " attempt=" + start.attempt() + " lent=" + start.lent() + " workers=" + workers(start.placements());
+        } else if (decision instanceof Decision.StopGang stop) {
+            what += " attempt=" + stop.attempt() + " mode=" + stop.mode();
+        } else if (decision instanceof Decision.PromoteGang promote) {
+            what += " attempt=" + promote.attempt();
+        } else if (decision instanceof Decision.EndJob end) {
+            what += " job=" + end.job() + " ran=" + end.ran();
+        } else if (decision instanceof Decision.GuaranteeLost lost) {
+            what += " workspace=" + lost.workspace();
+        }
+        Reason reason = decision.reason();
+        return what + " reason=" + reason.code() + " price-micros=" + reason.priceMicros();
+    }
+
+    private static String workers(List<Placement> placements) {
+        return placements.stream()
+                .collect(Collectors.groupingBy(
+                        placement -> placement.worker().value(), TreeMap::new, Collectors.counting()))
+                .entrySet()
+                .stream()
+                .map(Wording::timesWorker)
+                .collect(Collectors.joining(","));
+    }
+
+    private static String timesWorker(Map.Entry<String, Long> worker) {
+        return worker.getKey() + "*" + worker.getValue();
+    }
+
+    private static String optional(OptionalLong value, long origin) {
+        return value.isPresent() ? String.valueOf(value.getAsLong() - origin) : "none";
+    }
+}
--- /dev/null
+++ b/golden/src/test/java/org/fuchsiawinch/golden/GoldenSessionsTest.java
@@ -0,0 +1,142 @@
+package org.fuchsiawinch.golden;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/** Each session against its file and its expectations, and the proof that both comparisons can fail. */
+public class GoldenSessionsTest {
+
+    private static final Path SAMPLES = Path.of("..", "samples");
+
+    private Path copy;
+
+    @BeforeMethod
+    public void copySamples() throws IOException {
+        copy = Files.createTempDirectory("golden");
+        try (Stream<Path> files = Files.walk(SAMPLES)) {
+            for (Path file : files.filter(path -> !path.startsWith(SAMPLES.resolve("traces")))
+                    .toList()) {
+                Path target = copy.resolve(SAMPLES.relativize(file).toString());
+                if (Files.isDirectory(file)) {
+                    Files.createDirectories(target);
+                } else {
+                    Files.copy(file, target);
+                }
+            }
+        }
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void removeCopy() throws IOException {
+        try (Stream<Path> files = Files.walk(copy)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+
+    @DataProvider
+    public Object[][] sessions() {
+        return Sessions.all().stream()
+                .map(session -> new Object[] {session.name(), session})
+                .toArray(Object[][]::new);
+    }
+
+    @Test(dataProvider = "sessions")
+    public void givesTheBytesOfItsFile(String name, Session session) {
+        SampleFiles samples = new SampleFiles(SAMPLES);
+        SessionResult result = new SessionRunner(session, samples).run();
+        Optional<String> difference = TextDiff.between(name, samples.transcript(name), result.transcript());
+        assertEquals(difference.orElse(""), "");
+        assertEquals(result.unmet(), List.of());
+    }
+
+    @Test(dataProvider = "sessions")
+    public void staysReadable(String name, Session session) {
+        long lines = new SampleFiles(SAMPLES).transcript(name).lines().count();
+        assertTrue(lines > 0 && lines <= 400, name + " has " + lines + " lines");
+    }
+
+    @Test
+    public void everyFileBelongsToASession() throws IOException {
+        List<String> wanted = Sessions.all().stream()
+                .map(session -> session.name() + ".session")
+                .sorted()
+                .toList();
+        try (Stream<Path> files = Files.list(SAMPLES.resolve("sessions"))) {
+            assertEquals(
+                    files.map(file -> file.getFileName().toString()).sorted().toList(), wanted);
+        }
+    }
+
+    @Test
+    public void aChangedByteFailsWithItsLine() throws IOException {
+        Session session = ScanMatch.session();
+        Path file = copy.resolve("sessions").resolve(session.name() + ".session");
+        byte[] bytes = Files.readAllBytes(file);
+        int changed = new String(bytes, StandardCharsets.UTF_8).indexOf("kind=", bytes.length / 2);
+        bytes[changed] ^= 1;
+        Files.write(file, bytes);
+        ByteArrayOutputStream printed = new ByteArrayOutputStream();
+        int status = new GoldenMain(new SampleFiles(copy), new PrintStream(printed)).run(List.of(session), false);
+        assertEquals(status, 1);
+        String text = printed.toString(StandardCharsets.UTF_8);
+        long line = new String(bytes, 0, changed, StandardCharsets.ISO_8859_1)
+                        .chars()
+                        .filter(character -> character == '\n')
+                        .count()
+                + 1;
+        assertTrue(text.contains("@@ line " + line + ", 1 lines in the file, 1 in this run @@"), text);
+        assertTrue(text.contains("as-expected=false"), text);
+    }
+
+    @Test
+    public void writeMendsAChangedFile() {
+        SampleFiles samples = new SampleFiles(copy);
+        Session session = ScanMatch.session();
+        samples.write(session.name(), "other");
+        GoldenMain golden = new GoldenMain(samples, new PrintStream(new ByteArrayOutputStream()));
+        assertEquals(golden.run(List.of(session), true), 0);
+        assertEquals(samples.transcript(session.name()), new SampleFiles(SAMPLES).transcript(session.name()));
+    }
+
+    @Test
+    public void anExpectationThatIsNotMetFailsEvenWhenTheBytesAgree() {
+        Session real = ScanMatch.session();
+        Expectation twice = Expectation.runs("scans.temple-panel-3", 16, 2);
+        Session session = new Session(real.name(), real.site(), real.script(), real.endMs(), List.of(twice));
+        SampleFiles samples = new SampleFiles(copy);
+        GoldenMain golden = new GoldenMain(samples, new PrintStream(new ByteArrayOutputStream()));
+        assertEquals(golden.run(List.of(session), true), 1);
+        SessionResult result = new SessionRunner(session, samples).run();
+        assertEquals(result.transcript(), samples.transcript(session.name()));
+        assertEquals(result.unmet().size(), 1);
+    }
+
+    @Test(dataProvider = "sessions")
+    public void everyExpectationFailsWhereNothingHappened(String name, Session session) {
+        Observed nothing = new Observed();
+        for (Expectation expectation : session.expectations()) {
+            boolean met = expectation.difference().apply(nothing).isEmpty();
+            assertEquals(met, expectation.text().endsWith("runs=0"), expectation.text());
+        }
+        assertFalse(session.expectations().isEmpty(), name);
+    }
+}
