Refuse requests at nodes whose reads of the log are stale

In an outage of the log only the cell's owner refused requests: it alone appends all the time, so it alone saw appends fail. At the other nodes the first job, cancellation or document change was queued, answered as pending after 5 to 30 s, and took effect minutes later, when the log came back.

A node now counts the log as unavailable, too, when its reads have not reached the log's end for 2 s, and refuses with the retry time at once. A node that has never read still says that it is not ready.

--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeMachine.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeMachine.java
@@ -499,8 +499,10 @@
         effects.add(new NodeEffect.Drained());
     }
 
+    /** Says whether appends fail or reads have not reached the log's end, so that a record would not come back soon. */
     private boolean logDown(long nowMs) {
-        return appender.failingForMs(nowMs) > LOG_DOWN_AFTER_MS;
+        boolean unread = endReachedMs >= 0 && nowMs - endReachedMs > LOG_DOWN_AFTER_MS;
+        return unread || appender.failingForMs(nowMs) > LOG_DOWN_AFTER_MS;
     }
 
     private static NodeReply.Refused logUnavailable() {
