Add the golden session of a log outage

The outage had no file that shows what goes on and what is refused.

The session takes the log away for ten minutes. Its expectations: running work, non-idempotent work included, runs once and its answers are given after the return; jobs, cancellations and document changes are refused at the owner and at other nodes with LOG_UNAVAILABLE and 5 s; known answers are still given; an unknown job is not called unknown; refused requests take no effect later.

--- a/golden/src/main/java/org/fuchsiawinch/golden/Sessions.java
+++ b/golden/src/main/java/org/fuchsiawinch/golden/Sessions.java
@@ -14,6 +14,7 @@
                 ScanMatch.session(),
                 Reclaim.session(),
                 DocumentRace.session(),
+                LogOutage.session(),
                 OwnerDrain.session(),
                 OwnerPaused.session());
     }
