--- /dev/null
+++ b/quickstart/src/main/java/org/fuchsiawinch/quickstart/DocumentChanges.java
@@ -0,0 +1,100 @@
+package org.fuchsiawinch.quickstart;
+
+import java.time.Duration;
+import java.util.List;
+
+import io.netty.buffer.Unpooled;
+import org.fuchsiawinch.document.Document;
+import org.fuchsiawinch.document.DocumentReader;
+import org.fuchsiawinch.document.DocumentResult;
+import org.fuchsiawinch.document.Section;
+import org.fuchsiawinch.document.ledger.LedgerRecord;
+import org.fuchsiawinch.document.ledger.SectionSigner;
+import org.fuchsiawinch.wire.JsonCodec;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+
+/** Changes the spending section and measures when each node has the change in force. Not thread-safe. */
+final class DocumentChanges {
+
+    private static final String OPERATOR_TOKEN = "sample-token-operator";
+    private static final Duration LIMIT = Duration.ofSeconds(30);
+    private static final Duration POLL = Duration.ofMillis(5);
+
+    private final List<String> nodes;
+    private final SectionSigner signer;
+    private final JsonCodec json = new JsonCodec();
+    private final HttpClient client =
+            HttpClient.create().headers(headers -> headers.set("Authorization", "Bearer " + OPERATOR_TOKEN));
+
+    DocumentChanges(List<String> nodes, String key) {
+        this.nodes = List.copyOf(nodes);
+        this.signer = SectionSigner.ofPem("key", key);
+    }
+
+    /** Makes one change; gives the delay in ms from the proposal to its being in force, one for each node. */
+    List<Long> change(int number) {
+        InForce before = inForce(nodes.get(0)).block(LIMIT);
+        Document base = ((DocumentResult.Accepted) new DocumentReader().read("document", before.text()))
+                .document()
+                .withVersion(before.version());
+        String text = base.sectionTexts().get(Section.SPENDING).stripTrailing() + "\n# change " + number + "\n\n";
+        LedgerRecord.Proposal proposal = signer.sign("finance", base, Section.SPENDING, text);
+        byte[] body = json.encode(new ProposalBody(
+                proposal.team(),
+                proposal.section().key(),
+                proposal.baseVersion(),
+                proposal.sectionText(),
+                proposal.signature()));
+        long startMs = System.currentTimeMillis();
+        Mono<List<Long>> delays = Flux.fromIterable(nodes)
+                .flatMap(node -> reached(node, before.version() + 1, startMs), nodes.size())
+                .collectList();
+        return propose(body).then(delays).block(LIMIT);
+    }
+
+    private Mono<Integer> propose(byte[] body) {
+        return client.post()
+                .uri(nodes.get(0) + "/v1/document/proposals")
+                .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(body)))
+                .responseSingle((response, content) -> content.asString()
+                        .defaultIfEmpty("")
+                        .flatMap(text -> response.status().code() == 200
+                                ? Mono.just(200)
+                                : Mono.error(new IllegalStateException(text))));
+    }
+
+    private Mono<Long> reached(String node, int version, long startMs) {
+        return inForce(node)
+                .filter(document -> document.version() >= version)
+                .repeatWhenEmpty(times -> times.delayElements(POLL))
+                .map(document -> System.currentTimeMillis() - startMs);
+    }
+
+    private Mono<InForce> inForce(String node) {
+        return client.get()
+                .uri(node + "/v1/document")
+                .responseSingle((response, content) -> content.asByteArray())
+                .map(bytes -> json.decode(bytes, InForce.class));
+    }
+
+    /**
+     * The document in force on a node.
+     *
+     * @param version its version
+     * @param text its whole text
+     */
+    private record InForce(int version, String text) {}
+
+    /**
+     * A proposal as a node takes it.
+     *
+     * @param team the team that signs
+     * @param section name of the section
+     * @param baseVersion version that the change was made against
+     * @param text new text of the section
+     * @param signature Ed25519 signature, base64
+     */
+    private record ProposalBody(String team, String section, int baseVersion, String text, String signature) {}
+}
--- /dev/null
+++ b/quickstart/src/main/java/org/fuchsiawinch/quickstart/MeasureMain.java
@@ -0,0 +1,147 @@
+package org.fuchsiawinch.quickstart;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
+
+import org.fuchsiawinch.model.Adjacency;
+import org.fuchsiawinch.model.Resources;
+import org.fuchsiawinch.model.Urgency;
+import org.fuchsiawinch.runtime.Program;
+import org.fuchsiawinch.runtime.Setting;
+import org.fuchsiawinch.runtime.Settings;
+import org.fuchsiawinch.runtime.SettingsReader;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/** Measures running nodes: accepted requests a second, their delay, and the delay of a document change. */
+public final class MeasureMain {
+
+    private static final Setting<String> NODES = Setting.text("nodes", "URLs of the nodes, separated by commas");
+    private static final Setting<String> DOCUMENT =
+            Setting.text("document", "file of the first document").withDefault("samples/lagilagi/document.yaml");
+    private static final Setting<String> KEY = Setting.text("key", "private key that signs the changed section")
+            .withDefault("samples/lagilagi/keys/finance.sample.pem");
+    private static final Setting<Long> RATE =
+            Setting.number("rate", "requests a second", 1, 100_000).withDefault("50");
+    private static final Setting<Long> SECONDS =
+            Setting.number("seconds", "length of the load in s", 1, 3600).withDefault("10");
+    private static final Setting<Long> CHANGES =
+            Setting.number("changes", "number of document changes", 0, 1000).withDefault("5");
+    private static final Setting<Phase> PHASE =
+            Setting.choice("phase", "what to measure", Phase.class).withDefault("load");
+    private static final String FOUNDING_TOKEN = "sample-founding";
+    private static final Duration LIMIT = Duration.ofMinutes(2);
+    private static final long DEADLINE_MS = 600_000;
+
+    /** What to measure. */
+    private enum Phase {
+        /** Founds the document and waits until it is in force. */
+        FOUND,
+        /** Sends requests at a steady rate. */
+        LOAD,
+        /** Changes the document. */
+        CHANGE
+    }
+
+    private MeasureMain() {}
+
+    /**
+     * Starts the process.
+     *
+     * @param arguments flags
+     */
+    public static void main(String[] arguments) {
+        SettingsReader reader = new SettingsReader(
+                "fuchsiawinch-measure",
+                "Measures running nodes of the quick start.",
+                List.of(NODES, PHASE, DOCUMENT, KEY, RATE, SECONDS, CHANGES));
+        System.exit(Program.run(reader, arguments, System.out, System.err, MeasureMain::run));
+    }
+
+    private static int run(Settings settings) {
+        List<String> urls = List.of(settings.value(NODES).split(","));
+        NodeClient nodes = new NodeClient(urls);
+        if (settings.value(PHASE) == Phase.FOUND) {
+            nodes.found(read(settings.value(DOCUMENT)), FOUNDING_TOKEN).block(LIMIT);
+        } else if (settings.value(PHASE) == Phase.LOAD) {
+            load(nodes, settings.value(RATE), settings.value(SECONDS));
+        } else {
+            DocumentChanges changes = new DocumentChanges(urls, read(settings.value(KEY)));
+            for (int i = 0; i < settings.value(CHANGES); i++) {
+                List<Long> delaysMs = changes.change(i);
+                System.out.println(
+                        "in_force_ms=" + delaysMs.stream().map(String::valueOf).collect(Collectors.joining(",")));
+            }
+        }
+        return Program.EXIT_OK;
+    }
+
+    private static void load(NodeClient nodes, long rate, long seconds) {
+        long startMs = System.currentTimeMillis();
+        int total = Math.toIntExact(rate * seconds);
+        ConcurrentLinkedQueue<Long> delaysMs = new ConcurrentLinkedQueue<>();
+        AtomicInteger refused = new AtomicInteger();
+        Flux.range(0, total)
+                .flatMap(
+                        index -> Mono.delay(Duration.ofMillis(1000L * index / rate))
+                                .flatMap(tick -> submit(nodes, index, startMs, delaysMs, refused)),
+                        total)
+                .then()
+                .block(LIMIT);
+        long tookMs = System.currentTimeMillis() - startMs;
+        long[] sorted = delaysMs.stream().mapToLong(Long::longValue).sorted().toArray();
+        System.out.println("requests=" + total + " accepted=" + sorted.length + " refused=" + refused.get()
+                + " accepted_per_s=" + (sorted.length * 1000L / Math.max(1, tookMs)) + " p50_ms="
+                + at(sorted, 50) + " p99_ms=" + at(sorted, 99));
+    }
+
+    private static Mono<Integer> submit(
+            NodeClient nodes, int index, long runMs, ConcurrentLinkedQueue<Long> delaysMs, AtomicInteger refused) {
+        long sentMs = System.currentTimeMillis();
+        return nodes.submitOnce(job(index, runMs), "sample-token-certificates")
+                .onErrorReturn(0)
+                .doOnNext(status -> {
+                    if (status == 200 || status == 202) {
+                        delaysMs.add(System.currentTimeMillis() - sentMs);
+                    } else {
+                        refused.incrementAndGet();
+                    }
+                });
+    }
+
+    private static SampleJob job(int index, long runMs) {
+        return new SampleJob(
+                "certificates",
+                "m" + runMs + "-" + index,
+                "certificate",
+                1,
+                new Resources(1000, 1024, 1, 1, 1),
+                Adjacency.WORKER,
+                6000,
+                true,
+                true,
+                Urgency.NORMAL,
+                OptionalLong.of(runMs + DEADLINE_MS),
+                "run-ms=200\nanswer=m\n");
+    }
+
+    private static long at(long[] sorted, int percent) {
+        return sorted.length == 0 ? -1 : sorted[Math.min(sorted.length - 1, sorted.length * percent / 100)];
+    }
+
+    private static String read(String file) {
+        try {
+            return Files.readString(Path.of(file));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- a/quickstart/src/main/java/org/fuchsiawinch/quickstart/NodeClient.java
+++ b/quickstart/src/main/java/org/fuchsiawinch/quickstart/NodeClient.java
@@ -49,6 +49,11 @@
                 .retryWhen(again());
     }
 
+    /** Submits a job once and gives the status of the answer. */
+    Mono<Integer> submitOnce(SampleJob job, String token) {
+        return post("/v1/jobs", json.encode(job), token).map(Response::status);
+    }
+
     /** Gives the records for the burn report as JSON Lines. */
     Mono<String> records(String token) {
         return Mono.defer(() -> client.headers(headers -> headers.set("Authorization", "Bearer " + token))
