Name the file when golden samples cannot be read

A run in another folder ended in a stack trace of an untyped exception. The file is now named by a typed one, and bin/golden exits with status 2.

--- a/golden/src/main/java/org/fuchsiawinch/golden/GoldenMain.java
+++ b/golden/src/main/java/org/fuchsiawinch/golden/GoldenMain.java
@@ -22,7 +22,7 @@
 
     /**
      * Runs all sessions; exits with status 0 if the files are as expected, 1 if one differs or an expectation is not
-     * met, 2 on bad arguments. Works in the folder that holds {@code samples}.
+     * met, 2 on bad arguments or unreadable samples. Works in the folder that holds {@code samples}.
      *
      * @param arguments empty to compare, {@code --write} to rewrite the files
      */
@@ -33,7 +33,17 @@
             System.exit(Program.EXIT_USAGE);
         }
         GoldenMain golden = new GoldenMain(new SampleFiles(Path.of("samples")), System.out);
-        System.exit(golden.run(Sessions.all(), !given.isEmpty()));
+        System.exit(golden.runOrExplain(Sessions.all(), !given.isEmpty()));
+    }
+
+    /** Does the same as {@link #run}, but prints what is wrong with the samples. */
+    int runOrExplain(List<Session> sessions, boolean write) {
+        try {
+            return run(sessions, write);
+        } catch (SampleFileException e) {
+            out.println(e.getMessage());
+            return Program.EXIT_USAGE;
+        }
     }
 
     /** Compares or writes sessions and gives the exit status. */
--- /dev/null
+++ b/golden/src/main/java/org/fuchsiawinch/golden/SampleFileException.java
@@ -0,0 +1,21 @@
+package org.fuchsiawinch.golden;
+
+import java.nio.file.Path;
+
+import org.fuchsiawinch.model.FuchsiawinchException;
+
+/** Reports a sample file that cannot be read or written. */
+public final class SampleFileException extends FuchsiawinchException {
+
+    private static final long serialVersionUID = 1L;
+
+    /**
+     * Creates the exception.
+     *
+     * @param file the file
+     * @param cause what the file system reported
+     */
+    public SampleFileException(Path file, Throwable cause) {
+        super(file + " cannot be read or written; is the working folder the one that holds samples?", cause);
+    }
+}
--- a/golden/src/main/java/org/fuchsiawinch/golden/SampleFiles.java
+++ b/golden/src/main/java/org/fuchsiawinch/golden/SampleFiles.java
@@ -1,7 +1,6 @@
 package org.fuchsiawinch.golden;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -35,7 +34,7 @@
             Files.createDirectories(file(session).getParent());
             Files.writeString(file(session), transcript);
         } catch (IOException e) {
-            throw new UncheckedIOException(e);
+            throw new SampleFileException(file(session), e);
         }
     }
 
@@ -47,7 +46,7 @@
         try {
             return new String(Files.readAllBytes(file), StandardCharsets.UTF_8);
         } catch (IOException e) {
-            throw new UncheckedIOException(e);
+            throw new SampleFileException(file, e);
         }
     }
 }
--- a/golden/src/test/java/org/fuchsiawinch/golden/GoldenSessionsTest.java
+++ b/golden/src/test/java/org/fuchsiawinch/golden/GoldenSessionsTest.java
@@ -130,6 +130,15 @@
         assertEquals(result.unmet().size(), 1);
     }
 
+    @Test
+    public void absentSamplesAreNamed() {
+        ByteArrayOutputStream printed = new ByteArrayOutputStream();
+        SampleFiles absent = new SampleFiles(copy.resolve("absent"));
+        int status = new GoldenMain(absent, new PrintStream(printed)).runOrExplain(Sessions.all(), false);
+        assertEquals(status, 2);
+        assertTrue(printed.toString(StandardCharsets.UTF_8).contains("document.yaml cannot be read"));
+    }
+
     @Test(dataProvider = "sessions")
     public void everyExpectationFailsWhereNothingHappened(String name, Session session) {
         Observed nothing = new Observed();
