Tell the scheduler of completed parts when they are reported

Cause: the scheduler learned of a completion only when JobFinished was read back. Change: parts are told as they are reported; a record that is read back acknowledges its batch.

--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeMachine.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeMachine.java
@@ -256,6 +256,7 @@
     }
 
     private void ownRecordRead(Envelope envelope, Optional<VoidCode> refused, long nowMs) {
+        appender.readBack(envelope.id().sequence());
         LogRecord record = envelope.record();
         if (refused.filter(VoidCode.DUPLICATE_RECORD::equals).isPresent()) {
             return;
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/Appender.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/Appender.java
@@ -92,6 +92,17 @@
         retryAtMs = 0;
     }
 
+    /**
+     * Takes note that an own record was read back, which acknowledges its batch even if the answer got lost.
+     *
+     * @param sequence sequence of the record
+     */
+    public void readBack(long sequence) {
+        if (!batch.isEmpty() && batch.get(batch.size() - 1).id().sequence() <= sequence) {
+            done(batch.get(0).id().sequence());
+        }
+    }
+
     /**
      * Takes a failure; the batch will be appended again after a back-off.
      *
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/AttemptDriver.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/AttemptDriver.java
@@ -401,11 +401,10 @@
         if (attempt.allReleased() && attempt.announceOnce()) {
             scheduler.decide(new SchedulerEvent.AttemptRunning(attempt.id()), nowMs);
         }
-        if (attempt.allInState(TaskState.COMPLETED)) {
+        attempt.placements().forEach(placement -> tellState(attempt, placement.part(), nowMs));
+        if (attempt.phase() == AttemptView.Phase.RUNNING && attempt.allInState(TaskState.COMPLETED)) {
             complete(attempt, nowMs);
-            return;
         }
-        attempt.placements().forEach(placement -> tellState(attempt, placement.part(), nowMs));
     }
 
     private void releasePrepared(AttemptView attempt, long nowMs) {
--- a/quickstart/src/main/java/org/fuchsiawinch/quickstart/DocumentChanges.java
+++ b/quickstart/src/main/java/org/fuchsiawinch/quickstart/DocumentChanges.java
@@ -39,7 +39,7 @@
         Document base = ((DocumentResult.Accepted) new DocumentReader().read("document", before.text()))
                 .document()
                 .withVersion(before.version());
-        String text = base.sectionTexts().get(Section.SPENDING).stripTrailing() + "\n# change " + number + "\n\n";
+        String text = "# change " + number + "\n" + base.sectionTexts().get(Section.SPENDING);
         LedgerRecord.Proposal proposal = signer.sign("finance", base, Section.SPENDING, text);
         byte[] body = json.encode(new ProposalBody(
                 proposal.team(),
