--- a/report/src/main/java/org/fuchsiawinch/report/ReportMain.java
+++ b/report/src/main/java/org/fuchsiawinch/report/ReportMain.java
@@ -36,13 +36,11 @@
 public final class ReportMain {
 
     /** File of records. */
-    public static final Setting<String> RECORDS = Setting.text(
-                    "records", "file of records, one JSON object a line; - for standard input; or give a trace")
-            .withDefault("");
+    public static final Setting<String> RECORDS = Setting.optionalText(
+            "records", "file of records, one JSON object a line; - for standard input; or give a trace");
 
     /** File of a trace. */
-    public static final Setting<String> TRACE =
-            Setting.text("trace", "trace that is replayed for its records").withDefault("");
+    public static final Setting<String> TRACE = Setting.optionalText("trace", "trace that is replayed for its records");
 
     /** Scheduler of a replay. */
     public static final Setting<SchedulingPolicy> POLICY = new Setting<>(
