--- a/explore/src/main/java/org/fuchsiawinch/explore/FakeDocumentBook.java
+++ b/explore/src/main/java/org/fuchsiawinch/explore/FakeDocumentBook.java
@@ -40,6 +40,12 @@
         return Optional.empty();
     }
 
+    @Override
+    public Optional<Refusal> restore(int version, String text) {
+        accept(version, text);
+        return Optional.empty();
+    }
+
     @Override
     public Optional<InForce> inForce() {
         return inForce;
@@ -66,12 +72,9 @@
     }
 
     private Optional<Refusal> republish(LogRecord.DocumentRepublished republished) {
-        if (inForce.isEmpty()) {
-            accept(republished.version(), republished.text());
-            return Optional.empty();
-        }
-        boolean same = inForce.get().version() == republished.version()
-                && inForce.get().text().equals(republished.text());
+        boolean same = inForce.filter(document -> document.version() == republished.version())
+                .filter(document -> document.text().equals(republished.text()))
+                .isPresent();
         return same ? Optional.empty() : refused(Refusal.Code.NOT_IN_FORCE);
     }
 
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/fold/DocumentBook.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/fold/DocumentBook.java
@@ -1,7 +1,9 @@
 package org.fuchsiawinch.protocol.fold;
 
+import java.util.List;
 import java.util.Optional;
 
+import org.fuchsiawinch.document.ledger.VersionEntry;
 import org.fuchsiawinch.model.Policy;
 import org.fuchsiawinch.protocol.record.LogRecord;
 
@@ -16,6 +18,15 @@
      */
     Optional<Refusal> apply(LogRecord record);
 
+    /**
+     * Takes over the document of a snapshot. Only before the first record.
+     *
+     * @param version its version, at least 1
+     * @param text its whole text
+     * @return empty if it is in force now, else a typed refusal
+     */
+    Optional<Refusal> restore(int version, String text);
+
     /**
      * Gives the document in force.
      *
@@ -23,6 +34,15 @@
      */
     Optional<InForce> inForce();
 
+    /**
+     * Lists the versions that this reader saw being made.
+     *
+     * @return the versions, oldest first; empty if the book keeps none
+     */
+    default List<VersionEntry> history() {
+        return List.of();
+    }
+
     /**
      * The document in force.
      *
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/fold/LogFold.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/fold/LogFold.java
@@ -94,7 +94,7 @@
         nextOffset = done.upToOffset();
         logTimeMs = done.logTimeMs();
         if (done.documentVersion() > 0) {
-            document.apply(new LogRecord.DocumentRepublished(done.documentVersion(), done.documentText()));
+            document.restore(done.documentVersion(), done.documentText());
         }
         for (LogRecord.SnapshotChunk chunk : snapshot.chunks()) {
             chunk.writers().forEach(writer -> writers.put(writer.writer(), writer));
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeMachine.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeMachine.java
@@ -24,6 +24,7 @@
 import org.fuchsiawinch.protocol.fold.VoidCode;
 import org.fuchsiawinch.protocol.node.internal.Appender;
 import org.fuchsiawinch.protocol.node.internal.CellOwner;
+import org.fuchsiawinch.protocol.node.internal.CommandPacer;
 import org.fuchsiawinch.protocol.node.internal.Outlet;
 import org.fuchsiawinch.protocol.node.internal.Recovery;
 import org.fuchsiawinch.protocol.node.internal.RequestDesk;
@@ -40,13 +41,16 @@
 
     private static final long ACCEPT_TIMEOUT_MS = 5000;
     private static final long LOG_DOWN_AFTER_MS = 2000;
+    private static final long LOG_UNREAD_AFTER_MS = 3000;
     private static final long LOG_RETRY_MS = 5000;
     private static final long READ_FRESH_MS = 1500;
+    private static final long STOOD_STILL_MS = 2000;
     private static final long NEVER_HEARD = -2;
 
     private final NodeSettings settings;
     private final Supplier<DocumentBook> documents;
     private final Appender appender;
+    private final CommandPacer pacer;
     private final RequestDesk desk = new RequestDesk();
     private final CellOwner owner;
     private final Set<JobId> submitting = new HashSet<>();
@@ -55,6 +59,7 @@
     private LogFold fold;
     private Optional<Recovery> recovery = Optional.empty();
     private List<NodeEffect> effects = new ArrayList<>();
+    private long inputMs;
     private long endReachedMs = Long.MIN_VALUE / 2;
     private long ownerHeardMs;
     private long ownerHeardOffset = NEVER_HEARD;
@@ -92,6 +97,7 @@
         this.snapshots = new SnapshotWriter(settings, new MachineOutlet());
         this.appender = new Appender(settings.node(), settings.appendLimit());
         this.owner = new CellOwner(settings, schedulers, this::fold, new MachineOutlet());
+        this.pacer = new CommandPacer(settings.renewEveryMs() / 2);
     }
 
     /**
@@ -103,6 +109,10 @@
      */
     public List<NodeEffect> handle(NodeInput input, long nowMs) {
         effects = new ArrayList<>();
+        if (nowMs - inputMs > STOOD_STILL_MS) {
+            owner.resumed(nowMs);
+        }
+        inputMs = nowMs;
         dispatch(input, nowMs);
         appender.next(nowMs).ifPresent(effects::add);
         return effects;
@@ -137,6 +147,16 @@
         return owner.waitReason(job, nowMs);
     }
 
+    /**
+     * Gives the reason of the last decision on a job, if this node took it.
+     *
+     * @param job the job
+     * @return the reason, or empty
+     */
+    public Optional<Reason> lastReason(JobId job) {
+        return owner.lastReason(job);
+    }
+
     private void dispatch(NodeInput input, long nowMs) {
         if (input instanceof NodeInput.RecordRead read) {
             logRead(read, nowMs);
@@ -224,7 +244,7 @@
             return;
         }
         if (jobOf(record).flatMap(fold::job).filter(this::inCell).isPresent()) {
-            owner.recordApplied(record, nowMs);
+            owner.recordRead(record, true);
         }
     }
 
@@ -256,7 +276,7 @@
         }
         if (refused.isPresent()) {
             effects.add(new NodeEffect.Report(new NodeEvent.OwnRecordVoid(envelope.id(), refused.get())));
-            owner.recordVoid(record, nowMs);
+            owner.recordRead(record, false);
         }
     }
 
@@ -310,6 +330,7 @@
             ownerHeardMs = nowMs;
         }
         endReachedMs = nowMs;
+        owner.readToEnd(nowMs);
     }
 
     private void tick(long nowMs) {
@@ -439,12 +460,12 @@
         if (draining) {
             return Optional.of(refused(NodeReply.RefusalCode.DRAINING));
         }
-        if (logDown(nowMs)) {
-            return Optional.of(logUnavailable());
-        }
         if (endReachedMs < 0) {
             return Optional.of(new NodeReply.Refused(NodeReply.RefusalCode.NOT_READY, OptionalLong.of(1000)));
         }
+        if (logDown(nowMs)) {
+            return Optional.of(logUnavailable());
+        }
         Optional<DocumentBook.InForce> document = fold.document().inForce();
         if (document.isEmpty()) {
             return Optional.of(refused(NodeReply.RefusalCode.NO_DOCUMENT));
@@ -485,7 +506,7 @@
     }
 
     private boolean logDown(long nowMs) {
-        return appender.failingForMs(nowMs) > LOG_DOWN_AFTER_MS;
+        return appender.failingForMs(nowMs) > LOG_DOWN_AFTER_MS || nowMs - endReachedMs > LOG_UNREAD_AFTER_MS;
     }
 
     private static NodeReply.Refused logUnavailable() {
@@ -544,6 +565,9 @@
 
         @Override
         public void emit(NodeEffect effect) {
+            if (effect instanceof NodeEffect.Command command && !pacer.admit(command, inputMs)) {
+                return;
+            }
             effects.add(effect);
         }
     }
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeSettings.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeSettings.java
@@ -109,6 +109,34 @@
         return with(renewHorizonMs, everyMs, features);
     }
 
+    /**
+     * Gives the same settings with other intervals.
+     *
+     * @param holdMs time in ms between the owner's signs of life
+     * @param claimMs silence in ms after which the cell is claimed
+     * @param workerLeaseMs length in ms of a worker lease
+     * @return the changed settings
+     */
+    public NodeSettings withIntervals(long holdMs, long claimMs, long workerLeaseMs) {
+        return new NodeSettings(
+                node,
+                cell,
+                holdMs,
+                claimMs,
+                claimRank,
+                renewEveryMs,
+                workerLeaseMs,
+                clockDriftMs,
+                renewHorizonMs,
+                listLagMs,
+                startWithinMs,
+                inventoryWaitMs,
+                snapshotEveryMs,
+                appendLimit,
+                pendingLimit,
+                features);
+    }
+
     private NodeSettings with(long horizonMs, long snapshotMs, Set<ProtocolFeature> enabled) {
         return new NodeSettings(
                 node,
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/AttemptDriver.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/AttemptDriver.java
@@ -42,7 +42,6 @@
 
     private static final Resources PROBE_RESOURCES = new Resources(100, 64, 0, 1, 1);
     private static final long PREPARE_EVERY_MS = 500;
-    private static final long RELEASE_EVERY_MS = 250;
     private static final String PROBE_PREFIX = "probe:";
 
     private final NodeSettings settings;
@@ -153,7 +152,7 @@
 
     void neverPlaced(AttemptId id, long nowMs) {
         if (attempts.remove(id) != null) {
-            scheduler.decide(new SchedulerEvent.AttemptStopped(id, false), nowMs);
+            scheduler.decide(new SchedulerEvent.AttemptWithdrawn(id), nowMs);
         }
     }
 
@@ -175,7 +174,10 @@
             return;
         }
         forgetAtMs.put(id, nowMs + settings.startWithinMs() + settings.clockDriftMs());
-        scheduler.decide(new SchedulerEvent.AttemptStopped(id, end == AttemptEnd.CHECKPOINTED), nowMs);
+        SchedulerEvent event = end == AttemptEnd.NOT_RELEASED
+                ? new SchedulerEvent.AttemptWithdrawn(id)
+                : new SchedulerEvent.AttemptStopped(id, end == AttemptEnd.CHECKPOINTED);
+        scheduler.decide(event, nowMs);
     }
 
     void finished(JobId job, boolean completed, long nowMs) {
@@ -385,8 +387,10 @@
         boolean late = nowMs > attempt.startByMs();
         for (Placement placement : attempt.placements()) {
             boolean prepared = attempt.report(placement.part()).isPresent();
-            if (attempt.ended(placement.part()) || (late && !prepared)) {
+            if (attempt.ended(placement.part())) {
                 tellFailed(attempt, placement.part(), TaskFailure.START_REFUSED, nowMs);
+            } else if (late && !prepared) {
+                tellFailed(attempt, placement.part(), TaskFailure.START_TIMEOUT, nowMs);
             }
         }
     }
@@ -411,9 +415,7 @@
             Optional<TaskReport> report = attempt.report(placement.part());
             boolean prepared =
                     report.filter(part -> part.state() == TaskState.PREPARED).isPresent();
-            if (prepared
-                    && !attempt.ended(placement.part())
-                    && attempt.releaseDue(placement.part(), nowMs, RELEASE_EVERY_MS)) {
+            if (prepared && !attempt.ended(placement.part())) {
                 send(
                         placement.worker(),
                         new WorkerCommand.Release(
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/AttemptView.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/AttemptView.java
@@ -38,7 +38,6 @@
     private final Map<Integer, TaskReport> reports = new HashMap<>();
     private final Map<Integer, Boolean> toldScheduler = new HashMap<>();
     private final Map<Integer, Boolean> gone = new HashMap<>();
-    private final Map<Integer, Long> releaseSentMs = new HashMap<>();
     private Phase phase;
     private long startByMs;
     private boolean announced;
@@ -156,16 +155,6 @@
         return true;
     }
 
-    /** Says whether a part's release command is to be sent now, and notes that it is. */
-    boolean releaseDue(int part, long nowMs, long everyMs) {
-        Long sentMs = releaseSentMs.get(part);
-        if (sentMs != null && nowMs - sentMs < everyMs) {
-            return false;
-        }
-        releaseSentMs.put(part, nowMs);
-        return true;
-    }
-
     boolean uses(WorkerId worker) {
         return placements.stream().anyMatch(placement -> placement.worker().equals(worker));
     }
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/CellOwner.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/CellOwner.java
@@ -1,8 +1,12 @@
 package org.fuchsiawinch.protocol.node.internal;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -18,6 +22,7 @@
 import org.fuchsiawinch.model.JobSpec;
 import org.fuchsiawinch.model.WorkerId;
 import org.fuchsiawinch.model.WorkerSpec;
+import org.fuchsiawinch.protocol.ProtocolFeature;
 import org.fuchsiawinch.protocol.fold.CellEntry;
 import org.fuchsiawinch.protocol.fold.JobEntry;
 import org.fuchsiawinch.protocol.fold.JobStatus;
@@ -36,6 +41,7 @@
 public final class CellOwner {
 
     private static final long SCHEDULER_TICK_MS = 1000;
+    private static final int MAX_REASONS = 10_000;
 
     private enum Phase {
         IDLE,
@@ -51,7 +57,9 @@
     private final AttemptDriver attempts;
     private final WorkerPool workers;
     private final Set<JobId> finishing = new HashSet<>();
+    private final Deque<ReadRecord> unread = new ArrayDeque<>();
     private final Deadlines deadlines = new Deadlines();
+    private final Map<JobId, Reason> reasons = new LinkedHashMap<>();
     private Phase phase = Phase.IDLE;
     private Scheduler scheduler;
     private long epoch;
@@ -121,13 +129,24 @@
         leases.endAfterLease(nowMs);
     }
 
+    /**
+     * Notes that the process stood still: what it knows of workers is old.
+     *
+     * @param nowMs present time in ms since the epoch
+     */
+    public void resumed(long nowMs) {
+        workers.resumed(nowMs);
+    }
+
     /** Forgets everything after the cell was lost or given up. */
     public void drop() {
         phase = Phase.IDLE;
         workers.clear();
         attempts.clear();
         finishing.clear();
+        unread.clear();
         deadlines.clear();
+        reasons.clear();
         scheduler = null;
     }
 
@@ -154,7 +173,7 @@
         if (phase == Phase.IDLE || ofEpoch != epoch) {
             return;
         }
-        if (reply.fence() > epoch) {
+        if (reply.fence() > epoch && settings.features().contains(ProtocolFeature.FENCING)) {
             leases.fenced();
             return;
         }
@@ -168,6 +187,35 @@
         attempts.advanceAll(nowMs);
     }
 
+    /**
+     * Takes a record of this cell that was read. It is acted on once the log was read to its end, as a later claim may
+     * stand behind it.
+     *
+     * @param record the record
+     * @param valid whether it took effect; if not it is the node's own
+     */
+    public void recordRead(LogRecord record, boolean valid) {
+        if (phase == Phase.ACTIVE) {
+            unread.addLast(new ReadRecord(record, valid));
+        }
+    }
+
+    /**
+     * Acts on the records that were read.
+     *
+     * @param nowMs present time in ms since the epoch
+     */
+    public void readToEnd(long nowMs) {
+        while (!unread.isEmpty()) {
+            ReadRecord next = unread.removeFirst();
+            if (next.valid()) {
+                recordApplied(next.record(), nowMs);
+            } else {
+                recordVoid(next.record(), nowMs);
+            }
+        }
+    }
+
     /**
      * Takes a record of this cell that took effect.
      *
@@ -184,7 +232,7 @@
         } else if (record instanceof LogRecord.JobCancelled cancelled) {
             decide(new SchedulerEvent.JobCancelled(cancelled.job()), nowMs);
         } else if (record instanceof LogRecord.AttemptPlaced placed) {
-            boolean usable = placed.placements().stream().allMatch(place -> workers.usable(place.worker()));
+            boolean usable = placed.placements().stream().allMatch(place -> workers.usable(place.worker(), nowMs));
             attempts.placed(placed.attempt(), payload(placed.attempt().job()), usable, nowMs);
         } else if (record instanceof LogRecord.AttemptReleased released) {
             attempts.released(released.attempt(), nowMs);
@@ -197,13 +245,7 @@
         }
     }
 
-    /**
-     * Takes an own record that is void.
-     *
-     * @param record the record
-     * @param nowMs present time in ms since the epoch
-     */
-    public void recordVoid(LogRecord record, long nowMs) {
+    private void recordVoid(LogRecord record, long nowMs) {
         if (phase != Phase.ACTIVE) {
             return;
         }
@@ -270,6 +312,16 @@
         return scheduler == null ? Optional.empty() : scheduler.waitReason(job, nowMs);
     }
 
+    /**
+     * Gives the reason of the last decision on a job in this ownership.
+     *
+     * @param job the job
+     * @return the reason, or empty
+     */
+    public Optional<Reason> lastReason(JobId job) {
+        return Optional.ofNullable(reasons.get(job));
+    }
+
     private long earlierLeasesEndMs(CellEntry cell) {
         long grantedUntilMs = Math.max(cell.earlierHeldMs() + settings.renewHorizonMs(), cell.releasedMs());
         return grantedUntilMs + settings.leaseMs() + settings.clockDriftMs();
@@ -341,12 +393,23 @@
         }
     }
 
+    private void noteReason(JobId job, Reason reason) {
+        reasons.remove(job);
+        reasons.put(job, reason);
+        if (reasons.size() > MAX_REASONS) {
+            reasons.remove(reasons.keySet().iterator().next());
+        }
+    }
+
     private void carryOut(Decision decision, long nowMs) {
         if (decision instanceof Decision.StartGang start) {
+            noteReason(start.attempt().job(), start.reason());
             startGang(start, nowMs);
         } else if (decision instanceof Decision.StopGang stop) {
+            noteReason(stop.attempt().job(), stop.reason());
             attempts.stop(stop.attempt(), stop.mode(), nowMs);
         } else if (decision instanceof Decision.EndJob end) {
+            noteReason(end.job(), end.reason());
             String code = end.reason().code().name();
             boolean released =
                     fold().job(end.job()).filter(JobEntry::everReleased).isPresent();
@@ -412,4 +475,7 @@
         }
         outlet.append(new LogRecord.JobFinished(settings.cell(), epoch, job, outcome), nowMs);
     }
+
+    /** A record that was read and not acted on yet. */
+    private record ReadRecord(LogRecord record, boolean valid) {}
 }
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/VmList.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/VmList.java
@@ -31,6 +31,11 @@
         lastListedMs.values().removeIf(listedMs -> nowMs - listedMs > 2 * lagBoundMs);
     }
 
+    /** Gives the time in ms since the epoch at which the list was last read. */
+    long lastMs() {
+        return lastMs;
+    }
+
     List<WorkerSpec> workers() {
         return workers;
     }
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/WorkerPool.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/WorkerPool.java
@@ -30,6 +30,7 @@
     private boolean active;
     private long epoch;
     private long doubtUntilMs;
+    private long resumedMs = Long.MIN_VALUE / 2;
 
     WorkerPool(NodeSettings settings, Outlet outlet, EventSink scheduler, AttemptDriver attempts, Leases leases) {
         this.settings = settings;
@@ -75,7 +76,7 @@
     /** Takes an answer in this epoch; returns false if it is late or the worker not known. */
     boolean replied(WorkerId id, WorkerReply reply, long nowMs) {
         WorkerView worker = workers.get(id);
-        if (worker == null || !worker.replied(reply.answeredMs(), nowMs)) {
+        if (worker == null || !worker.replied(reply.answeredMs(), settings.clockDriftMs(), nowMs)) {
             return false;
         }
         if (reply.leaving()) {
@@ -88,10 +89,20 @@
         return true;
     }
 
-    /** Says whether a worker may be given new work. */
-    boolean usable(WorkerId id) {
+    /** Says whether a worker may be given new work: it stays, and answered lately. */
+    boolean usable(WorkerId id, long nowMs) {
         WorkerView worker = workers.get(id);
-        return worker != null && !worker.leaving() && worker.contact() == WorkerView.Contact.REACHED;
+        boolean listOld = list.lastMs() <= resumedMs && nowMs - resumedMs <= settings.listLagMs();
+        return worker != null
+                && !listOld
+                && !worker.leaving()
+                && worker.contact() == WorkerView.Contact.REACHED
+                && !worker.silentFor(nowMs, settings.leaseMs() / 2);
+    }
+
+    /** Notes that the process stood still: no new work until the VM list was read again, for a bounded time. */
+    void resumed(long nowMs) {
+        resumedMs = nowMs;
     }
 
     boolean allReached() {
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/WorkerView.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/WorkerView.java
@@ -70,13 +70,13 @@
         leaseUntilMs = Math.max(leaseUntilMs, grantedUntilMs);
     }
 
-    /** Notes an answer; returns false if it was overtaken by a later one. */
-    boolean replied(long answeredMs, long nowMs) {
+    /** Notes an answer, which may have waited before it was read; returns false if it was overtaken by a later one. */
+    boolean replied(long answeredMs, long driftMs, long nowMs) {
         if (answeredMs < lastAnsweredMs) {
             return false;
         }
         lastAnsweredMs = answeredMs;
-        lastReplyMs = nowMs;
+        lastReplyMs = Math.max(lastReplyMs, Math.min(nowMs, answeredMs + driftMs));
         return true;
     }
 
--- a/protocol/src/test/java/org/fuchsiawinch/protocol/Samples.java
+++ b/protocol/src/test/java/org/fuchsiawinch/protocol/Samples.java
@@ -72,7 +72,7 @@
         return new Envelope(new RecordId(writer, sequence), Envelope.SCHEMA_VERSION, atMs, record);
     }
 
-    /** A document that any text founds and any republished text replaces while none is in force. */
+    /** A document that any text founds. */
     public static final class Book implements DocumentBook {
 
         private Optional<InForce> inForce = Optional.empty();
@@ -84,13 +84,16 @@
             }
             if (record instanceof LogRecord.DocumentFounded founded) {
                 inForce = Optional.of(new InForce(1, founded.text(), policy(1)));
-            } else if (record instanceof LogRecord.DocumentRepublished republished) {
-                inForce = Optional.of(
-                        new InForce(republished.version(), republished.text(), policy(republished.version())));
             }
             return Optional.empty();
         }
 
+        @Override
+        public Optional<Refusal> restore(int version, String text) {
+            inForce = Optional.of(new InForce(version, text, policy(version)));
+            return Optional.empty();
+        }
+
         @Override
         public Optional<InForce> inForce() {
             return inForce;
