--- a/explore/src/main/java/org/fuchsiawinch/explore/SimLog.java
+++ b/explore/src/main/java/org/fuchsiawinch/explore/SimLog.java
@@ -21,6 +21,7 @@
     private final SplittableRandom random;
     private final LogStore store;
     private final List<Envelope> records = new ArrayList<>();
+    private long downMs;
     private long downUntilMs;
     private long slowUntilMs;
     private long slowMs;
@@ -39,7 +40,9 @@
     }
 
     void outage(long forMs) {
-        downUntilMs = Math.max(downUntilMs, loop.nowMs() + forMs);
+        long untilMs = Math.max(downUntilMs, loop.nowMs() + forMs);
+        downMs += untilMs - Math.max(downUntilMs, loop.nowMs());
+        downUntilMs = untilMs;
     }
 
     void slow(long forMs, long delayMs) {
@@ -88,7 +91,7 @@
             return;
         }
         loop.in(delayMs(), () -> {
-            LogStore.Slice slice = store.read(fromOffset, READ_LIMIT, loop.nowMs());
+            LogStore.Slice slice = store.read(fromOffset, READ_LIMIT, upMs());
             loop.in(delayMs(), () -> answer.accept(slice));
         });
     }
@@ -106,7 +109,12 @@
             stored.add(ByteBuffer.allocate(Integer.BYTES).putInt(records.size()).array());
             records.add(envelope);
         }
-        store.append(stored, loop.nowMs());
+        store.append(stored, upMs());
+    }
+
+    /** Time in ms that the log was up; it drops no record for its age while it is down. */
+    private long upMs() {
+        return loop.nowMs() - downMs + Math.max(0, downUntilMs - loop.nowMs());
     }
 
     private long delayMs() {
