--- a/core/src/main/java/org/fuchsiawinch/core/internal/GuaranteeClaimer.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/GuaranteeClaimer.java
@@ -5,13 +5,13 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 
 import org.fuchsiawinch.core.SchedulerFeature;
 import org.fuchsiawinch.model.Adjacency;
 import org.fuchsiawinch.model.Resources;
 import org.fuchsiawinch.model.Shape;
 import org.fuchsiawinch.model.WorkerId;
-import org.fuchsiawinch.model.WorkspaceId;
 
 /**
  * Finds room for a job inside its workspace's guarantee: on free capacity if there is any, else where the least work is
@@ -46,9 +46,15 @@
                                 || (unit.empty() || pack(unit, job, part, false).isPresent())));
     }
 
-    /** Says whether some guarantee of a workspace has a place and is not in full use. */
-    boolean hasRoom(WorkspaceId workspace) {
-        return state.keeper.units(workspace).stream().anyMatch(unit -> unit.placed() && !unit.full());
+    /** Says whether some guarantee of the workspace has a place, is not in full use and is large enough. */
+    boolean hasRoom(JobClass.Key key) {
+        for (GuaranteeUnit unit : state.keeper.units(key.workspace())) {
+            boolean large = unit.shape().accelerators() >= key.shape().accelerators();
+            if (large && unit.placed() && !unit.full()) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** Says whether a shape fits inside a guaranteed one wherever that is placed. */
@@ -64,20 +70,74 @@
                 && wanted.perPart().times(wanted.parts()).fitsIn(all);
     }
 
+    /** Finds room inside a guarantee; work that holds a larger guarantee than it needs gives way to the job. */
     Optional<Offer> offer(Job job, Resources part) {
-        List<GuaranteeUnit> units = candidates(job);
-        Optional<Offer> free = free(job, part, units);
-        if (free.isPresent() || !state.has(SchedulerFeature.RECLAIM)) {
-            return free;
+        Optional<Offer> offer = find(job, part);
+        if (offer.isPresent() || !state.has(SchedulerFeature.RECLAIM) || !displaceSmaller(job)) {
+            return offer;
+        }
+        return find(job, part);
+    }
+
+    /** Counts smaller work as lent that holds a guarantee of the job's size while a smaller one is empty. */
+    private boolean displaceSmaller(Job job) {
+        List<GuaranteeUnit> units = state.keeper.units(job.spec().workspace());
+        for (GuaranteeUnit unit : units) {
+            boolean wanted = unit.placed()
+                    && !unit.hasPending()
+                    && covers(unit.shape(), job.spec().shape());
+            if (wanted
+                    && unit.attempts().size() == 1
+                    && displaceable(unit.attempts().get(0), job, units)) {
+                Attempt holder = unit.attempts().get(0);
+                state.keeper.lend(holder);
+                state.ledger(job.spec().workspace()).outside().add(holder);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean displaceable(Attempt holder, Job job, List<GuaranteeUnit> units) {
+        if (holder.stopping() || holder.accelerators() >= job.accelerators() || !state.lendable(holder.job())) {
+            return false;
+        }
+        return units.stream()
+                .anyMatch(unit -> unit.placed()
+                        && unit.empty()
+                        && unit.shape().accelerators() < job.accelerators()
+                        && covers(unit.shape(), holder.job().spec().shape()));
+    }
+
+    /** Finds room in the smallest guaranteed shape that has any, so that larger ones stay whole for larger jobs. */
+    private Optional<Offer> find(Job job, Resources part) {
+        TreeMap<Integer, List<GuaranteeUnit>> bySize = new TreeMap<>();
+        for (GuaranteeUnit unit : candidates(job, part)) {
+            bySize.computeIfAbsent(unit.shape().accelerators(), size -> new ArrayList<>())
+                    .add(unit);
+        }
+        for (List<GuaranteeUnit> units : bySize.values()) {
+            Optional<Offer> offer = free(job, part, units);
+            if (offer.isEmpty() && state.has(SchedulerFeature.RECLAIM)) {
+                offer = cheapest(job, part, units);
+            }
+            if (offer.isPresent()) {
+                return offer;
+            }
         }
-        return cheapest(job, part, units);
+        return Optional.empty();
+    }
+
+    private boolean mayHold(GuaranteeUnit unit, Job job, Resources part) {
+        return unit.empty() && covers(unit.shape(), job.spec().shape())
+                || pack(unit, job, part, false).isPresent();
     }
 
-    private List<GuaranteeUnit> candidates(Job job) {
+    private List<GuaranteeUnit> candidates(Job job, Resources part) {
         List<GuaranteeUnit> used = new ArrayList<>();
         List<GuaranteeUnit> empty = new ArrayList<>();
         for (GuaranteeUnit unit : state.keeper.units(job.spec().workspace())) {
-            if (!unit.placed() || unit.full()) {
+            if (!unit.placed() || unit.full() || !mayHold(unit, job, part)) {
                 continue;
             }
             (unit.empty() ? empty : used).add(unit);
@@ -107,7 +167,7 @@
         Shape shape = unit.shape();
         PlaceRequest request = PlaceRequest.of(
                         shape.parts(), larger(shape.perPart(), part), shape.adjacency(), Space.SPARE)
-                .avoiding(job.failedOn());
+                .avoiding(job.avoid());
         unit.place(state.placer.place(request).orElse(before));
     }
 
@@ -143,7 +203,7 @@
         Shape shape = unit.shape();
         Resources need = larger(shape.perPart(), part);
         PlaceRequest request = PlaceRequest.of(shape.parts(), need, shape.adjacency(), Space.CLAIMABLE)
-                .avoiding(job.failedOn())
+                .avoiding(job.avoid())
                 .chargedBy(gang -> cost(gang, need));
         unit.place(state.placer.place(request).orElse(before));
     }
@@ -162,7 +222,7 @@
     }
 
     private Optional<Gang> pack(GuaranteeUnit unit, Job job, Resources part, boolean freeOnly) {
-        Set<WorkerId> avoid = job.failedOn();
+        Set<WorkerId> avoid = job.avoid();
         PlaceRequest request = PlaceRequest.of(
                         job.spec().shape().parts(),
                         part,
--- a/core/src/main/java/org/fuchsiawinch/core/internal/PlaceRequest.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/PlaceRequest.java
@@ -50,6 +50,15 @@
         return new PlaceRequest(parts, part, adjacency, space, Set.of(), RoomLimit.NONE, Surcharge.NONE);
     }
 
+    /** Says whether the search covers all workers and all of their space. */
+    boolean unlimited() {
+        return limit == RoomLimit.NONE && avoid.isEmpty();
+    }
+
+    boolean avoids(WorkerId worker) {
+        return !avoid.isEmpty() && avoid.contains(worker);
+    }
+
     PlaceRequest avoiding(Set<WorkerId> workers) {
         return new PlaceRequest(parts, part, adjacency, space, workers, limit, surcharge);
     }
--- a/core/src/main/java/org/fuchsiawinch/core/internal/Starter.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Starter.java
@@ -8,7 +8,6 @@
 import org.fuchsiawinch.core.ReasonCode;
 import org.fuchsiawinch.core.SchedulerFeature;
 import org.fuchsiawinch.model.AttemptId;
-import org.fuchsiawinch.model.LendingPolicy;
 import org.fuchsiawinch.model.Policy;
 import org.fuchsiawinch.model.PricePolicy;
 import org.fuchsiawinch.model.Resources;
@@ -128,7 +127,7 @@
     }
 
     private boolean firm(Claim claim) {
-        return claim.unit() == null && !lendable(claim.job());
+        return claim.unit() == null && !state.lendable(claim.job());
     }
 
     private static boolean free(Claim claim) {
@@ -152,36 +151,33 @@
     }
 
     private Optional<ReasonCode> startOutside(Job job, Resources part) {
-        boolean lent = lendable(job);
+        boolean lent = state.lendable(job);
         Optional<ReasonCode> reserved = reservations.bars(job);
         if (reserved.isPresent()) {
             return reserved;
         }
         Shape shape = job.spec().shape();
-        PlaceRequest request = PlaceRequest.of(shape.parts(), part, shape.adjacency(), Space.SPARE)
-                .avoiding(job.failedOn())
-                .limitedBy(reservations.limitFor(job, part));
-        Optional<Gang> spare = state.placer.place(request);
+        PlaceRequest request = PlaceRequest.of(shape.parts(), part, shape.adjacency(), Space.FREE);
+        if (!state.placer.fits(request)) {
+            return Optional.of(ReasonCode.WAIT_CAPACITY);
+        }
+        request = request.avoiding(job.avoid()).limitedBy(reservations.limitFor(job, part));
+        Optional<Gang> spare = state.placer.place(request.within(Space.SPARE));
         if (spare.isPresent()) {
             return startAt(job, part, spare.get(), lent, ReasonCode.START_SPARE);
         }
-        Optional<Gang> free = state.placer.place(request.within(Space.FREE));
-        if (free.isPresent() && lent) {
+        Optional<Gang> free = state.placer.place(request);
+        if (free.isEmpty()) {
+            return Optional.of(reservations.holdsBack(job) ? ReasonCode.WAIT_RESERVATION : ReasonCode.WAIT_CAPACITY);
+        }
+        if (lent) {
             return startAt(job, part, free.get(), true, ReasonCode.START_LENT);
         }
-        Optional<Gang> cleared = free.isPresent() ? state.keeper.makeWay(request.within(Space.FREE)) : free;
+        Optional<Gang> cleared = state.keeper.makeWay(request);
         if (cleared.isPresent()) {
             return startAt(job, part, cleared.get(), false, ReasonCode.START_SPARE);
         }
-        if (free.isPresent()) {
-            return Optional.of(
-                    job.spec().reclaimable() ? ReasonCode.WAIT_PROTECTS_GUARANTEE : ReasonCode.WAIT_NOT_ON_LENT);
-        }
-        boolean heldBack = reservations.holdsBack(job)
-                && state.placer
-                        .place(request.within(lent ? Space.FREE : Space.SPARE).limitedBy(PlaceRequest.RoomLimit.NONE))
-                        .isPresent();
-        return Optional.of(heldBack ? ReasonCode.WAIT_RESERVATION : ReasonCode.WAIT_CAPACITY);
+        return Optional.of(job.spec().reclaimable() ? ReasonCode.WAIT_PROTECTS_GUARANTEE : ReasonCode.WAIT_NOT_ON_LENT);
     }
 
     private Optional<ReasonCode> startAt(Job job, Resources part, Gang gang, boolean lent, ReasonCode code) {
@@ -194,14 +190,6 @@
         return Optional.empty();
     }
 
-    /** Says whether a job may run on lent capacity: it can be stopped within the bound and run again. */
-    boolean lendable(Job job) {
-        LendingPolicy lending = state.policy().map(Policy::lending).orElse(new LendingPolicy(false, 0, 0));
-        boolean checkpointInTime = lending.checkpointMs() <= lending.reclaimBoundMs();
-        boolean repeatable = job.spec().idempotent() || (job.spec().checkpointable() && checkpointInTime);
-        return lending.enabled() && repeatable;
-    }
-
     private boolean limitAllows(Job job, Gang gang, long rateMicrosPerHour) {
         if (!state.has(SchedulerFeature.SPEND_LIMIT)) {
             return true;
@@ -243,7 +231,7 @@
 
     private Optional<Reason.Alternative> alternative(Job job, Standing standing, RunEstimate estimate) {
         boolean other = standing == Standing.GUARANTEED;
-        if (other && !lendable(job)) {
+        if (other && !state.lendable(job)) {
             return Optional.empty();
         }
         ReasonCode code = other ? ReasonCode.START_LENT : ReasonCode.WAIT_CAPACITY;
--- a/core/src/main/java/org/fuchsiawinch/core/internal/WorkerEvents.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/WorkerEvents.java
@@ -32,7 +32,7 @@
         if (worker.overCommitted()) {
             vacate(worker);
         }
-        opened();
+        opened(worker);
     }
 
     void leaving(WorkerId id) {
@@ -77,16 +77,20 @@
         }
         state.pool.find(id).ifPresent(worker -> {
             worker.quarantine(false);
-            opened();
+            opened(worker);
         });
     }
 
     void sendDueProbes() {
-        for (WorkerId id : state.faults.dueProbes(state.nowMs())) {
+        for (WorkerId id : state.faults.dueProbes(this::here, state.nowMs())) {
             state.emit(new Decision.ProbeWorker(id, Reason.of(ReasonCode.WORKER_PROBE_DUE)));
         }
     }
 
+    private boolean here(WorkerId id) {
+        return state.pool.find(id).map(Worker::joined).orElse(false);
+    }
+
     /** Tells once of each guarantee that lost its place and found no other. */
     void raiseLossAlarms() {
         if (state.keeper.takeUnplaced()) {
@@ -108,8 +112,8 @@
         }
     }
 
-    private void opened() {
-        state.keeper.placeMissing();
+    private void opened(Worker worker) {
+        state.keeper.placeAround(worker);
         state.capacityGrew();
     }
 
--- a/core/src/main/java/org/fuchsiawinch/core/internal/WorkerPool.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/WorkerPool.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 
 import org.fuchsiawinch.model.Shape;
@@ -20,6 +21,7 @@
     private static final int MAX_SHAPES_KEPT = 1024;
 
     private final Map<WorkerId, Worker> workers = new HashMap<>();
+    private final FitMemo memo = new FitMemo();
     private final TreeMap<String, DataCentre> dataCentres = new TreeMap<>();
     private final Map<WorkerId, WorkerSpec> departed = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
@@ -42,6 +44,10 @@
         return dataCentres.values();
     }
 
+    FitMemo memo() {
+        return memo;
+    }
+
     int joinedCount() {
         return joinedCount;
     }
@@ -57,7 +63,7 @@
 
     /** Finds a worker, or makes a closed one for work that was recovered before its worker joined. */
     Worker resolve(WorkerId id) {
-        return workers.computeIfAbsent(id, Worker::new);
+        return workers.computeIfAbsent(id, key -> new Worker(key, memo));
     }
 
     Worker join(WorkerSpec spec) {
@@ -105,11 +111,25 @@
         return possible.computeIfAbsent(shape, this::computePossible);
     }
 
+    /** Says whether the open workers but for some could hold a shape, if nothing else ran. */
+    boolean couldHoldNow(Shape shape, Set<WorkerId> without) {
+        return holds(
+                joinedWorkers().stream()
+                        .filter(worker -> worker.open() && !without.contains(worker.id()))
+                        .map(Worker::spec)
+                        .toList(),
+                shape);
+    }
+
     private boolean computePossible(Shape shape) {
-        Map<String, Long> rooms = new HashMap<>();
         List<WorkerSpec> known = new ArrayList<>(departed.values());
         joinedWorkers().forEach(worker -> known.add(worker.spec()));
-        for (WorkerSpec spec : known) {
+        return holds(known, shape);
+    }
+
+    private static boolean holds(List<WorkerSpec> workers, Shape shape) {
+        Map<String, Long> rooms = new HashMap<>();
+        for (WorkerSpec spec : workers) {
             String domain =
                     switch (shape.adjacency()) {
                         case WORKER -> spec.id().value();
--- a/node/src/main/java/org/fuchsiawinch/node/NodeProcess.java
+++ b/node/src/main/java/org/fuchsiawinch/node/NodeProcess.java
@@ -1,5 +1,6 @@
 package org.fuchsiawinch.node;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicReference;
@@ -8,13 +9,20 @@
 import org.fuchsiawinch.core.Decision;
 import org.fuchsiawinch.core.GuaranteeScheduler;
 import org.fuchsiawinch.document.Document;
+import org.fuchsiawinch.membership.Endpoint;
+import org.fuchsiawinch.membership.GossipMembership;
+import org.fuchsiawinch.membership.GossipSettings;
+import org.fuchsiawinch.membership.Member;
 import org.fuchsiawinch.model.NodeId;
+import org.fuchsiawinch.model.WorkerSpec;
 import org.fuchsiawinch.node.adapter.LogClient;
 import org.fuchsiawinch.node.adapter.WorkerClient;
 import org.fuchsiawinch.node.http.HttpFront;
 import org.fuchsiawinch.node.http.NodeStatus;
 import org.fuchsiawinch.node.http.OpenRequests;
 import org.fuchsiawinch.node.loop.NodeLoop;
+import org.fuchsiawinch.node.peer.PeerLoop;
+import org.fuchsiawinch.node.records.Recorder;
 import org.fuchsiawinch.protocol.fold.LedgerBook;
 import org.fuchsiawinch.protocol.node.NodeEffect;
 import org.fuchsiawinch.protocol.node.NodeEvent;
@@ -23,6 +31,7 @@
 import org.fuchsiawinch.protocol.node.NodeSettings;
 import org.fuchsiawinch.runtime.EventLog;
 import org.fuchsiawinch.runtime.Settings;
+import org.fuchsiawinch.wire.PlatformMessages;
 
 /** Wires one node: its state machine, the threads around it, and the adapters. Runs from {@link #start} once. */
 public final class NodeProcess {
@@ -30,10 +39,11 @@
     private static final EventLog LOG = new EventLog(NodeProcess.class);
     private static final long TICK_MS = 50;
     private static final long WORKER_POLL_MS = 1000;
+    private static final long SAMPLE_MS = 5000;
     private static final long DRAIN_LINGER_MS = 500;
 
     private final String name;
-    private final LedgerBook book = new LedgerBook();
+    private final AtomicReference<LedgerBook> book = new AtomicReference<>();
     private final MetricRegistry metrics = new MetricRegistry();
     private final OpenRequests open = new OpenRequests();
     private final AtomicReference<Optional<Document>> document = new AtomicReference<>(Optional.empty());
@@ -42,7 +52,9 @@
     private final LogClient log;
     private final WorkerClient workers;
     private final HttpFront front;
+    private final Optional<PeerLoop> peers;
     private final NodeStatus status;
+    private final Recorder recorder = new Recorder();
 
     /**
      * Creates a node that does not run yet.
@@ -52,7 +64,8 @@
      */
     public NodeProcess(Settings settings, long startedMs) {
         this.name = settings.value(NodeFlags.NAME);
-        NodeMachine machine = new NodeMachine(machineSettings(settings, startedMs), book, GuaranteeScheduler::new);
+        NodeMachine machine =
+                new NodeMachine(machineSettings(settings, startedMs), this::newBook, GuaranteeScheduler::new);
         this.loop = new NodeLoop(
                 machine,
                 this::carryOut,
@@ -64,6 +77,7 @@
         this.workers = new WorkerClient(platform, loop::publish);
         this.status =
                 new NodeStatus(name, settings.value(NodeFlags.DATA_CENTRE), () -> loop.publish(new NodeInput.Drain()));
+        this.peers = peers(settings, startedMs);
         this.front = new HttpFront(
                 settings.value(NodeFlags.HOST),
                 settings.value(NodeFlags.PORT).intValue(),
@@ -74,7 +88,9 @@
                 document::get,
                 metrics,
                 status,
-                workers::lastList);
+                recorder,
+                workers::lastList,
+                () -> peers.map(PeerLoop::statuses).orElse(List.of()));
     }
 
     /** Starts all threads and listens. */
@@ -83,6 +99,8 @@
         thread("log-reader", log::follow);
         thread("ticker", () -> every(TICK_MS, () -> loop.publish(new NodeInput.Tick())));
         thread("worker-list", () -> every(WORKER_POLL_MS, workers::poll));
+        thread("sampler", () -> every(SAMPLE_MS, this::sample));
+        peers.ifPresent(PeerLoop::start);
         front.start();
         LOG.info("node_started", "node", name);
     }
@@ -90,6 +108,7 @@
     /** Hands the cell over, answers every open request, then closes the port. */
     public void drainAndStop() {
         status.requestDrain();
+        peers.ifPresent(PeerLoop::leave);
         try {
             drained.await();
             Thread.sleep(DRAIN_LINGER_MS);
@@ -109,6 +128,25 @@
         drained.await();
     }
 
+    private Optional<PeerLoop> peers(Settings settings, long startedMs) {
+        int port = settings.value(NodeFlags.PEER_PORT).intValue();
+        if (port == 0) {
+            return Optional.empty();
+        }
+        Member self = Member.alive(
+                new NodeId(name + "-" + startedMs),
+                new Endpoint(settings.value(NodeFlags.HOST), port),
+                settings.value(NodeFlags.DATA_CENTRE));
+        return Optional.of(new PeerLoop(
+                self,
+                settings.value(NodeFlags.PEERS),
+                settings.value(NodeFlags.PEER_SECRET),
+                new GossipMembership(self, GossipSettings.DEFAULTS, startedMs),
+                loop,
+                System::currentTimeMillis,
+                metrics));
+    }
+
     private static NodeSettings machineSettings(Settings settings, long startedMs) {
         NodeId id = new NodeId(settings.value(NodeFlags.NAME) + "-" + startedMs);
         return NodeSettings.defaults(id, settings.value(NodeFlags.CLAIM_RANK).intValue())
@@ -118,6 +156,28 @@
                         settings.value(NodeFlags.LEASE_MS));
     }
 
+    private void sample() {
+        List<WorkerSpec> listed = workers.lastList().stream()
+                .map(PlatformMessages.ListedWorker::worker)
+                .toList();
+        loop.ask((machine, nowMs) -> {
+                    recorder.sample(machine.fold(), listed, nowMs);
+                    return nowMs;
+                })
+                .subscribe(
+                        sampledMs -> {
+                            // the recorder keeps the sample
+                        },
+                        error -> LOG.warn("sample_skipped", "node", name, "error", error.getMessage()));
+    }
+
+    /** Called on the loop's thread, at first and after each gap in the log. */
+    private LedgerBook newBook() {
+        LedgerBook fresh = new LedgerBook();
+        book.set(fresh);
+        return fresh;
+    }
+
     private void carryOut(NodeEffect effect) {
         if (effect instanceof NodeEffect.Append append) {
             metrics.meter("log.appends").mark();
@@ -137,7 +197,7 @@
 
     private void report(NodeEvent event) {
         if (event instanceof NodeEvent.DocumentInForce inForce) {
-            document.set(book.document());
+            document.set(book.get().document());
             LOG.info("document_in_force", "node", name, "version", inForce.version());
         } else if (event instanceof NodeEvent.CellTaken taken) {
             LOG.info("cell_taken", "node", name, "cell", taken.cell(), "epoch", taken.epoch());
@@ -158,6 +218,10 @@
             reportDecision(decided.decision());
         } else if (event instanceof NodeEvent.WorkerSilent silent) {
             LOG.warn("worker_silent", "node", name, "worker", silent.worker());
+        } else if (event instanceof NodeEvent.LogGapFound gap) {
+            LOG.warn("log_gap", "node", name, "wanted", gap.wantedOffset(), "first", gap.firstOffset());
+        } else if (event instanceof NodeEvent.SnapshotLoaded loaded) {
+            LOG.info("snapshot_loaded", "node", name, "up_to", loaded.upToOffset(), "jobs", loaded.jobs());
         } else if (event instanceof NodeEvent.OwnRecordVoid refused) {
             LOG.info("record_void", "node", name, "sequence", refused.id().sequence(), "code", refused.code());
         }
--- a/node/src/main/java/org/fuchsiawinch/node/http/OperatorRoutes.java
+++ b/node/src/main/java/org/fuchsiawinch/node/http/OperatorRoutes.java
@@ -13,6 +13,7 @@
 import org.fuchsiawinch.model.WorkspaceId;
 import org.fuchsiawinch.model.WorkspacePolicy;
 import org.fuchsiawinch.node.loop.NodeLoop;
+import org.fuchsiawinch.node.records.Recorder;
 import org.fuchsiawinch.protocol.fold.DocumentBook;
 import org.fuchsiawinch.protocol.fold.JobEntry;
 import org.fuchsiawinch.protocol.fold.JobStatus;
@@ -21,6 +22,7 @@
 import org.fuchsiawinch.protocol.node.NodeReply;
 import org.fuchsiawinch.protocol.record.LogRecord;
 import org.fuchsiawinch.runtime.MetricsText;
+import org.fuchsiawinch.wire.PeerMessage;
 import org.fuchsiawinch.wire.PlatformMessages;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.server.HttpServerRequest;
@@ -37,7 +39,9 @@
     private final Supplier<Optional<Document>> document;
     private final MetricRegistry metrics;
     private final NodeStatus status;
+    private final Recorder recorder;
     private final Supplier<List<PlatformMessages.ListedWorker>> workerList;
+    private final Supplier<List<PeerMessage.NodeStatusMessage>> nodeList;
 
     OperatorRoutes(
             NodeLoop loop,
@@ -47,7 +51,9 @@
             Supplier<Optional<Document>> document,
             MetricRegistry metrics,
             NodeStatus status,
-            Supplier<List<PlatformMessages.ListedWorker>> workerList) {
+            Recorder recorder,
+            Supplier<List<PlatformMessages.ListedWorker>> workerList,
+            Supplier<List<PeerMessage.NodeStatusMessage>> nodeList) {
         this.loop = loop;
         this.open = open;
         this.doors = doors;
@@ -55,7 +61,9 @@
         this.document = document;
         this.metrics = metrics;
         this.status = status;
+        this.recorder = recorder;
         this.workerList = workerList;
+        this.nodeList = nodeList;
     }
 
     void register(HttpServerRoutes routes) {
@@ -68,6 +76,7 @@
                 .get("/v1/jobs/{id}/explain", this::explain)
                 .get("/v1/workers", (request, response) -> asOperator(request, response, this::workers))
                 .get("/v1/nodes", (request, response) -> asOperator(request, response, this::nodes))
+                .get("/v1/records", this::records)
                 .post("/v1/drain", (request, response) -> asOperator(request, response, this::drain))
                 .get("/metrics", (request, response) -> responder.text(response, 200, MetricsText.render(metrics)))
                 .get("/health", this::health);
@@ -125,7 +134,7 @@
         DocumentBook.Refusal refusal = judged.refusal().get();
         String text = document.get().map(Document::text).orElse("");
         return switch (refusal.code()) {
-            case CONFLICT, ALREADY_FOUNDED, NOT_FOUNDED, NOT_IN_FORCE ->
+            case CONFLICT, ALREADY_FOUNDED, NOT_FOUNDED, NOT_IN_FORCE, UNDECIDED ->
                 new Answer(
                         409, new Views.ConflictView(refusal.code().name(), refusal.detail(), judged.version(), text));
             case NOT_OWNER, BAD_SIGNATURE -> Answer.error(403, refusal.code().name(), refusal.detail());
@@ -222,9 +231,22 @@
     }
 
     private Mono<Answer> nodes() {
+        List<PeerMessage.NodeStatusMessage> known = nodeList.get();
+        if (!known.isEmpty()) {
+            return Mono.just(
+                    Answer.ok(known.stream().map(NodeStatus.NodeView::of).toList()));
+        }
         return loop.ask((machine, nowMs) -> Answer.ok(List.of(status.view(machine))));
     }
 
+    private Mono<Void> records(HttpServerRequest request, HttpServerResponse response) {
+        if (doors.operator(request).isEmpty()) {
+            return responder.send(response, Mono.just(unknownToken()));
+        }
+        return loop.ask((machine, nowMs) -> recorder.lines(machine.fold()))
+                .flatMap(lines -> responder.text(response, 200, lines));
+    }
+
     private Mono<Answer> drain() {
         return Mono.fromSupplier(() -> {
             status.requestDrain();
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/fold/LedgerBook.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/fold/LedgerBook.java
@@ -1,6 +1,5 @@
 package org.fuchsiawinch.protocol.fold;
 
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
 
@@ -17,7 +16,7 @@
 public final class LedgerBook implements DocumentBook {
 
     private DocumentLedger ledger = DocumentLedger.atLogStart();
-    private long steps;
+    private long lastOffset = -1;
 
     /** Creates a book with no document in force. */
     public LedgerBook() {
@@ -26,29 +25,24 @@
 
     @Override
     public Optional<Refusal> apply(LogRecord record) {
+        return apply(lastOffset + 1, record);
+    }
+
+    @Override
+    public Optional<Refusal> apply(long offset, LogRecord record) {
+        lastOffset = Math.max(lastOffset, offset);
         if (record instanceof LogRecord.DocumentFounded founded) {
-            return step(new LedgerRecord.Genesis(founded.text()));
+            return step(offset, new LedgerRecord.Genesis(founded.text()));
         }
         if (record instanceof LogRecord.DocumentProposed proposed) {
-            return propose(proposed);
+            return propose(offset, proposed);
         }
         if (record instanceof LogRecord.DocumentRepublished copy) {
-            return compare(copy);
+            return compare(offset, copy);
         }
         return Optional.empty();
     }
 
-    @Override
-    public Optional<Refusal> restore(int version, String text) {
-        String digest = Sha256.hex(text.getBytes(StandardCharsets.UTF_8));
-        LedgerStep step = ledger.adopt(new LedgerRecord.Republication(version, text, digest, steps));
-        steps++;
-        ledger = step.ledger();
-        return ledger.version() == version
-                ? Optional.empty()
-                : Optional.of(new Refusal(Refusal.Code.INVALID, "snapshot of version " + version));
-    }
-
     @Override
     public Optional<InForce> inForce() {
         return ledger.current().map(document -> new InForce(document.version(), document.text(), document.policy()));
@@ -68,16 +62,40 @@
         return ledger.history();
     }
 
-    private Optional<Refusal> propose(LogRecord.DocumentProposed proposed) {
+    @Override
+    public Optional<Offer> offer(long throughOffset) {
+        return ledger.republication(throughOffset)
+                .filter(copy -> copy.version() > 0)
+                .map(copy -> new Offer(copy.version(), copy.text(), copy.throughOffset()));
+    }
+
+    @Override
+    public boolean adopt(Offer offer) {
+        int before = ledger.version();
+        LedgerStep step =
+                ledger.adopt(LedgerRecord.Republication.of(offer.version(), offer.text(), offer.throughOffset()));
+        ledger = step.ledger();
+        return ledger.version() > before;
+    }
+
+    private Optional<Refusal> propose(long offset, LogRecord.DocumentProposed proposed) {
         Optional<Section> section = Section.ofKey(proposed.section());
         if (section.isEmpty()) {
             return Optional.of(new Refusal(Refusal.Code.INVALID, "unknown section " + proposed.section()));
         }
-        return step(new LedgerRecord.Proposal(
-                proposed.team(), section.get(), proposed.baseVersion(), proposed.text(), proposed.signature()));
+        return step(
+                offset,
+                new LedgerRecord.Proposal(
+                        proposed.team(), section.get(), proposed.baseVersion(), proposed.text(), proposed.signature()));
     }
 
-    private Optional<Refusal> compare(LogRecord.DocumentRepublished copy) {
+    /** Takes a copy over if none is in force, as after a snapshot; else compares it with the one in force. */
+    private Optional<Refusal> compare(long offset, LogRecord.DocumentRepublished copy) {
+        if (ledger.current().isEmpty()) {
+            return adopt(new Offer(copy.version(), copy.text(), offset))
+                    ? Optional.empty()
+                    : Optional.of(new Refusal(Refusal.Code.NOT_IN_FORCE, "version " + copy.version()));
+        }
         boolean same = ledger.current()
                 .filter(document -> document.version() == copy.version())
                 .filter(document -> document.text().equals(copy.text()))
@@ -87,10 +105,9 @@
                 : Optional.of(new Refusal(Refusal.Code.NOT_IN_FORCE, "version " + copy.version()));
     }
 
-    private Optional<Refusal> step(LedgerRecord record) {
+    private Optional<Refusal> step(long offset, LedgerRecord record) {
         boolean founding = record instanceof LedgerRecord.Genesis;
-        LedgerStep step = ledger.apply(steps, record);
-        steps++;
+        LedgerStep step = ledger.apply(offset, record);
         ledger = step.ledger();
         return refusalOf(step.outcome(), founding);
     }
@@ -100,6 +117,9 @@
             Refusal.Code code = founding ? Refusal.Code.ALREADY_FOUNDED : Refusal.Code.CONFLICT;
             return Optional.of(new Refusal(code, "version " + conflict.currentVersion() + " is in force"));
         }
+        if (outcome instanceof LedgerOutcome.AlreadyApplied) {
+            return Optional.of(new Refusal(Refusal.Code.UNDECIDED, "reflected by the copy of another node"));
+        }
         if (outcome instanceof LedgerOutcome.BadSignature bad) {
             return Optional.of(new Refusal(Refusal.Code.BAD_SIGNATURE, "team " + bad.team()));
         }
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeMachine.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeMachine.java
@@ -41,7 +41,6 @@
 
     private static final long ACCEPT_TIMEOUT_MS = 5000;
     private static final long LOG_DOWN_AFTER_MS = 2000;
-    private static final long LOG_UNREAD_AFTER_MS = 3000;
     private static final long LOG_RETRY_MS = 5000;
     private static final long READ_FRESH_MS = 1500;
     private static final long STOOD_STILL_MS = 2000;
@@ -96,8 +95,8 @@
         this.fold = new LogFold(documents.get(), settings.features());
         this.snapshots = new SnapshotWriter(settings, new MachineOutlet());
         this.appender = new Appender(settings.node(), settings.appendLimit());
-        this.owner = new CellOwner(settings, schedulers, this::fold, new MachineOutlet());
         this.pacer = new CommandPacer(settings.renewEveryMs() / 2);
+        this.owner = new CellOwner(settings, schedulers, this::fold, new MachineOutlet());
     }
 
     /**
@@ -136,6 +135,16 @@
         return owner.active();
     }
 
+    /**
+     * Says whether the log was read to its end a short time ago.
+     *
+     * @param nowMs present time in ms since the epoch
+     * @return false while the log is down or this node is cut off from it
+     */
+    public boolean readsLog(long nowMs) {
+        return nowMs - endReachedMs <= READ_FRESH_MS;
+    }
+
     /**
      * Says why a job waits, if this node schedules it.
      *
@@ -164,6 +173,8 @@
             gapFound(gap.firstOffset());
         } else if (input instanceof NodeInput.LogEndReached) {
             endReached(nowMs);
+        } else if (input instanceof NodeInput.DocumentOffered offered) {
+            documentOffered(offered.offer(), nowMs);
         } else if (input instanceof NodeInput.AppendDone done) {
             appender.done(done.firstSequence());
         } else if (input instanceof NodeInput.AppendFailed failed) {
@@ -322,6 +333,16 @@
         owner.documentChanged(nowMs);
     }
 
+    /** Takes a peer's document while the log cannot be read; with the log, its own order decides. */
+    private void documentOffered(DocumentBook.Offer offer, long nowMs) {
+        if (nowMs - endReachedMs <= READ_FRESH_MS || offer.version() <= documentVersion) {
+            return;
+        }
+        if (fold.document().adopt(offer)) {
+            followDocument(nowMs);
+        }
+    }
+
     private void endReached(long nowMs) {
         if (recovery.isPresent()) {
             return;
@@ -505,8 +526,10 @@
         effects.add(new NodeEffect.Drained());
     }
 
+    /** Says whether appends fail or reads have not reached the log's end, so that a record would not come back soon. */
     private boolean logDown(long nowMs) {
-        return appender.failingForMs(nowMs) > LOG_DOWN_AFTER_MS || nowMs - endReachedMs > LOG_UNREAD_AFTER_MS;
+        boolean unread = endReachedMs >= 0 && nowMs - endReachedMs > LOG_DOWN_AFTER_MS;
+        return unread || appender.failingForMs(nowMs) > LOG_DOWN_AFTER_MS;
     }
 
     private static NodeReply.Refused logUnavailable() {
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeSettings.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeSettings.java
@@ -99,16 +99,6 @@
         return with(horizonMs, snapshotEveryMs, features);
     }
 
-    /**
-     * Gives the same settings with another time between snapshots.
-     *
-     * @param everyMs the time in ms
-     * @return the changed settings
-     */
-    public NodeSettings withSnapshotEveryMs(long everyMs) {
-        return with(renewHorizonMs, everyMs, features);
-    }
-
     /**
      * Gives the same settings with other intervals.
      *
@@ -137,6 +127,16 @@
                 features);
     }
 
+    /**
+     * Gives the same settings with another time between snapshots.
+     *
+     * @param everyMs the time in ms
+     * @return the changed settings
+     */
+    public NodeSettings withSnapshotEveryMs(long everyMs) {
+        return with(renewHorizonMs, everyMs, features);
+    }
+
     private NodeSettings with(long horizonMs, long snapshotMs, Set<ProtocolFeature> enabled) {
         return new NodeSettings(
                 node,
