--- a/explore/src/main/java/org/fuchsiawinch/explore/ScheduleGenerator.java
+++ b/explore/src/main/java/org/fuchsiawinch/explore/ScheduleGenerator.java
@@ -97,7 +97,7 @@
     }
 
     private void addFault(long atMs) {
-        switch (random.nextInt(16)) {
+        switch (random.nextInt(17)) {
             case 0 -> events.add(new ScheduleEvent.LogOutage(atMs, 500 + random.nextInt(14_000)));
             case 1 ->
                 events.add(new ScheduleEvent.LogSlow(atMs, 1000 + random.nextInt(8000), 100 + random.nextInt(1500)));
@@ -130,7 +130,8 @@
             case 13 ->
                 events.add(new ScheduleEvent.WorkerLost(
                         atMs, random.nextInt(workers), chance(50) ? 0 : 15_000 + random.nextInt(5000)));
-            case 14 ->
+            case 14 -> cutAfterSubmit();
+            case 15 ->
                 events.add(new ScheduleEvent.WorkerRestarted(atMs, random.nextInt(workers), random.nextInt(3000)));
             default -> events.add(new ScheduleEvent.ListLagged(atMs, 2000 + random.nextInt(10_000), 4000));
         }
@@ -166,6 +167,23 @@
         }
     }
 
+    /** Adds a fault of the owner just after a job was submitted, so that its records are on their way. */
+    private void cutAfterSubmit() {
+        List<ScheduleEvent> submits =
+                events.stream().filter(ScheduleEvent.Submit.class::isInstance).toList();
+        long submitMs = submits.get(random.nextInt(submits.size())).atMs();
+        int owner = ScheduleEvent.OWNER;
+        if (chance(50)) {
+            events.add(new ScheduleEvent.LogSlow(Math.max(0, submitMs - 500), 1500, 200 + random.nextInt(1000)));
+        }
+        long atMs = submitMs + random.nextInt(600);
+        if (chance(60)) {
+            events.add(new ScheduleEvent.NodeCutFromLog(atMs, owner, 5000 + random.nextInt(10_000)));
+        } else {
+            events.add(new ScheduleEvent.NodePaused(atMs, owner, 3000 + random.nextInt(9000)));
+        }
+    }
+
     private List<Integer> someWorkers() {
         List<Integer> some = new ArrayList<>();
         for (int worker = 0; worker < workers; worker++) {
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeMachine.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/NodeMachine.java
@@ -43,6 +43,7 @@
     private static final long LOG_DOWN_AFTER_MS = 2000;
     private static final long LOG_RETRY_MS = 5000;
     private static final long READ_FRESH_MS = 1500;
+    private static final long STOOD_STILL_MS = 2000;
     private static final long NEVER_HEARD = -2;
 
     private final NodeSettings settings;
@@ -107,6 +108,9 @@
      */
     public List<NodeEffect> handle(NodeInput input, long nowMs) {
         effects = new ArrayList<>();
+        if (nowMs - inputMs > STOOD_STILL_MS) {
+            owner.resumed(nowMs);
+        }
         inputMs = nowMs;
         dispatch(input, nowMs);
         appender.next(nowMs).ifPresent(effects::add);
@@ -251,7 +255,7 @@
             return;
         }
         if (jobOf(record).flatMap(fold::job).filter(this::inCell).isPresent()) {
-            owner.recordApplied(record, nowMs);
+            owner.recordRead(record, true);
         }
     }
 
@@ -284,7 +288,7 @@
         }
         if (refused.isPresent()) {
             effects.add(new NodeEffect.Report(new NodeEvent.OwnRecordVoid(envelope.id(), refused.get())));
-            owner.recordVoid(record, nowMs);
+            owner.recordRead(record, false);
         }
     }
 
@@ -348,6 +352,7 @@
             ownerHeardMs = nowMs;
         }
         endReachedMs = nowMs;
+        owner.readToEnd(nowMs);
     }
 
     private void tick(long nowMs) {
@@ -477,12 +482,12 @@
         if (draining) {
             return Optional.of(refused(NodeReply.RefusalCode.DRAINING));
         }
-        if (logDown(nowMs)) {
-            return Optional.of(logUnavailable());
-        }
         if (endReachedMs < 0) {
             return Optional.of(new NodeReply.Refused(NodeReply.RefusalCode.NOT_READY, OptionalLong.of(1000)));
         }
+        if (logDown(nowMs)) {
+            return Optional.of(logUnavailable());
+        }
         Optional<DocumentBook.InForce> document = fold.document().inForce();
         if (document.isEmpty()) {
             return Optional.of(refused(NodeReply.RefusalCode.NO_DOCUMENT));
--- a/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/AttemptDriver.java
+++ b/protocol/src/main/java/org/fuchsiawinch/protocol/node/internal/AttemptDriver.java
@@ -42,7 +42,6 @@
 
     private static final Resources PROBE_RESOURCES = new Resources(100, 64, 0, 1, 1);
     private static final long PREPARE_EVERY_MS = 500;
-    private static final long RELEASE_EVERY_MS = 250;
     private static final String PROBE_PREFIX = "probe:";
 
     private final NodeSettings settings;
@@ -415,9 +414,7 @@
             Optional<TaskReport> report = attempt.report(placement.part());
             boolean prepared =
                     report.filter(part -> part.state() == TaskState.PREPARED).isPresent();
-            if (prepared
-                    && !attempt.ended(placement.part())
-                    && attempt.releaseDue(placement.part(), nowMs, RELEASE_EVERY_MS)) {
+            if (prepared && !attempt.ended(placement.part())) {
                 send(
                         placement.worker(),
                         new WorkerCommand.Release(
