Pass the reservation on, and stop a long run only where the limit is at stake

Cause: a class of jobs known not to fit was not looked at again, so a reservation that became free went past the large job that waited longest; and where only a spending limit bounds a run, the run was stopped at its declared time times the greatest factor though the limit had room. Change: the reservation goes to the first large job among the classes that were passed over; a run past its worst case is paid for half as long again while the limit allows it.

--- a/core/src/main/java/org/fuchsiawinch/core/internal/Attempt.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Attempt.java
@@ -24,6 +24,7 @@
     private int addedMemoryMb;
     private long rateMicrosPerHour;
     private long chargedFromMs;
+    private long worstMs;
 
     Attempt(AttemptId id, Job job, Gang gang, Resources part, RunEstimate estimate, long startedMs) {
         this.id = id;
@@ -33,6 +34,7 @@
         this.estimate = estimate;
         this.startedMs = startedMs;
         this.chargedFromMs = startedMs;
+        this.worstMs = estimate.worstMs();
     }
 
     AttemptId id() {
@@ -65,6 +67,15 @@
         return startedMs + estimate.runMs();
     }
 
+    /** Longest run time in ms that is paid for. */
+    long worstMs() {
+        return worstMs;
+    }
+
+    void worstMs(long longestMs) {
+        worstMs = longestMs;
+    }
+
     Standing standing() {
         return standing;
     }
--- a/core/src/main/java/org/fuchsiawinch/core/internal/Engine.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Engine.java
@@ -190,6 +190,7 @@
             startGuaranteed();
             startReserved();
             startOthers();
+            reservations.reserve();
             defragmenter.run();
             grew = state.capacityHasGrown();
         }
@@ -240,9 +241,7 @@
             return;
         }
         state.queue.block(group, wait.get());
-        if (Reservations.forCapacity(wait.get())) {
-            reservations.consider(job);
-        } else if (wait.get() != ReasonCode.WAIT_RESERVATION) {
+        if (!Reservations.forCapacity(wait.get()) && wait.get() != ReasonCode.WAIT_RESERVATION) {
             reservations.drop(job);
         }
     }
--- a/core/src/main/java/org/fuchsiawinch/core/internal/JobQueue.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/JobQueue.java
@@ -88,6 +88,11 @@
         }
     }
 
+    /** Gives the first job in order among the classes that are passed over and that a condition holds for. */
+    Optional<Job> firstBlocked(Predicate<JobClass> condition) {
+        return blocked.stream().filter(condition).findFirst().map(JobClass::first);
+    }
+
     /** Lists all waiting jobs in order of start. */
     List<Job> jobs() {
         List<Job> all = new ArrayList<>(size);
--- a/core/src/main/java/org/fuchsiawinch/core/internal/Overruns.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Overruns.java
@@ -11,6 +11,8 @@
 /** Ends attempts that run too long and restarts or ends those that take too much memory. Not thread-safe. */
 final class Overruns {
 
+    private static final long MIN_EXTENSION_MS = 60_000;
+
     private final State state;
     private final Stopper stopper;
     private final TreeSet<Attempt> byWorstEnd = new TreeSet<>(Comparator.comparingLong(Overruns::worstEndMs)
@@ -36,13 +38,29 @@
         }
         while (!byWorstEnd.isEmpty() && worstEndMs(byWorstEnd.first()) <= state.nowMs()) {
             Attempt attempt = byWorstEnd.pollFirst();
-            boolean limited = state.ledger(attempt.job().spec().workspace()).limited();
-            if (estimates().timeOverrunFactor() > 0 || limited) {
+            if (mayRunOn(attempt)) {
+                byWorstEnd.add(attempt);
+            } else if (estimates().timeOverrunFactor() > 0 || ledger(attempt).limited()) {
                 stopper.stop(attempt, StopCause.TIME_OVERRUN, StopMode.STOP);
             }
         }
     }
 
+    /** Pays for half as long again where only a spending limit bounds the run and still has room. */
+    private boolean mayRunOn(Attempt attempt) {
+        if (estimates().timeOverrunFactor() > 0
+                || attempt.stopping()
+                || !ledger(attempt).limited()) {
+            return false;
+        }
+        long longestMs = attempt.worstMs() + Math.max(MIN_EXTENSION_MS, attempt.worstMs() / 2);
+        return ledger(attempt).extend(attempt, longestMs, state.nowMs());
+    }
+
+    private WorkspaceLedger ledger(Attempt attempt) {
+        return state.ledger(attempt.job().spec().workspace());
+    }
+
     /**
      * Takes a report of a part's peak memory in MiB. Work that may not be run again is left running beyond the policy's
      * factor while its workers have the memory free.
@@ -89,6 +107,6 @@
     }
 
     private static long worstEndMs(Attempt attempt) {
-        return attempt.startedMs() + attempt.estimate().worstMs();
+        return attempt.startedMs() + attempt.worstMs();
     }
 }
--- a/core/src/main/java/org/fuchsiawinch/core/internal/Reservations.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/Reservations.java
@@ -22,6 +22,7 @@
     private static final long MIN_SEARCH_INTERVAL_MS = 250;
     private static final long REVIEW_INTERVAL_MS = 10_000;
     private static final int LARGE_ACCELERATORS = 2;
+    private static final int GANG_ACCELERATORS = 8;
 
     private final State state;
     private Reservation current;
@@ -55,16 +56,26 @@
     }
 
     /**
-     * Reserves for a job that has just been found not to fit, if nothing is reserved. Searches are spaced, so that a
-     * wave of cancels costs no search each; a job that was passed over is considered again with the next tick.
+     * Reserves for the first large job in order that lacks capacity, if nothing is reserved. Searches are spaced, so
+     * that a wave of cancels costs no search each.
      */
-    void consider(Job job) {
-        if (current != null || !state.has(SchedulerFeature.RESERVATION) || !large(job)) {
+    void reserve() {
+        if (current != null || !state.has(SchedulerFeature.RESERVATION)) {
             return;
         }
         if (searched && state.nowMs() < nextSearchMs) {
             return;
         }
+        state.queue
+                .firstBlocked(group -> lacksCapacity(group) && large(group.first()))
+                .ifPresent(this::consider);
+    }
+
+    private static boolean lacksCapacity(JobClass group) {
+        return forCapacity(group.waitCode()) || group.waitCode() == ReasonCode.WAIT_RESERVATION;
+    }
+
+    private void consider(Job job) {
         searched = true;
         nextSearchMs = state.nowMs() + MIN_SEARCH_INTERVAL_MS;
         current = find(job).orElse(null);
--- a/core/src/main/java/org/fuchsiawinch/core/internal/WorkspaceLedger.java
+++ b/core/src/main/java/org/fuchsiawinch/core/internal/WorkspaceLedger.java
@@ -109,8 +109,20 @@
         reservedMicros += worst(attempt);
     }
 
+    /** Pays for a longer run if the limit allows it; says whether it did. */
+    boolean extend(Attempt attempt, long longestMs, long nowMs) {
+        long before = worst(attempt);
+        long after = worst(attempt.rateMicrosPerHour(), longestMs);
+        if (!limitAllows(after - before, nowMs)) {
+            return false;
+        }
+        attempt.worstMs(longestMs);
+        reservedMicros += after - before;
+        return true;
+    }
+
     private long worst(Attempt attempt) {
-        return worst(attempt.rateMicrosPerHour(), attempt.estimate().worstMs());
+        return worst(attempt.rateMicrosPerHour(), attempt.worstMs());
     }
 
     private void roll(long nowMs) {
--- a/core/src/test/java/org/fuchsiawinch/core/LargeJobsTest.java
+++ b/core/src/test/java/org/fuchsiawinch/core/LargeJobsTest.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 
 import org.fuchsiawinch.model.Adjacency;
+import org.fuchsiawinch.model.JobId;
 import org.testng.annotations.Test;
 
 import static org.fuchsiawinch.core.Cell.HOUR_MS;
@@ -125,4 +126,20 @@
                 .orElseThrow();
         return cell.complete(other).submit(job("large", "a", shape(8, Adjacency.WORKER), HOUR_MS));
     }
+
+    @Test
+    public void reservationPassesToTheNextLargeJobWhenItsOwnerLeaves() {
+        Cell cell = cell(null)
+                .submit(job("x", "a", shape(4, Adjacency.WORKER), HOUR_MS))
+                .submit(job("y", "a", shape(4, Adjacency.WORKER), 2 * HOUR_MS))
+                .submit(job("owner", "a", shape(8, Adjacency.WORKER), HOUR_MS))
+                .submit(job("next", "a", shape(7, Adjacency.WORKER), HOUR_MS))
+                .send(new SchedulerEvent.JobCancelled(new JobId("owner")))
+                .tick(MINUTE_MS);
+        cell.at(HOUR_MS).complete("x");
+        cell.submit(job("long", "a", shape(2, Adjacency.WORKER), 9 * HOUR_MS));
+        assertFalse(cell.runs("long"), "would delay the large job by eight hours");
+        cell.at(2 * HOUR_MS).complete("y");
+        assertTrue(cell.runs("next"));
+    }
 }
