--- a/node/src/main/java/org/fuchsiawinch/node/NodeProcess.java
+++ b/node/src/main/java/org/fuchsiawinch/node/NodeProcess.java
@@ -37,7 +37,7 @@
 public final class NodeProcess {
 
     private static final EventLog LOG = new EventLog(NodeProcess.class);
-    private static final long TICK_MS = 50;
+    private static final long TICK_MS = 100;
     private static final long WORKER_POLL_MS = 1000;
     private static final long SAMPLE_MS = 5000;
     private static final long DRAIN_LINGER_MS = 500;
