Put the search for the fence's absence back to 2,000 seeds and list it as red

Cause: the search had been widened to 8,000 seeds so that the test passed again, which loosens the bound that the issue names.

--- a/explore/src/test/java/org/fuchsiawinch/explore/DisabledFeatureTest.java
+++ b/explore/src/test/java/org/fuchsiawinch/explore/DisabledFeatureTest.java
@@ -6,14 +6,16 @@
 import org.fuchsiawinch.explore.Violation.Promise;
 import org.fuchsiawinch.protocol.ProtocolFeature;
 import org.testng.annotations.DataProvider;
+import org.testng.annotations.Listeners;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertTrue;
 
 /** Shows that the explorer notices each safety mechanism that is switched off. */
+@Listeners(KnownRedListener.class)
 public class DisabledFeatureTest {
 
-    private static final int SEEDS = 8000;
+    private static final int SEEDS = 2000;
     private static final int THREADS = 4;
 
     @DataProvider
--- /dev/null
+++ b/explore/src/test/java/org/fuchsiawinch/explore/KnownRedListener.java
@@ -0,0 +1,61 @@
+package org.fuchsiawinch.explore;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.Collectors;
+
+import org.testng.IInvokedMethod;
+import org.testng.IInvokedMethodListener;
+import org.testng.ITestResult;
+
+/**
+ * Prints failures that stand in KNOWN-RED.txt and lets the build pass over just these. An entry whose test passes fails
+ * the build, so that no entry outlives its fault.
+ */
+public class KnownRedListener implements IInvokedMethodListener {
+
+    private static final Path LIST = Path.of("..", "KNOWN-RED.txt");
+    private static final String ENTRY_PREFIX = "test=";
+
+    private final List<String> entries = read();
+
+    @Override
+    public void afterInvocation(IInvokedMethod method, ITestResult result) {
+        if (!method.isTestMethod()) {
+            return;
+        }
+        String name = name(result);
+        List<String> matching = entries.stream()
+                .filter(entry -> entry.startsWith(ENTRY_PREFIX + name + " "))
+                .toList();
+        if (matching.isEmpty()) {
+            return;
+        }
+        if (result.getStatus() == ITestResult.FAILURE) {
+            System.out.println("event=known-red " + matching.get(0));
+            result.setStatus(ITestResult.SKIP);
+        } else if (result.getStatus() == ITestResult.SUCCESS) {
+            result.setStatus(ITestResult.FAILURE);
+            result.setThrowable(new AssertionError("passes, but stands in KNOWN-RED.txt: " + name));
+        }
+    }
+
+    private static String name(ITestResult result) {
+        String parameters =
+                Arrays.stream(result.getParameters()).map(String::valueOf).collect(Collectors.joining(","));
+        return result.getTestClass().getRealClass().getSimpleName() + "."
+                + result.getMethod().getMethodName() + "[" + parameters + "]";
+    }
+
+    private static List<String> read() {
+        try {
+            return Files.exists(LIST) ? Files.readAllLines(LIST) : List.of();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
