Rename the stand-in platform to standin

Cause: the users' platform needs an adapter folder named platform/, and the module of that name is the stand-in that the quick start and the tests use.

--- a/explore/src/main/java/org/fuchsiawinch/explore/SimLog.java
+++ b/explore/src/main/java/org/fuchsiawinch/explore/SimLog.java
@@ -6,8 +6,8 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 
-import org.fuchsiawinch.platform.log.LogStore;
 import org.fuchsiawinch.protocol.record.Envelope;
+import org.fuchsiawinch.standin.log.LogStore;
 
 /** The platform's log with its faults on the way in and out. Not thread-safe. */
 final class SimLog {
--- a/explore/src/main/java/org/fuchsiawinch/explore/SimNode.java
+++ b/explore/src/main/java/org/fuchsiawinch/explore/SimNode.java
@@ -7,12 +7,12 @@
 import java.util.function.Consumer;
 
 import org.fuchsiawinch.model.NodeId;
-import org.fuchsiawinch.platform.log.LogStore;
 import org.fuchsiawinch.protocol.node.NodeEffect;
 import org.fuchsiawinch.protocol.node.NodeEvent;
 import org.fuchsiawinch.protocol.node.NodeInput;
 import org.fuchsiawinch.protocol.node.NodeMachine;
 import org.fuchsiawinch.protocol.node.NodeReply;
+import org.fuchsiawinch.standin.log.LogStore;
 
 /** One node process from its start to its end; feeds its machine and carries out its effects. Not thread-safe. */
 final class SimNode {
--- a/explore/src/main/java/org/fuchsiawinch/explore/SimWorker.java
+++ b/explore/src/main/java/org/fuchsiawinch/explore/SimWorker.java
@@ -9,12 +9,12 @@
 import org.fuchsiawinch.model.Resources;
 import org.fuchsiawinch.model.TaskId;
 import org.fuchsiawinch.model.WorkerSpec;
-import org.fuchsiawinch.platform.worker.Work;
-import org.fuchsiawinch.platform.worker.WorkerMachine;
 import org.fuchsiawinch.protocol.worker.TaskReport;
 import org.fuchsiawinch.protocol.worker.TaskState;
 import org.fuchsiawinch.protocol.worker.WorkerCommand;
 import org.fuchsiawinch.protocol.worker.WorkerReply;
+import org.fuchsiawinch.standin.worker.Work;
+import org.fuchsiawinch.standin.worker.WorkerMachine;
 
 /** A worker VM over its restarts; observes what its parts do. Not thread-safe. */
 final class SimWorker {
--- a/explore/src/test/java/org/fuchsiawinch/explore/NodeRig.java
+++ b/explore/src/test/java/org/fuchsiawinch/explore/NodeRig.java
@@ -20,8 +20,6 @@
 import org.fuchsiawinch.model.Urgency;
 import org.fuchsiawinch.model.WorkerId;
 import org.fuchsiawinch.model.WorkerSpec;
-import org.fuchsiawinch.platform.worker.Work;
-import org.fuchsiawinch.platform.worker.WorkerMachine;
 import org.fuchsiawinch.protocol.node.NodeEffect;
 import org.fuchsiawinch.protocol.node.NodeInput;
 import org.fuchsiawinch.protocol.node.NodeMachine;
@@ -30,6 +28,8 @@
 import org.fuchsiawinch.protocol.record.Envelope;
 import org.fuchsiawinch.protocol.record.LogRecord;
 import org.fuchsiawinch.protocol.worker.WorkerCommand;
+import org.fuchsiawinch.standin.worker.Work;
+import org.fuchsiawinch.standin.worker.WorkerMachine;
 
 /** One node with a log and workers in memory, stepped by hand. Not thread-safe. */
 final class NodeRig {
--- a/golden/src/main/java/org/fuchsiawinch/golden/GoldenLog.java
+++ b/golden/src/main/java/org/fuchsiawinch/golden/GoldenLog.java
@@ -5,9 +5,9 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
-import org.fuchsiawinch.platform.log.LogStore;
 import org.fuchsiawinch.protocol.record.Envelope;
 import org.fuchsiawinch.protocol.record.LogRecord;
+import org.fuchsiawinch.standin.log.LogStore;
 import org.fuchsiawinch.wire.RecordCodec;
 
 /** The platform's log with scripted faults. Not thread-safe. */
--- a/golden/src/main/java/org/fuchsiawinch/golden/GoldenNode.java
+++ b/golden/src/main/java/org/fuchsiawinch/golden/GoldenNode.java
@@ -8,7 +8,6 @@
 
 import org.fuchsiawinch.core.GuaranteeScheduler;
 import org.fuchsiawinch.model.NodeId;
-import org.fuchsiawinch.platform.log.LogStore;
 import org.fuchsiawinch.protocol.fold.LedgerBook;
 import org.fuchsiawinch.protocol.node.NodeEffect;
 import org.fuchsiawinch.protocol.node.NodeEvent;
@@ -19,6 +18,7 @@
 import org.fuchsiawinch.protocol.worker.TaskReport;
 import org.fuchsiawinch.protocol.worker.TaskState;
 import org.fuchsiawinch.protocol.worker.WorkerCommand;
+import org.fuchsiawinch.standin.log.LogStore;
 
 /** A node process of a session: feeds its machine and carries out its effects. Not thread-safe. */
 final class GoldenNode {
--- a/golden/src/main/java/org/fuchsiawinch/golden/GoldenWorker.java
+++ b/golden/src/main/java/org/fuchsiawinch/golden/GoldenWorker.java
@@ -1,11 +1,11 @@
 package org.fuchsiawinch.golden;
 
 import org.fuchsiawinch.model.WorkerSpec;
-import org.fuchsiawinch.platform.worker.PayloadWork;
-import org.fuchsiawinch.platform.worker.Work;
-import org.fuchsiawinch.platform.worker.WorkerMachine;
 import org.fuchsiawinch.protocol.worker.WorkerCommand;
 import org.fuchsiawinch.protocol.worker.WorkerReply;
+import org.fuchsiawinch.standin.worker.PayloadWork;
+import org.fuchsiawinch.standin.worker.Work;
+import org.fuchsiawinch.standin.worker.WorkerMachine;
 
 /** A worker of a session; counts the parts that it begins to run. Not thread-safe. */
 final class GoldenWorker {
--- a/platform/src/main/java/org/fuchsiawinch/platform/PlatformMain.java
+++ b/standin/src/main/java/org/fuchsiawinch/standin/PlatformMain.java
@@ -1,9 +1,9 @@
-package org.fuchsiawinch.platform;
+package org.fuchsiawinch.standin;
 
-import org.fuchsiawinch.platform.log.LogStore;
 import org.fuchsiawinch.runtime.EventLog;
 import org.fuchsiawinch.runtime.Program;
 import org.fuchsiawinch.runtime.Settings;
+import org.fuchsiawinch.standin.log.LogStore;
 import reactor.netty.DisposableServer;
 
 /** Runs the stand-in platform until it is ended. */
--- a/platform/src/main/java/org/fuchsiawinch/platform/PlatformServer.java
+++ b/standin/src/main/java/org/fuchsiawinch/standin/PlatformServer.java
@@ -1,4 +1,4 @@
-package org.fuchsiawinch.platform;
+package org.fuchsiawinch.standin;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -12,13 +12,13 @@
 
 import org.fuchsiawinch.model.WorkerId;
 import org.fuchsiawinch.model.WorkerSpec;
-import org.fuchsiawinch.platform.log.LogStore;
-import org.fuchsiawinch.platform.worker.PayloadWork;
-import org.fuchsiawinch.platform.worker.RunLedger;
-import org.fuchsiawinch.platform.worker.Work;
-import org.fuchsiawinch.platform.worker.WorkerMachine;
 import org.fuchsiawinch.protocol.worker.WorkerCommand;
 import org.fuchsiawinch.protocol.worker.WorkerReply;
+import org.fuchsiawinch.standin.log.LogStore;
+import org.fuchsiawinch.standin.worker.PayloadWork;
+import org.fuchsiawinch.standin.worker.RunLedger;
+import org.fuchsiawinch.standin.worker.Work;
+import org.fuchsiawinch.standin.worker.WorkerMachine;
 import org.fuchsiawinch.wire.CodecException;
 import org.fuchsiawinch.wire.JsonCodec;
 import org.fuchsiawinch.wire.PlatformMessages;
--- a/platform/src/main/java/org/fuchsiawinch/platform/PlatformSettings.java
+++ b/standin/src/main/java/org/fuchsiawinch/standin/PlatformSettings.java
@@ -1,4 +1,4 @@
-package org.fuchsiawinch.platform;
+package org.fuchsiawinch.standin;
 
 import java.util.List;
 
@@ -34,7 +34,7 @@
      */
     public static SettingsReader reader() {
         return new SettingsReader(
-                "fuchsiawinch-platform",
+                "fuchsiawinch-standin",
                 "Stands in for the platform: log, list of workers, and workers.",
                 List.of(HOST, PORT, SITE, LOG_RETENTION_MS));
     }
--- a/platform/src/main/java/org/fuchsiawinch/platform/Site.java
+++ b/standin/src/main/java/org/fuchsiawinch/standin/Site.java
@@ -1,4 +1,4 @@
-package org.fuchsiawinch.platform;
+package org.fuchsiawinch.standin;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/platform/src/main/java/org/fuchsiawinch/platform/log/LogStore.java
+++ b/standin/src/main/java/org/fuchsiawinch/standin/log/LogStore.java
@@ -1,4 +1,4 @@
-package org.fuchsiawinch.platform.log;
+package org.fuchsiawinch.standin.log;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/platform/src/main/java/org/fuchsiawinch/platform/log/package-info.java
+++ b/standin/src/main/java/org/fuchsiawinch/standin/log/package-info.java
@@ -1,4 +1,4 @@
 /**
  * A stand-in append-only log.
  */
-package org.fuchsiawinch.platform.log;
+package org.fuchsiawinch.standin.log;
--- a/platform/src/main/java/org/fuchsiawinch/platform/package-info.java
+++ b/standin/src/main/java/org/fuchsiawinch/standin/package-info.java
@@ -1,4 +1,4 @@
 /**
  * Stand-in platform for the quick start and tests.
  */
-package org.fuchsiawinch.platform;
+package org.fuchsiawinch.standin;
--- a/platform/src/main/java/org/fuchsiawinch/platform/worker/Work.java
+++ b/standin/src/main/java/org/fuchsiawinch/standin/worker/Work.java
@@ -1,4 +1,4 @@
-package org.fuchsiawinch.platform.worker;
+package org.fuchsiawinch.standin.worker;
 
 import java.util.Optional;
 
--- /dev/null
+++ b/standin/src/main/java/org/fuchsiawinch/standin/worker/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * A stand-in worker.
+ */
+package org.fuchsiawinch.standin.worker;
