--- /dev/null
+++ b/server/src/main/java/org/fuchsiawinch/server/owner/package-info.java
@@ -0,0 +1,2 @@
+/** Carries out what the owner of a cell decides. */
+package org.fuchsiawinch.server.owner;
--- /dev/null
+++ b/server/src/main/java/org/fuchsiawinch/server/port/package-info.java
@@ -0,0 +1,2 @@
+/** What the node asks of the platform. */
+package org.fuchsiawinch.server.port;
--- /dev/null
+++ b/server/src/main/java/org/fuchsiawinch/server/stream/StreamFollower.java
@@ -0,0 +1,285 @@
+package org.fuchsiawinch.server.stream;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+import org.fuchsiawinch.server.port.Stream;
+import org.fuchsiawinch.server.port.StreamStore;
+import org.fuchsiawinch.workflow.owner.DecisionLog;
+import reactor.core.Disposable;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+
+/**
+ * Keeps up with one stream: takes the newest entry of each key, then reads on. Starts over from the newest entries when
+ * the store no longer keeps what comes next. An older entry of a key never follows a newer one. Runs on one thread,
+ * which also calls it.
+ */
+public final class StreamFollower {
+
+    /** Takes entries in order of their offsets. */
+    public interface Listener {
+
+        /**
+         * Takes the newest entry of each key. Keys that are missing were removed.
+         *
+         * @param entries the entries
+         */
+        void snapshot(List<StreamStore.Placed> entries);
+
+        /**
+         * Takes entries that follow.
+         *
+         * @param entries the entries, at least one
+         */
+        void entries(List<StreamStore.Placed> entries);
+
+        /** Notes that the stream was read to its end. */
+        void readToEnd();
+    }
+
+    /**
+     * How a stream is followed.
+     *
+     * @param waitMs longest wait of a read for an entry, in ms
+     * @param paceMs pause between a read that found entries and the next one, in ms
+     */
+    public record Pace(long waitMs, long paceMs) {}
+
+    private static final long MIN_RETRY_MS = 80;
+    private static final long MAX_RETRY_MS = 600;
+
+    private final Stream stream;
+    private final StreamStore store;
+    private final Scheduler scheduler;
+    private final LongSupplier clock;
+    private final Listener listener;
+    private final DecisionLog log;
+    private final long jitter;
+    private final Map<String, Long> loadedOffsets = new HashMap<>();
+    private Pace pace;
+    private long loadedUpTo;
+    private long cursor = -1;
+    private long retryMs = MIN_RETRY_MS;
+    private long confirmedMs = Long.MIN_VALUE / 2;
+    private boolean lost;
+    private boolean closed;
+    private Disposable pending = () -> {};
+
+    /**
+     * Creates a follower that does nothing yet.
+     *
+     * @param stream the stream
+     * @param store the store
+     * @param pace how it is followed
+     * @param scheduler the one thread
+     * @param clock present time in ms
+     * @param jitter spreads the retries of nodes; differs between nodes
+     * @param listener takes the entries
+     * @param log takes a line for each lost and regained contact
+     */
+    public StreamFollower(
+            Stream stream,
+            StreamStore store,
+            Pace pace,
+            Scheduler scheduler,
+            LongSupplier clock,
+            long jitter,
+            Listener listener,
+            DecisionLog log) {
+        this.stream = stream;
+        this.store = store;
+        this.pace = pace;
+        this.scheduler = scheduler;
+        this.clock = clock;
+        this.jitter = jitter;
+        this.listener = listener;
+        this.log = log;
+    }
+
+    /** Starts to follow. */
+    public void start() {
+        load(new ArrayList<>(), Optional.empty(), -1);
+    }
+
+    /** Stops for good. */
+    public void close() {
+        closed = true;
+        pending.dispose();
+    }
+
+    /**
+     * Changes the pace from the next read on.
+     *
+     * @param newPace the pace
+     */
+    public void pace(Pace newPace) {
+        pace = newPace;
+    }
+
+    /**
+     * Says whether the first snapshot was taken.
+     *
+     * @return true from then on
+     */
+    public boolean loaded() {
+        return cursor >= 0;
+    }
+
+    /**
+     * Gives the offset of the next entry.
+     *
+     * @return the offset; negative before the first snapshot
+     */
+    public long cursor() {
+        return cursor;
+    }
+
+    /**
+     * Gives the time that has passed since the store last answered.
+     *
+     * @param nowMs present time in ms
+     * @return time in ms
+     */
+    public long ageMs(long nowMs) {
+        return nowMs - confirmedMs;
+    }
+
+    /**
+     * Reads to the end of the stream once, beside the reads that go on.
+     *
+     * @return whether everything that was stored before the call has been taken
+     */
+    public Mono<Boolean> catchUp() {
+        if (!loaded()) {
+            return Mono.just(false);
+        }
+        long from = cursor;
+        return store.read(stream, from, 0).map(result -> {
+            if (!(result instanceof StreamStore.ReadResult.Entries read)) {
+                return false;
+            }
+            take(read);
+            return cursor >= read.end();
+        });
+    }
+
+    private void load(List<StreamStore.Placed> gathered, Optional<String> after, long firstEnd) {
+        pending = store.newest(stream, after).subscribe(result -> {
+            if (closed) {
+                return;
+            }
+            if (result instanceof StreamStore.PageResult.Failed failed) {
+                retry(failed.problem(), () -> load(new ArrayList<>(), Optional.empty(), -1));
+                return;
+            }
+            StreamStore.PageResult.Page page = (StreamStore.PageResult.Page) result;
+            gathered.addAll(page.entries());
+            long end = firstEnd < 0 ? page.end() : firstEnd;
+            if (page.more() && !page.entries().isEmpty()) {
+                String last =
+                        page.entries().get(page.entries().size() - 1).entry().key();
+                load(gathered, Optional.of(last), end);
+                return;
+            }
+            loaded(gathered, end);
+        });
+    }
+
+    private void loaded(List<StreamStore.Placed> entries, long end) {
+        regained();
+        loadedOffsets.clear();
+        loadedUpTo = end;
+        for (StreamStore.Placed placed : entries) {
+            if (placed.offset() >= end) {
+                loadedOffsets.put(placed.entry().key(), placed.offset());
+                loadedUpTo = Math.max(loadedUpTo, placed.offset() + 1);
+            }
+        }
+        cursor = end;
+        entries.sort((left, right) -> Long.compare(left.offset(), right.offset()));
+        listener.snapshot(entries);
+        read();
+    }
+
+    private void read() {
+        pending = store.read(stream, cursor, pace.waitMs()).subscribe(result -> {
+            if (closed) {
+                return;
+            }
+            if (result instanceof StreamStore.ReadResult.Failed failed) {
+                retry(failed.problem(), this::read);
+                return;
+            }
+            if (result instanceof StreamStore.ReadResult.Expired) {
+                log.line("stream-expired", "stream", stream, "offset", cursor);
+                load(new ArrayList<>(), Optional.empty(), -1);
+                return;
+            }
+            StreamStore.ReadResult.Entries read = (StreamStore.ReadResult.Entries) result;
+            regained();
+            boolean news = !read.entries().isEmpty();
+            take(read);
+            later(news ? pace.paceMs() : 0, this::read);
+        });
+    }
+
+    private void take(StreamStore.ReadResult.Entries read) {
+        confirmedMs = clock.getAsLong();
+        List<StreamStore.Placed> fresh = new ArrayList<>(read.entries().size());
+        for (StreamStore.Placed placed : read.entries()) {
+            if (placed.offset() >= cursor && !outdated(placed)) {
+                fresh.add(placed);
+            }
+        }
+        cursor = Math.max(cursor, read.next());
+        if (cursor >= loadedUpTo) {
+            loadedOffsets.clear();
+        }
+        if (!fresh.isEmpty()) {
+            listener.entries(fresh);
+        }
+        if (cursor >= read.end()) {
+            listener.readToEnd();
+        }
+    }
+
+    private boolean outdated(StreamStore.Placed placed) {
+        Long loadedOffset = loadedOffsets.get(placed.entry().key());
+        return loadedOffset != null && placed.offset() <= loadedOffset;
+    }
+
+    private void regained() {
+        confirmedMs = clock.getAsLong();
+        retryMs = MIN_RETRY_MS;
+        if (lost) {
+            lost = false;
+            log.line("dependency-regained", "stream", stream, "offset", cursor);
+        }
+    }
+
+    private void retry(String problem, Runnable action) {
+        if (!lost) {
+            lost = true;
+            log.line("dependency-lost", "stream", stream, "problem", problem, "offset", cursor);
+        }
+        later(retryMs + jitter % Math.max(1, retryMs), action);
+        retryMs = Math.min(MAX_RETRY_MS, 2 * retryMs);
+    }
+
+    private void later(long delayMs, Runnable action) {
+        if (closed) {
+            return;
+        }
+        if (delayMs <= 0) {
+            pending = scheduler.schedule(action);
+            return;
+        }
+        pending = scheduler.schedule(action, delayMs, TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/server/src/main/java/org/fuchsiawinch/server/stream/package-info.java
@@ -0,0 +1,2 @@
+/** Follows streams of the platform's store. */
+package org.fuchsiawinch.server.stream;
--- /dev/null
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/cell/CellRules.java
@@ -0,0 +1,109 @@
+package org.fuchsiawinch.workflow.cell;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.fuchsiawinch.model.WorkspaceId;
+import org.fuchsiawinch.workflow.owner.Guarantees;
+
+/**
+ * The rules in force: queues, keys and guarantees of one version of the operators' document. Immutable, thread-safe.
+ */
+public final class CellRules {
+
+    private final long version;
+    private final Map<String, List<Queue>> queuesByHost = new HashMap<>();
+    private final Map<String, WorkspaceId> workspaceByKey;
+    private final Guarantees guarantees;
+    private final int maxBodyBytes;
+
+    /**
+     * Creates the rules.
+     *
+     * @param version version of the document; higher ones replace lower ones
+     * @param queues the queues
+     * @param workspaceByKey workspace of each key
+     * @param guarantees accelerators of each workspace
+     * @param maxBodyBytes largest body of a request, in bytes
+     */
+    public CellRules(
+            long version,
+            List<Queue> queues,
+            Map<String, WorkspaceId> workspaceByKey,
+            Guarantees guarantees,
+            int maxBodyBytes) {
+        this.version = version;
+        this.workspaceByKey = Map.copyOf(workspaceByKey);
+        this.guarantees = guarantees;
+        this.maxBodyBytes = maxBodyBytes;
+        queues.stream()
+                .sorted(Comparator.comparingInt(
+                        (Queue queue) -> -queue.pathPrefix().length()))
+                .forEach(queue -> queuesByHost
+                        .computeIfAbsent(queue.host(), host -> new ArrayList<>())
+                        .add(queue));
+    }
+
+    /**
+     * Gives the version.
+     *
+     * @return the version
+     */
+    public long version() {
+        return version;
+    }
+
+    /**
+     * Gives the guarantees.
+     *
+     * @return the guarantees
+     */
+    public Guarantees guarantees() {
+        return guarantees;
+    }
+
+    /**
+     * Gives the largest body of a request.
+     *
+     * @return size in bytes
+     */
+    public int maxBodyBytes() {
+        return maxBodyBytes;
+    }
+
+    /**
+     * Finds the queue of a request: the longest prefix of its host wins.
+     *
+     * @param host host name, without a port
+     * @param path path of the request
+     * @return the queue, or empty
+     */
+    public Optional<Queue> queue(String host, String path) {
+        return queuesByHost.getOrDefault(host, List.of()).stream()
+                .filter(queue -> path.startsWith(queue.pathPrefix()))
+                .findFirst();
+    }
+
+    /**
+     * Finds the workspace of a key.
+     *
+     * @param key the key
+     * @return the workspace, or empty if no workspace has it
+     */
+    public Optional<WorkspaceId> workspace(String key) {
+        return Optional.ofNullable(workspaceByKey.get(key));
+    }
+
+    /**
+     * Gives the number of queues.
+     *
+     * @return the number
+     */
+    public int queueCount() {
+        return queuesByHost.values().stream().mapToInt(List::size).sum();
+    }
+}
--- /dev/null
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
@@ -0,0 +1,316 @@
+package org.fuchsiawinch.workflow.owner;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.fuchsiawinch.model.WorkerId;
+import org.fuchsiawinch.workflow.job.JobPhase;
+import org.fuchsiawinch.workflow.job.JobState;
+import org.fuchsiawinch.workflow.job.TaskPhase;
+import org.fuchsiawinch.workflow.job.TaskRef;
+import org.fuchsiawinch.workflow.job.TaskRun;
+import org.fuchsiawinch.workflow.job.TaskState;
+import org.fuchsiawinch.workflow.record.CellRecord;
+
+/**
+ * Schedules the jobs of one cell from the moment at which a node owns it.
+ *
+ * <p>An assignment is stored before its order is sent, and an end is stored before the worker is told to forget it. A
+ * worker gets its first order only after it has answered a renewal under this owner's epoch, which bars orders of
+ * earlier owners. Not thread-safe; dropped when the node no longer owns the cell.
+ */
+public final class CellOwner {
+
+    /** Pause between two searches for jobs to forget, in ms; far below the time that an ended job stays known. */
+    private static final long FORGET_EVERY_MS = 5000;
+
+    private final CellState state;
+    private final Runs runs;
+    private final Renewals renewals;
+    private final Scheduling scheduling;
+    private final Stalls stalls;
+    private final long epoch;
+    private boolean appending;
+    private long appendedMs;
+    private long forgottenMs;
+    private List<CellRecord> removals = List.of();
+    private List<ActiveRun> startsInFlight = List.of();
+    private Map<WorkerId, Long> endsInFlight = Map.of();
+
+    /**
+     * Creates the owner.
+     *
+     * @param settings its figures
+     * @param epoch epoch of the ownership
+     * @param log takes a line for each decision
+     * @param nowMs present time in ms
+     */
+    public CellOwner(OwnerSettings settings, long epoch, DecisionLog log, long nowMs) {
+        this.state = new CellState(settings, log);
+        this.epoch = epoch;
+        this.runs = new Runs(state);
+        this.renewals = new Renewals(state, runs, nowMs);
+        this.scheduling = new Scheduling(state, runs);
+        this.stalls = new Stalls(state, runs);
+        this.appendedMs = nowMs;
+    }
+
+    /**
+     * Takes over the stored state of the cell.
+     *
+     * @param records the newest record of each key, in order of their offsets
+     * @param nowMs present time in ms
+     */
+    public void load(List<CellRecord> records, long nowMs) {
+        records.forEach(record -> {
+            if (record instanceof CellRecord.Accepted accepted) {
+                state.accept(new JobState(accepted.submission()));
+            }
+        });
+        for (CellRecord record : records) {
+            if (record instanceof CellRecord.Progress progress) {
+                restore(progress, nowMs);
+            }
+        }
+        for (CellRecord record : records) {
+            if (record instanceof CellRecord.CancelAsked asked) {
+                cancel(asked.job(), nowMs);
+            }
+        }
+        state.log.line("cell-loaded", "epoch", epoch, "jobs", state.jobs.size(), "open", state.open.size());
+    }
+
+    /**
+     * Takes one input.
+     *
+     * @param input what reached the owner
+     * @param nowMs present time in ms; never falls between calls
+     * @return what to do, in order
+     */
+    public List<OwnerEffect> handle(OwnerInput input, long nowMs) {
+        state.effects = new ArrayList<>();
+        if (input instanceof OwnerInput.RecordsRead read) {
+            read.records().forEach(record -> recordRead(record, nowMs));
+        } else if (input instanceof OwnerInput.Appended) {
+            appended(nowMs);
+        } else if (input instanceof OwnerInput.Tick) {
+            tick(nowMs);
+        } else if (input instanceof OwnerInput.GuaranteesChanged changed) {
+            state.guarantees = changed.guarantees();
+        } else {
+            workerInput(input, nowMs);
+        }
+        if (!appending) {
+            scheduling.run(nowMs);
+            append(nowMs);
+        }
+        renewals.sendDue(nowMs);
+        return state.effects;
+    }
+
+    /**
+     * Gives the number of runs that hold capacity.
+     *
+     * @return the number
+     */
+    public int activeRuns() {
+        return state.workers.values().stream()
+                .mapToInt(worker -> worker.runs.size())
+                .sum();
+    }
+
+    /**
+     * Gives the number of jobs that have not ended.
+     *
+     * @return the number
+     */
+    public int openJobs() {
+        return state.open.size();
+    }
+
+    private void workerInput(OwnerInput input, long nowMs) {
+        if (input instanceof OwnerInput.WorkerListed listed) {
+            listed(listed.entry(), nowMs);
+        } else if (input instanceof OwnerInput.WorkerUnlisted unlisted) {
+            unlisted(unlisted.worker(), nowMs);
+        } else if (input instanceof OwnerInput.Renewed renewed) {
+            known(renewed.worker())
+                    .ifPresent(worker -> renewals.answered(worker, renewed.sentMs(), renewed.report(), nowMs));
+        } else if (input instanceof OwnerInput.RenewalFailed failed) {
+            if (failed.fenced()) {
+                state.effects.add(new OwnerEffect.Abdicate("worker " + failed.worker() + " knows a higher epoch"));
+                return;
+            }
+            known(failed.worker()).ifPresent(worker -> renewals.failed(worker, failed.problem(), nowMs));
+        } else if (input instanceof OwnerInput.StartAnswered answered) {
+            known(answered.worker())
+                    .ifPresent(worker -> runs.startAnswered(worker, answered.run(), answered.outcome(), nowMs));
+        } else if (input instanceof OwnerInput.StopAnswered answered) {
+            known(answered.worker())
+                    .ifPresent(worker -> runs.stopAnswered(worker, answered.run(), answered.answered(), nowMs));
+        }
+    }
+
+    private Optional<WorkerState> known(WorkerId id) {
+        return Optional.ofNullable(state.workers.get(id));
+    }
+
+    private void listed(WorkerEntry entry, long nowMs) {
+        WorkerState worker = state.worker(entry.id(), nowMs);
+        boolean news = !worker.listed || worker.entry.leaving() != entry.leaving();
+        worker.entry = entry;
+        worker.listed = true;
+        if (news) {
+            state.log.line(
+                    "worker-listed",
+                    "worker",
+                    entry.id(),
+                    "leaving",
+                    entry.leaving(),
+                    "rack",
+                    entry.rack(),
+                    "runs",
+                    worker.runs.size());
+        }
+    }
+
+    private void unlisted(WorkerId id, long nowMs) {
+        known(id).ifPresent(worker -> {
+            worker.listed = false;
+            state.log.line("worker-unlisted", "worker", id, "runs", worker.runs.size());
+            if (worker.entry != null && worker.entry.leaving()) {
+                renewals.lost(worker, "worker-left", nowMs);
+            }
+        });
+    }
+
+    private void recordRead(CellRecord record, long nowMs) {
+        if (record instanceof CellRecord.Accepted accepted) {
+            state.accept(new JobState(accepted.submission()));
+        } else if (record instanceof CellRecord.CancelAsked asked) {
+            cancel(asked.job(), nowMs);
+        } else if (record instanceof CellRecord.Owner owner && owner.epoch() > epoch) {
+            state.effects.add(new OwnerEffect.Abdicate("node " + owner.node() + " owns epoch " + owner.epoch()));
+        }
+    }
+
+    private void cancel(String id, long nowMs) {
+        JobState job = state.jobs.get(id);
+        if (job == null || !state.cancelled.add(id) || job.phase().ended()) {
+            return;
+        }
+        state.end(job, JobPhase.CANCELLED, nowMs);
+        runs.stopAll(job, "cancelled", nowMs);
+        state.close(job);
+    }
+
+    private void restore(CellRecord.Progress progress, long nowMs) {
+        JobState job = state.jobs.get(progress.job());
+        if (job == null) {
+            state.log.line("progress-without-job", "request", progress.job());
+            return;
+        }
+        job.restore(progress.phase(), progress.endedAtMs());
+        for (int step = 0; step < progress.steps().size(); step++) {
+            List<CellRecord.TaskProgress> tasks = progress.steps().get(step);
+            for (int index = 0; index < tasks.size(); index++) {
+                restoreTask(job, new TaskRef(progress.job(), step, index), tasks.get(index), nowMs);
+            }
+        }
+        if (job.phase().ended()) {
+            runs.stopAll(job, "job-ended", nowMs);
+        }
+        state.close(job);
+    }
+
+    private void restoreTask(JobState job, TaskRef ref, CellRecord.TaskProgress recorded, long nowMs) {
+        TaskState task = job.task(ref);
+        if (task == null) {
+            return;
+        }
+        task.restore(recorded.phase(), recorded.run(), recorded.failures(), recorded.worker(), recorded.checkpoint());
+        if (recorded.phase() != TaskPhase.ASSIGNED || recorded.worker().isEmpty()) {
+            return;
+        }
+        WorkerState worker = state.worker(recorded.worker().get(), nowMs);
+        ActiveRun run = new ActiveRun(new TaskRun(ref, recorded.run()), job, worker, ActiveRun.Stage.ORDERED);
+        run.absenceProvesEndMs = nowMs - 1;
+        worker.add(run);
+    }
+
+    private void tick(long nowMs) {
+        if (nowMs - forgottenMs >= FORGET_EVERY_MS && removals.isEmpty()) {
+            forgottenMs = nowMs;
+            removals = forgotten(nowMs);
+        }
+        renewals.expire(nowMs);
+        stalls.check(nowMs);
+        for (WorkerState worker : state.workers.values()) {
+            runs.repeatStops(worker, nowMs);
+        }
+    }
+
+    private void appended(long nowMs) {
+        appending = false;
+        appendedMs = nowMs;
+        endsInFlight.forEach((id, sequence) -> known(id).ifPresent(worker -> {
+            if (sequence <= worker.seenSequence && sequence > worker.acknowledged) {
+                worker.acknowledged = sequence;
+                worker.retryAtMs = nowMs;
+            }
+        }));
+        List<ActiveRun> starts = startsInFlight;
+        startsInFlight = List.of();
+        starts.forEach(run -> runs.assignmentStored(run, nowMs));
+    }
+
+    private void append(long nowMs) {
+        List<CellRecord> records = new ArrayList<>();
+        state.changed.forEach(job -> records.add(CellState.progress(job)));
+        state.changed.clear();
+        records.addAll(removals);
+        removals = List.of();
+        if (records.isEmpty() && nowMs - appendedMs >= state.settings.heartbeatMs()) {
+            records.add(new CellRecord.Owner(state.settings.node(), epoch, false));
+        }
+        startsInFlight = List.copyOf(state.toStart);
+        state.toStart.clear();
+        endsInFlight = new TreeMap<>();
+        boolean ends = false;
+        for (WorkerState worker : state.workers.values()) {
+            if (worker.seenSequence > worker.acknowledged) {
+                endsInFlight.put(worker.id, worker.seenSequence);
+                ends = true;
+            }
+        }
+        if (records.isEmpty()) {
+            if (ends) {
+                appended(appendedMs);
+            }
+            return;
+        }
+        appending = true;
+        state.effects.add(new OwnerEffect.Append(records));
+    }
+
+    private List<CellRecord> forgotten(long nowMs) {
+        List<CellRecord> removed = new ArrayList<>();
+        state.jobs.values().removeIf(job -> {
+            boolean old = job.phase().ended()
+                    && !state.open.containsKey(job.submission().id())
+                    && nowMs - job.endedAtMs() > state.settings.retentionMs();
+            if (old) {
+                String id = job.submission().id();
+                state.cancelled.remove(id);
+                removed.add(new CellRecord.Removed(CellRecord.Accepted.PREFIX + id));
+                removed.add(new CellRecord.Removed(CellRecord.Progress.PREFIX + id));
+                removed.add(new CellRecord.Removed(CellRecord.CancelAsked.PREFIX + id));
+            }
+            return old;
+        });
+        return removed;
+    }
+}
--- /dev/null
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Placer.java
@@ -0,0 +1,161 @@
+package org.fuchsiawinch.workflow.owner;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+
+import org.fuchsiawinch.model.Resources;
+import org.fuchsiawinch.workflow.job.StepSpec;
+
+/**
+ * Finds workers for units in one pass. A placement counts at once against the room that is left for the next one. Not
+ * thread-safe; made for one pass.
+ */
+final class Placer {
+
+    /** Weight of accelerators left over on a worker against its slowness: alike workers are filled one by one. */
+    private static final double LEFTOVER_WEIGHT = 0.3;
+
+    private final Map<WorkerState, Resources> room = new HashMap<>();
+    private final Map<String, List<WorkerState>> racks = new TreeMap<>();
+    private final List<WorkerState> usable = new ArrayList<>();
+    private final double remoteFactor;
+
+    Placer(Collection<WorkerState> workers, double remoteFactor, long nowMs) {
+        this.remoteFactor = remoteFactor;
+        for (WorkerState worker : workers) {
+            if (worker.entry == null) {
+                continue;
+            }
+            room.put(worker, worker.free());
+            if (worker.usable(nowMs)) {
+                usable.add(worker);
+                racks.computeIfAbsent(worker.entry.rack(), rack -> new ArrayList<>())
+                        .add(worker);
+            }
+        }
+    }
+
+    List<WorkerState> usable() {
+        return usable;
+    }
+
+    Resources room(WorkerState worker) {
+        return room.get(worker);
+    }
+
+    void take(WorkerState worker, Resources need) {
+        room.merge(worker, need, Resources::minus);
+    }
+
+    /** Finds a worker for each task of the unit, or none for any; takes their room. */
+    Optional<List<WorkerState>> place(Unit unit) {
+        Optional<List<WorkerState>> found = find(unit);
+        found.ifPresent(
+                workers -> workers.forEach(worker -> take(worker, unit.spec().perTask())));
+        return found;
+    }
+
+    private Optional<List<WorkerState>> find(Unit unit) {
+        StepSpec step = unit.spec();
+        if (!step.sameRack() || unit.indexes().size() == 1) {
+            return fill(unit, usable);
+        }
+        Optional<List<WorkerState>> best = Optional.empty();
+        double bestCost = Double.MAX_VALUE;
+        for (List<WorkerState> rack : racks.values()) {
+            Optional<List<WorkerState>> workers = fill(unit, rack);
+            if (workers.isPresent()) {
+                double cost = workers.get().stream()
+                        .mapToDouble(worker -> cost(worker, step))
+                        .max()
+                        .orElse(0);
+                if (cost < bestCost) {
+                    bestCost = cost;
+                    best = workers;
+                }
+            }
+        }
+        return best;
+    }
+
+    private Optional<List<WorkerState>> fill(Unit unit, List<WorkerState> candidates) {
+        StepSpec step = unit.spec();
+        Predicate<WorkerState> allowed = worker -> allows(worker, unit);
+        List<WorkerState> open = candidates.stream().filter(allowed).toList();
+        if (unit.lastAttempt()) {
+            List<WorkerState> proven =
+                    open.stream().filter(worker -> worker.health.proven()).toList();
+            Optional<List<WorkerState>> workers = choose(unit, step, proven);
+            if (workers.isPresent()) {
+                return workers;
+            }
+        }
+        return choose(unit, step, open);
+    }
+
+    private Optional<List<WorkerState>> choose(Unit unit, StepSpec step, List<WorkerState> open) {
+        List<WorkerState> chosen = new ArrayList<>();
+        Map<WorkerState, Resources> left = new HashMap<>();
+        Map<WorkerState, Integer> placed = new HashMap<>();
+        for (int i = 0; i < unit.indexes().size(); i++) {
+            Optional<WorkerState> next = open.stream()
+                    .filter(worker -> step.perTask().fitsIn(left.getOrDefault(worker, room.get(worker))))
+                    .filter(worker -> step.maxPerWorker() == 0
+                            || onWorker(worker, unit) + placed.getOrDefault(worker, 0) < step.maxPerWorker())
+                    .min(Comparator.comparingDouble(
+                                    (WorkerState worker) -> cost(worker, step) + leftover(worker, step, left))
+                            .thenComparing(worker -> worker.id));
+            if (next.isEmpty()) {
+                return Optional.empty();
+            }
+            chosen.add(next.get());
+            placed.merge(next.get(), 1, Integer::sum);
+            left.put(
+                    next.get(),
+                    left.getOrDefault(next.get(), room.get(next.get())).minus(step.perTask()));
+        }
+        return Optional.of(chosen);
+    }
+
+    /** Says whether a worker may run the unit's tasks, whatever its room. */
+    static boolean allows(WorkerState worker, Unit unit) {
+        StepSpec step = unit.spec();
+        return worker.entry.service().equals(unit.job().submission().service())
+                && step.requiredLabel().map(worker.entry.labels()::contains).orElse(true)
+                && step.perTask().fitsIn(worker.entry.capacity());
+    }
+
+    static int onWorker(WorkerState worker, Unit unit) {
+        int count = 0;
+        for (ActiveRun run : worker.runs.values()) {
+            if (run.job == unit.job() && run.run.task().step() == unit.step()) {
+                count++;
+            }
+        }
+        return count;
+    }
+
+    private double cost(WorkerState worker, StepSpec step) {
+        boolean remote = step.dataRack()
+                .filter(rack -> !rack.equals(worker.entry.rack()))
+                .isPresent();
+        return (remote ? remoteFactor : 1) / worker.health.speed();
+    }
+
+    private double leftover(WorkerState worker, StepSpec step, Map<WorkerState, Resources> left) {
+        Resources capacity = worker.entry.capacity();
+        if (capacity.accelerators() == 0) {
+            return 0;
+        }
+        Resources free = left.getOrDefault(worker, room.get(worker));
+        double after = free.accelerators() - step.perTask().accelerators();
+        return LEFTOVER_WEIGHT * after / capacity.accelerators();
+    }
+}
--- /dev/null
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Unit.java
@@ -0,0 +1,58 @@
+package org.fuchsiawinch.workflow.owner;
+
+import java.util.List;
+import java.util.stream.IntStream;
+
+import org.fuchsiawinch.workflow.job.JobState;
+import org.fuchsiawinch.workflow.job.StepSpec;
+import org.fuchsiawinch.workflow.job.TaskPhase;
+import org.fuchsiawinch.workflow.job.TaskRef;
+import org.fuchsiawinch.workflow.job.TaskState;
+
+/**
+ * What is started as one: a task, or all tasks of a gang.
+ *
+ * @param job the job
+ * @param step index of the step
+ * @param indexes indexes of the tasks
+ */
+record Unit(JobState job, int step, List<Integer> indexes) {
+
+    static Unit gang(JobState job, int step) {
+        int count = job.submission().steps().get(step).count();
+        return new Unit(job, step, IntStream.range(0, count).boxed().toList());
+    }
+
+    static Unit task(JobState job, int step, int index) {
+        return new Unit(job, step, List.of(index));
+    }
+
+    StepSpec spec() {
+        return job.submission().steps().get(step);
+    }
+
+    TaskRef ref(int index) {
+        return new TaskRef(job.submission().id(), step, index);
+    }
+
+    boolean ready() {
+        return indexes.stream().allMatch(index -> state(index).phase() == TaskPhase.WAITING);
+    }
+
+    TaskState state(int index) {
+        return job.tasks(step).get(index);
+    }
+
+    /** Gives the number of the next run: the members of a gang share it. */
+    int nextRun() {
+        return 1 + indexes.stream().mapToInt(index -> state(index).run()).max().orElse(0);
+    }
+
+    int failures() {
+        return indexes.stream().mapToInt(index -> state(index).failures()).max().orElse(0);
+    }
+
+    boolean lastAttempt() {
+        return failures() > 0 && failures() >= job.submission().rules().maxAttempts() - 1;
+    }
+}
--- /dev/null
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/record/RecordCodec.java
@@ -0,0 +1,206 @@
+package org.fuchsiawinch.workflow.record;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.fuchsiawinch.model.Resources;
+import org.fuchsiawinch.model.WorkerId;
+import org.fuchsiawinch.model.WorkspaceId;
+import org.fuchsiawinch.workflow.job.JobPhase;
+import org.fuchsiawinch.workflow.job.StepSpec;
+import org.fuchsiawinch.workflow.job.Submission;
+import org.fuchsiawinch.workflow.job.TaskPhase;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Encodes the values of a cell's records as MessagePack, fields in order of declaration behind a version number.
+ * Thread-safe.
+ */
+public final class RecordCodec {
+
+    private static final int VERSION = 1;
+    private static final int GANG_BIT = 1;
+    private static final int SAME_RACK_BIT = 2;
+    private static final int CHECKPOINTS_BIT = 4;
+
+    private static final JobPhase[] JOB_PHASES = JobPhase.values();
+    private static final TaskPhase[] TASK_PHASES = TaskPhase.values();
+
+    /**
+     * Encodes the value of a record.
+     *
+     * @param record the record
+     * @return its value; empty for {@link CellRecord.Removed}
+     */
+    public byte[] encode(CellRecord record) {
+        if (record instanceof CellRecord.Removed) {
+            return new byte[0];
+        }
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packInt(VERSION);
+            if (record instanceof CellRecord.Accepted accepted) {
+                packSubmission(packer, accepted.submission());
+            } else if (record instanceof CellRecord.Progress progress) {
+                packProgress(packer, progress);
+            } else if (record instanceof CellRecord.Owner owner) {
+                packer.packString(owner.node()).packLong(owner.epoch()).packBoolean(owner.released());
+            }
+            return packer.toByteArray();
+        } catch (IOException e) {
+            throw new UncheckedIOException("cannot encode " + record.key(), e);
+        }
+    }
+
+    /**
+     * Decodes a record.
+     *
+     * @param key its key
+     * @param value its value; empty if the key was removed
+     * @return the record
+     * @throws RecordFormatException if key or value have another form
+     */
+    public CellRecord decode(String key, byte[] value) {
+        if (value.length == 0) {
+            return new CellRecord.Removed(key);
+        }
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(value)) {
+            int version = unpacker.unpackInt();
+            if (version != VERSION) {
+                throw new RecordFormatException(key, "version " + version + " instead of " + VERSION, null);
+            }
+            return decodeBody(key, unpacker);
+        } catch (IOException | MessagePackException | IndexOutOfBoundsException e) {
+            throw new RecordFormatException(key, "unreadable after " + value.length + " bytes", e);
+        }
+    }
+
+    private static CellRecord decodeBody(String key, MessageUnpacker unpacker) throws IOException {
+        if (key.equals(CellRecord.OWNER_KEY)) {
+            return new CellRecord.Owner(unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackBoolean());
+        }
+        if (key.startsWith(CellRecord.Accepted.PREFIX)) {
+            return new CellRecord.Accepted(
+                    unpackSubmission(key.substring(CellRecord.Accepted.PREFIX.length()), unpacker));
+        }
+        if (key.startsWith(CellRecord.CancelAsked.PREFIX)) {
+            return new CellRecord.CancelAsked(key.substring(CellRecord.CancelAsked.PREFIX.length()));
+        }
+        if (key.startsWith(CellRecord.Progress.PREFIX)) {
+            return unpackProgress(key.substring(CellRecord.Progress.PREFIX.length()), unpacker);
+        }
+        throw new RecordFormatException(key, "unknown kind of key", null);
+    }
+
+    private static void packSubmission(MessageBufferPacker packer, Submission job) throws IOException {
+        packer.packString(job.queue()).packString(job.service());
+        packer.packString(job.workspace().value());
+        packer.packInt(job.rules().priority()).packInt(job.rules().maxAttempts());
+        packer.packDouble(job.rules().slackFactor()).packLong(job.rules().targetMs());
+        packer.packLong(job.acceptedAtMs()).packString(job.payload());
+        packer.packArrayHeader(job.steps().size());
+        for (StepSpec step : job.steps()) {
+            packStep(packer, step);
+        }
+    }
+
+    private static void packStep(MessageBufferPacker packer, StepSpec step) throws IOException {
+        packer.packInt(step.count());
+        packer.packInt(step.perTask().cpuMillis()).packInt(step.perTask().memoryMb());
+        packer.packInt(step.perTask().accelerators());
+        packer.packLong(step.estimatedMs());
+        packer.packArrayHeader(step.after().size());
+        for (int before : step.after()) {
+            packer.packInt(before);
+        }
+        packer.packInt((step.gang() ? GANG_BIT : 0)
+                | (step.sameRack() ? SAME_RACK_BIT : 0)
+                | (step.checkpoints() ? CHECKPOINTS_BIT : 0));
+        packer.packInt(step.maxPerWorker());
+        packer.packString(step.requiredLabel().orElse(""))
+                .packString(step.dataRack().orElse(""));
+    }
+
+    private static Submission unpackSubmission(String id, MessageUnpacker unpacker) throws IOException {
+        String queue = unpacker.unpackString();
+        String service = unpacker.unpackString();
+        WorkspaceId workspace = new WorkspaceId(unpacker.unpackString());
+        Submission.QueueRules rules = new Submission.QueueRules(
+                unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackDouble(), unpacker.unpackLong());
+        long acceptedAtMs = unpacker.unpackLong();
+        String payload = unpacker.unpackString();
+        int count = unpacker.unpackArrayHeader();
+        List<StepSpec> steps = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            steps.add(unpackStep(unpacker));
+        }
+        return new Submission(id, queue, service, workspace, rules, acceptedAtMs, payload, steps);
+    }
+
+    private static StepSpec unpackStep(MessageUnpacker unpacker) throws IOException {
+        int count = unpacker.unpackInt();
+        Resources perTask = new Resources(unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackInt(), 0, 0);
+        long estimatedMs = unpacker.unpackLong();
+        int befores = unpacker.unpackArrayHeader();
+        List<Integer> after = new ArrayList<>(befores);
+        for (int i = 0; i < befores; i++) {
+            after.add(unpacker.unpackInt());
+        }
+        int bits = unpacker.unpackInt();
+        return new StepSpec(
+                count,
+                perTask,
+                estimatedMs,
+                after,
+                (bits & GANG_BIT) != 0,
+                (bits & SAME_RACK_BIT) != 0,
+                (bits & CHECKPOINTS_BIT) != 0,
+                unpacker.unpackInt(),
+                optional(unpacker.unpackString()),
+                optional(unpacker.unpackString()));
+    }
+
+    private static void packProgress(MessageBufferPacker packer, CellRecord.Progress progress) throws IOException {
+        packer.packString(progress.queue()).packInt(progress.phase().ordinal()).packLong(progress.endedAtMs());
+        packer.packArrayHeader(progress.steps().size());
+        for (List<CellRecord.TaskProgress> tasks : progress.steps()) {
+            packer.packArrayHeader(tasks.size());
+            for (CellRecord.TaskProgress task : tasks) {
+                packer.packInt(task.phase().ordinal()).packInt(task.run()).packInt(task.failures());
+                packer.packString(task.worker().map(WorkerId::value).orElse(""));
+                packer.packString(task.checkpoint());
+            }
+        }
+    }
+
+    private static CellRecord.Progress unpackProgress(String job, MessageUnpacker unpacker) throws IOException {
+        String queue = unpacker.unpackString();
+        JobPhase phase = JOB_PHASES[unpacker.unpackInt()];
+        long endedAtMs = unpacker.unpackLong();
+        int count = unpacker.unpackArrayHeader();
+        List<List<CellRecord.TaskProgress>> steps = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            int width = unpacker.unpackArrayHeader();
+            List<CellRecord.TaskProgress> tasks = new ArrayList<>(width);
+            for (int k = 0; k < width; k++) {
+                tasks.add(new CellRecord.TaskProgress(
+                        TASK_PHASES[unpacker.unpackInt()],
+                        unpacker.unpackInt(),
+                        unpacker.unpackInt(),
+                        optional(unpacker.unpackString()).map(WorkerId::new),
+                        unpacker.unpackString()));
+            }
+            steps.add(tasks);
+        }
+        return new CellRecord.Progress(job, queue, phase, endedAtMs, steps);
+    }
+
+    private static Optional<String> optional(String text) {
+        return text.isEmpty() ? Optional.empty() : Optional.of(text);
+    }
+}
--- /dev/null
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/record/package-info.java
@@ -0,0 +1,2 @@
+/** Records of a cell's stream and their encoding. */
+package org.fuchsiawinch.workflow.record;
