--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Stalls.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Stalls.java
@@ -2,7 +2,10 @@
 
 import java.util.List;
 
-/** Finds runs whose progress stands still, and moves them to other workers. Not thread-safe. */
+/**
+ * Finds runs whose progress stands still, and moves them to other workers. The members of a gang end together, so one
+ * that has done its part waits at a hundred percent. Not thread-safe.
+ */
 final class Stalls {
 
     /** Shortest standstill in ms that counts; renewals show progress about once a second. */
@@ -11,6 +14,8 @@
     /** Share of the estimated run time without one percent of progress that counts as a standstill. */
     private static final double STALL_SHARE = 0.25;
 
+    private static final int ALL_DONE_PERCENT = 100;
+
     private final CellState state;
     private final Runs runs;
 
@@ -28,7 +33,8 @@
     }
 
     private void check(ActiveRun run, long nowMs) {
-        if (run.stage != ActiveRun.Stage.RUNNING || run.stopping || run.percent < 0) {
+        boolean working = run.percent >= 0 && run.percent < ALL_DONE_PERCENT;
+        if (run.stage != ActiveRun.Stage.RUNNING || run.stopping || !working) {
             return;
         }
         boolean heard = run.worker.contactMs - run.percentMs >= stallMs(run);
