Carry out what a new owner finds cancelled, and let the lease of a silent worker run out

Ruled out: the election (the new owner was in place 0.1 s after the release). Change: effects outlive an input; stops are repeated until answered; renewals after a failed one carry no new lease; doubt about a start is settled by the next renewal.

--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/ActiveRun.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/ActiveRun.java
@@ -28,7 +28,9 @@
     Stage stage;
     int tries;
     boolean unanswered;
+    long unansweredMs = NOT_YET;
     boolean stopping;
+    boolean stopAnswered;
     long stopSentMs;
     long confirmedMs = NOT_YET;
     long absenceProvesEndMs = NOT_YET;
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
@@ -59,7 +59,7 @@
     }
 
     /**
-     * Takes over the stored state of the cell.
+     * Takes over the stored state of the cell. What follows from it is done with the first input.
      *
      * @param records the newest record of each key, in order of their offsets
      * @param nowMs present time in ms
@@ -91,7 +91,6 @@
      * @return what to do, in order
      */
     public List<OwnerEffect> handle(OwnerInput input, long nowMs) {
-        state.effects = new ArrayList<>();
         if (input instanceof OwnerInput.RecordsRead read) {
             read.records().forEach(record -> recordRead(record, nowMs));
         } else if (input instanceof OwnerInput.Appended) {
@@ -108,7 +107,9 @@
             append(nowMs);
         }
         renewals.sendDue(nowMs);
-        return state.effects;
+        List<OwnerEffect> effects = state.effects;
+        state.effects = new ArrayList<>();
+        return effects;
     }
 
     /**
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Renewals.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Renewals.java
@@ -44,11 +44,12 @@
         }
     }
 
+    /** A worker that does not answer is asked without a new lease, so that the last one can run out. */
     private void send(WorkerState worker, long nowMs) {
         worker.renewing = true;
         boolean busy = !worker.runs.isEmpty();
         OptionalLong leaseEndMs = OptionalLong.empty();
-        if (worker.known && busy) {
+        if (worker.known && busy && !worker.failing) {
             long endMs = worker.leaseEnd(state.settings.leaseMs(), nowMs);
             worker.noteLease(endMs);
             leaseEndMs = OptionalLong.of(endMs);
@@ -68,6 +69,7 @@
 
     void failed(WorkerState worker, String problem, long nowMs) {
         worker.renewing = false;
+        worker.failing = true;
         worker.retryAtMs = nowMs + RETRY_MS;
         state.log.line(
                 "renewal-failed",
@@ -90,6 +92,7 @@
             reborn(worker, report, nowMs);
         }
         worker.readClock(report.clockMs(), nowMs);
+        worker.failing = false;
         worker.retryAtMs = nowMs;
         for (WorkerReport.EndedRun end : report.ended()) {
             if (end.sequence() > worker.seenSequence) {
@@ -157,6 +160,8 @@
             runs.release(run, "never-ran-or-ended", nowMs);
         } else if (run.stage == ActiveRun.Stage.RUNNING && run.confirmedMs < sentMs) {
             runs.stop(run, "vanished", nowMs);
+        } else if (run.stage == ActiveRun.Stage.ORDERED && run.unansweredMs < sentMs) {
+            runs.stop(run, "start-in-doubt", nowMs);
         }
     }
 
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Runs.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Runs.java
@@ -86,13 +86,9 @@
 
     private void unanswered(ActiveRun run, long nowMs) {
         run.unanswered = true;
-        if (run.stage == ActiveRun.Stage.RUNNING) {
-            return;
-        }
-        if (run.tries < START_TRIES && !run.stopping) {
+        run.unansweredMs = nowMs;
+        if (run.stage != ActiveRun.Stage.RUNNING && run.tries < START_TRIES && !run.stopping) {
             sendStart(run, nowMs);
-        } else {
-            stop(run, "start-in-doubt", nowMs);
         }
     }
 
@@ -138,6 +134,7 @@
     void stopAnswered(WorkerState worker, TaskRun name, boolean answered, long nowMs) {
         ActiveRun run = worker.runs.get(name);
         if (run != null && answered) {
+            run.stopAnswered = true;
             run.absenceProvesEndMs = Math.min(run.absenceProvesEndMs, nowMs);
         }
     }
@@ -146,7 +143,7 @@
     void repeatStops(WorkerState worker, long nowMs) {
         for (ActiveRun run : List.copyOf(worker.runs.values())) {
             boolean waits = run.stopping && run.stage != ActiveRun.Stage.RECORDING;
-            if (waits && run.absenceProvesEndMs == Long.MAX_VALUE && nowMs - run.stopSentMs >= STOP_RETRY_MS) {
+            if (waits && !run.stopAnswered && nowMs - run.stopSentMs >= STOP_RETRY_MS) {
                 sendStop(run, nowMs);
             }
         }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Stalls.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Stalls.java
@@ -33,8 +33,8 @@
     }
 
     private void check(ActiveRun run, long nowMs) {
-        boolean working = run.percent >= 0 && run.percent < ALL_DONE_PERCENT;
-        if (run.stage != ActiveRun.Stage.RUNNING || run.stopping || !working) {
+        boolean waitsForGang = run.percent == ALL_DONE_PERCENT && Runs.gang(run.job, run.run);
+        if (run.stage != ActiveRun.Stage.RUNNING || run.stopping || run.percent < 0 || waitsForGang) {
             return;
         }
         boolean heard = run.worker.contactMs - run.percentMs >= stallMs(run);
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerState.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerState.java
@@ -19,6 +19,7 @@
     WorkerEntry entry;
     boolean listed;
     boolean renewing;
+    boolean failing;
     long retryAtMs;
     boolean known;
     long incarnation;
--- /dev/null
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/OwnerRig.java
@@ -0,0 +1,251 @@
+package org.fuchsiawinch.workflow;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.TreeMap;
+
+import org.fuchsiawinch.model.Resources;
+import org.fuchsiawinch.model.WorkerId;
+import org.fuchsiawinch.model.WorkspaceId;
+import org.fuchsiawinch.workflow.job.JobPhase;
+import org.fuchsiawinch.workflow.job.StepSpec;
+import org.fuchsiawinch.workflow.job.Submission;
+import org.fuchsiawinch.workflow.job.TaskRef;
+import org.fuchsiawinch.workflow.job.TaskRun;
+import org.fuchsiawinch.workflow.owner.CellOwner;
+import org.fuchsiawinch.workflow.owner.Guarantees;
+import org.fuchsiawinch.workflow.owner.OwnerEffect;
+import org.fuchsiawinch.workflow.owner.OwnerInput;
+import org.fuchsiawinch.workflow.owner.OwnerSettings;
+import org.fuchsiawinch.workflow.owner.WorkerEntry;
+import org.fuchsiawinch.workflow.record.CellRecord;
+
+/** An owner, its stored records and its workers on a virtual clock. */
+final class OwnerRig {
+
+    static final Resources WORKER = new Resources(32_000, 64_000, 8, 0, 0);
+    static final long STORE_MS = 5;
+    static final long LINK_MS = 1;
+
+    final Map<String, CellRecord> stored = new LinkedHashMap<>();
+    final Map<WorkerId, FakeWorker> workers = new TreeMap<>();
+    final List<String> log = new ArrayList<>();
+    final PriorityQueue<Event> events = new PriorityQueue<>();
+    CellOwner owner;
+    Guarantees guarantees = Guarantees.NONE;
+    long epoch;
+    long nowMs = 1_000_000;
+    boolean storeDown;
+    boolean gangsEndTogether;
+    boolean abdicated;
+    private long order;
+
+    record Event(long atMs, long order, Runnable action) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event other) {
+            int byTime = Long.compare(atMs, other.atMs);
+            return byTime != 0 ? byTime : Long.compare(order, other.order);
+        }
+    }
+
+    FakeWorker worker(String id, String rack) {
+        FakeWorker worker = new FakeWorker(this, new WorkerId(id), rack);
+        workers.put(worker.id, worker);
+        return worker;
+    }
+
+    OwnerRig workers(int count) {
+        for (int i = 0; i < count; i++) {
+            worker("w" + i, "r" + i / 4);
+        }
+        return this;
+    }
+
+    /** Makes another node the owner; the earlier one hears nothing any more. */
+    OwnerRig takeOver() {
+        epoch++;
+        abdicated = false;
+        owner = new CellOwner(
+                new OwnerSettings("n" + epoch, 6000, 1000, 2000, 400, 3, 60_000),
+                epoch,
+                (event, pairs) -> log.add(nowMs + " " + event + " " + List.of(pairs)),
+                nowMs);
+        owner.load(List.copyOf(stored.values()), nowMs);
+        input(new OwnerInput.GuaranteesChanged(guarantees));
+        for (FakeWorker worker : workers.values()) {
+            list(worker, false);
+        }
+        CellOwner ticking = owner;
+        later(100, () -> tick(ticking));
+        return this;
+    }
+
+    private void tick(CellOwner ticking) {
+        if (owner == ticking) {
+            input(new OwnerInput.Tick());
+            later(100, () -> tick(ticking));
+        }
+    }
+
+    void list(FakeWorker worker, boolean leaving) {
+        input(new OwnerInput.WorkerListed(
+                new WorkerEntry(worker.id, "desk", worker.rack, List.of("a", worker.rack), worker.capacity, leaving)));
+    }
+
+    void later(long delayMs, Runnable action) {
+        events.add(new Event(nowMs + delayMs, order++, action));
+    }
+
+    OwnerRig run(long forMs) {
+        long endMs = nowMs + forMs;
+        while (!events.isEmpty() && events.peek().atMs() <= endMs) {
+            Event next = events.remove();
+            nowMs = Math.max(nowMs, next.atMs());
+            next.action().run();
+        }
+        nowMs = endMs;
+        return this;
+    }
+
+    void input(OwnerInput input) {
+        CellOwner acting = owner;
+        for (OwnerEffect effect : acting.handle(input, nowMs)) {
+            carryOut(acting, effect);
+        }
+    }
+
+    private void reply(CellOwner asker, long delayMs, OwnerInput input) {
+        later(delayMs, () -> {
+            if (owner == asker) {
+                input(input);
+            }
+        });
+    }
+
+    private void carryOut(CellOwner asker, OwnerEffect effect) {
+        if (effect instanceof OwnerEffect.Append append) {
+            append(asker, append);
+        } else if (effect instanceof OwnerEffect.Renew renew) {
+            workers.get(renew.worker()).renew(asker, epoch, renew);
+        } else if (effect instanceof OwnerEffect.Start start) {
+            FakeWorker worker = workers.get(start.worker());
+            long sentEpoch = epoch;
+            later(
+                    LINK_MS,
+                    () -> reply(
+                            asker,
+                            LINK_MS,
+                            new OwnerInput.StartAnswered(start.worker(), start.run(), worker.start(sentEpoch, start))));
+        } else if (effect instanceof OwnerEffect.Stop stop) {
+            FakeWorker worker = workers.get(stop.worker());
+            long sentEpoch = epoch;
+            later(
+                    LINK_MS,
+                    () -> reply(
+                            asker,
+                            LINK_MS,
+                            new OwnerInput.StopAnswered(stop.worker(), stop.run(), worker.stop(sentEpoch, stop))));
+        } else {
+            abdicated = true;
+        }
+    }
+
+    private void append(CellOwner asker, OwnerEffect.Append append) {
+        if (storeDown) {
+            later(100, () -> append(asker, append));
+            return;
+        }
+        if (owner != asker) {
+            return;
+        }
+        append.records().forEach(record -> stored.put(record.key(), record));
+        reply(asker, STORE_MS, new OwnerInput.Appended());
+    }
+
+    void answer(CellOwner asker, long delayMs, OwnerInput input) {
+        reply(asker, delayMs, input);
+    }
+
+    OwnerRig submit(String id, int priority, StepSpec... steps) {
+        Submission submission = new Submission(
+                id,
+                "q" + priority,
+                "desk",
+                new WorkspaceId("ws"),
+                new Submission.QueueRules(priority, 3, 1.5, 500),
+                nowMs,
+                "payload",
+                List.of(steps));
+        store(new CellRecord.Accepted(submission));
+        return this;
+    }
+
+    OwnerRig cancel(String id) {
+        store(new CellRecord.CancelAsked(id));
+        return this;
+    }
+
+    /** Stores a record of another node; the owner reads it at once. */
+    void store(CellRecord record) {
+        stored.put(record.key(), record);
+        if (owner != null) {
+            input(new OwnerInput.RecordsRead(List.of(record)));
+        }
+    }
+
+    Optional<JobPhase> phase(String id) {
+        return Optional.ofNullable(stored.get(CellRecord.Progress.PREFIX + id))
+                .map(record -> ((CellRecord.Progress) record).phase());
+    }
+
+    long running() {
+        return workers.values().stream()
+                .mapToLong(worker -> worker.running.size())
+                .sum();
+    }
+
+    static StepSpec tasks(int count, int accelerators, long runMs) {
+        return step(count, accelerators, runMs, false, false);
+    }
+
+    static StepSpec gang(int count, int accelerators, long runMs) {
+        return step(count, accelerators, runMs, true, false);
+    }
+
+    static StepSpec step(int count, int accelerators, long runMs, boolean gang, boolean checkpoints) {
+        return new StepSpec(
+                count,
+                new Resources(1000, 1000, accelerators, 0, 0),
+                runMs,
+                List.of(),
+                gang,
+                false,
+                checkpoints,
+                0,
+                Optional.empty(),
+                Optional.empty());
+    }
+
+    long starts() {
+        return workers.values().stream()
+                .mapToLong(worker -> worker.startedRuns.size())
+                .sum();
+    }
+
+    /** Says whether all members of a run have done their part. */
+    boolean partsDone(TaskRun run) {
+        return workers.values().stream()
+                .flatMap(worker -> worker.running.entrySet().stream())
+                .filter(entry -> entry.getKey().task().job().equals(run.task().job()))
+                .allMatch(entry -> entry.getValue().endsMs <= nowMs);
+    }
+
+    long runMs(TaskRef task) {
+        CellRecord.Accepted job = (CellRecord.Accepted) stored.get(CellRecord.Accepted.PREFIX + task.job());
+        return job.submission().steps().get(task.step()).estimatedMs();
+    }
+}
