Claim room by worth, tell speeds from estimate errors, keep fast workers for urgent work

Change: urgent work in time may stop less urgent work when twice its loss is gained; a claim weighs lost work, victims that become late, and its own lateness on a slow worker; observed progress is split into worker, job and queue; work with time to spare prefers slow workers.

--- a/workflow/src/main/java/org/fuchsiawinch/workflow/job/Submission.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/job/Submission.java
@@ -61,15 +61,40 @@
      * @return time in ms
      */
     public long criticalPathMs() {
-        long[] endMs = new long[steps.size()];
         long longest = 0;
-        for (int i = 0; i < endMs.length; i++) {
-            for (int before : steps.get(i).after()) {
-                endMs[i] = Math.max(endMs[i], endMs[before]);
-            }
-            endMs[i] += steps.get(i).estimatedMs();
-            longest = Math.max(longest, endMs[i]);
+        for (int step = 0; step < steps.size(); step++) {
+            longest = Math.max(longest, chainMs(step));
         }
         return longest;
     }
+
+    /**
+     * Gives the longest chain of estimated run times that ends with a step.
+     *
+     * @param step index of the step
+     * @return time in ms
+     */
+    public long chainMs(int step) {
+        long beforeMs = 0;
+        for (int before : steps.get(step).after()) {
+            beforeMs = Math.max(beforeMs, chainMs(before));
+        }
+        return beforeMs + steps.get(step).estimatedMs();
+    }
+
+    /**
+     * Gives the longest chain of estimated run times that begins when a step ends.
+     *
+     * @param step index of the step
+     * @return time in ms
+     */
+    public long chainAfterMs(int step) {
+        long longestMs = 0;
+        for (int next = step + 1; next < steps.size(); next++) {
+            if (steps.get(next).after().contains(step)) {
+                longestMs = Math.max(longestMs, steps.get(next).estimatedMs() + chainAfterMs(next));
+            }
+        }
+        return longestMs;
+    }
 }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellState.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellState.java
@@ -28,6 +28,7 @@
     final Set<JobState> changed = new LinkedHashSet<>();
     final List<ActiveRun> toStart = new ArrayList<>();
     final JobWorth worth = new JobWorth();
+    final Forecast forecast = new Forecast();
     Guarantees guarantees = Guarantees.NONE;
     List<OwnerEffect> effects = new ArrayList<>();
 
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/JobWorth.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/JobWorth.java
@@ -27,6 +27,9 @@
     /** Multiple of the objective up to which a late job still pays, as the users state. */
     private static final double LATE_FACTOR = 3;
 
+    /** Share of a job's worth that is lost when it is late, as the mean of the users' sheets. */
+    private static final double LATE_LOSS = 0.75;
+
     /** Worth by priority, as the ratio of the users' sheets; lower priorities count as the last. */
     private static final double[] WORTH_BY_PRIORITY = {4, 3, 1};
 
@@ -75,6 +78,11 @@
         return WORTH_BY_PRIORITY[rank] * factor / work;
     }
 
+    /** Gives what the job's caller loses if the job is late instead of in time, in the unit of the users' sheets. */
+    double lossIfLate(Submission job) {
+        return LATE_LOSS * density(job) * Math.max(1e-3, work(job));
+    }
+
     static long objectiveMs(Submission job) {
         return Math.round(job.rules().slackFactor() * job.criticalPathMs())
                 + job.rules().targetMs();
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Placer.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Placer.java
@@ -12,6 +12,7 @@
 
 import org.fuchsiawinch.model.Resources;
 import org.fuchsiawinch.workflow.job.StepSpec;
+import org.fuchsiawinch.workflow.job.Submission;
 
 /**
  * Finds workers for units in one pass. A placement counts at once against the room that is left for the next one. Not
@@ -22,14 +23,22 @@
     /** Weight of accelerators left over on a worker against its slowness: alike workers are filled one by one. */
     private static final double LEFTOVER_WEIGHT = 0.3;
 
+    /** Share of the objective up to which work may take a slow worker; the rest is kept for a second run. */
+    private static final double RELAXED_SHARE = 0.65;
+
+    /** Cost of the slowest worker for work that is not urgent; keeps the costs of both kinds comparable. */
+    private static final double RELAXED_WEIGHT = 0.3;
+
     private final Map<WorkerState, Resources> room = new HashMap<>();
     private final Map<String, List<WorkerState>> racks = new TreeMap<>();
     private final List<WorkerState> usable = new ArrayList<>();
-    private final double remoteFactor;
+    private final CellState state;
+    private final long nowMs;
 
-    Placer(Collection<WorkerState> workers, double remoteFactor, long nowMs) {
-        this.remoteFactor = remoteFactor;
-        for (WorkerState worker : workers) {
+    Placer(CellState state, long nowMs) {
+        this.state = state;
+        this.nowMs = nowMs;
+        for (WorkerState worker : state.workers.values()) {
             if (worker.entry == null) {
                 continue;
             }
@@ -77,7 +86,7 @@
             Optional<List<WorkerState>> workers = fill(unit, rack);
             if (workers.isPresent()) {
                 double cost = workers.get().stream()
-                        .mapToDouble(worker -> cost(worker, step))
+                        .mapToDouble(worker -> cost(worker, unit))
                         .max()
                         .orElse(0);
                 if (cost < bestCost) {
@@ -130,7 +139,7 @@
                     .filter(worker -> step.maxPerWorker() == 0
                             || onWorker(worker, unit) + placed.getOrDefault(worker, 0) < step.maxPerWorker())
                     .min(Comparator.comparingDouble(
-                                    (WorkerState worker) -> cost(worker, step) + leftover(worker, step, left))
+                                    (WorkerState worker) -> cost(worker, unit) + leftover(worker, step, left))
                             .thenComparing(worker -> worker.id));
             if (next.isEmpty()) {
                 return Optional.empty();
@@ -162,11 +171,23 @@
         return count;
     }
 
-    private double cost(WorkerState worker, StepSpec step) {
-        boolean remote = step.dataRack()
-                .filter(rack -> !rack.equals(worker.entry.rack()))
-                .isPresent();
-        return (remote ? remoteFactor : 1) / worker.health.speed();
+    /**
+     * Urgent work goes to the fastest workers. Other work leaves these free as long as it is in time on a slow one.
+     */
+    private double cost(WorkerState worker, Unit unit) {
+        double runMs = state.forecast.runMs(unit.job(), unit.spec(), worker, state.settings.remoteFactor());
+        double relative = runMs / Math.max(1, unit.spec().estimatedMs());
+        if (unit.job().submission().rules().priority() == 0 || share(unit, runMs) > RELAXED_SHARE) {
+            return relative;
+        }
+        return RELAXED_WEIGHT / Math.max(RELAXED_WEIGHT, relative);
+    }
+
+    /** Gives the share of the job's objective that is used up when a run of this length and all after it end. */
+    double share(Unit unit, double runMs) {
+        Submission job = unit.job().submission();
+        double laterMs = job.chainAfterMs(unit.step()) * state.forecast.correction(unit.job());
+        return (nowMs - job.acceptedAtMs() + runMs + laterMs) / Math.max(1, JobWorth.objectiveMs(job));
     }
 
     private double leftover(WorkerState worker, StepSpec step, Map<WorkerState, Resources> left) {
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Reclaim.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Reclaim.java
@@ -13,8 +13,10 @@
 import org.fuchsiawinch.workflow.job.JobState;
 
 /**
- * Makes room for work inside a guarantee by stopping work outside of one, where the least is lost. The room stays
- * claimed within each pass, so that nothing else takes it while the stops go on. Not thread-safe.
+ * Makes room for urgent work by stopping other work where the least is lost: work inside a guarantee takes what it
+ * needs from all that is outside of one, other urgent work takes from less urgent work if more is gained than lost. The
+ * room stays claimed within each pass, so that nothing else takes it while the stops go on. Losses are in the unit of
+ * the users' sheets. Not thread-safe.
  */
 final class Reclaim {
 
@@ -23,6 +25,18 @@
 
     private static final double PERCENT = 100;
 
+    /** Price of a core-second of lost work, as the users state it. */
+    private static final double WORK_PRICE = 0.0021;
+
+    /** Loss for each stop besides the work: another start, and the wait for it. */
+    private static final double STOP_PRICE = 0.02;
+
+    /** Times that the gain of a claim outside a guarantee has to outweigh its loss, as both are estimates. */
+    private static final double GAIN_FACTOR = 2;
+
+    /** Time in ms that a stop takes until the room is free. */
+    private static final long STOP_MS = 450;
+
     private final CellState state;
     private final Runs runs;
 
@@ -31,23 +45,38 @@
         this.runs = runs;
     }
 
+    /** Work for which room is claimed, and which work may be stopped for it. */
+    private record Claim(Unit unit, Placer placer, Set<JobState> guaranteed, boolean entitled) {
+
+        boolean mayStop(ActiveRun run) {
+            return !guaranteed.contains(run.job)
+                    && (entitled || run.job.submission().rules().priority() > 0);
+        }
+    }
+
     /** Where the tasks of a unit go, and what has to be stopped for them. */
     private record Plan(List<WorkerState> workers, Set<ActiveRun> victims, double loss) {}
 
     /** The cheapest way to make room for one task on a worker. */
     private record Clearing(WorkerState worker, List<ActiveRun> victims, double loss) {}
 
-    /** Claims room for each task of the unit, and orders the stops that it takes. */
-    void claim(Unit unit, Placer placer, Set<JobState> guaranteed, long nowMs) {
+    /** Claims room for each task of the unit, and orders the stops that it takes; false if nothing was claimed. */
+    boolean claim(Unit unit, Placer placer, Set<JobState> guaranteed, long nowMs) {
+        Claim claim = new Claim(unit, placer, guaranteed, guaranteed.contains(unit.job()));
         Optional<Plan> plan = Optional.empty();
         if (unit.rackBound()) {
             plan = placer.racks().stream()
-                    .map(rack -> plan(unit, rack, placer, guaranteed))
+                    .map(rack -> plan(claim, rack, nowMs))
                     .flatMap(Optional::stream)
                     .min(Comparator.comparingDouble(Plan::loss));
         }
         if (plan.isEmpty()) {
-            plan = plan(unit, placer.usable(), placer, guaranteed);
+            plan = plan(claim, placer.usable(), nowMs);
+        }
+        double gain = state.worth.lossIfLate(unit.job().submission());
+        if (!claim.entitled()
+                && plan.filter(found -> found.loss() * GAIN_FACTOR <= gain).isEmpty()) {
+            return false;
         }
         if (plan.isEmpty()) {
             state.log.line(
@@ -58,13 +87,15 @@
                     unit.step(),
                     "usableWorkers",
                     placer.usable().size());
-            return;
+            return false;
         }
         plan.get().workers().forEach(worker -> placer.take(worker, unit.spec().perTask()));
         plan.get().victims().forEach(victim -> runs.stop(victim, "reclaimed", nowMs));
+        return true;
     }
 
-    private Optional<Plan> plan(Unit unit, List<WorkerState> workers, Placer placer, Set<JobState> guaranteed) {
+    private Optional<Plan> plan(Claim claim, List<WorkerState> workers, long nowMs) {
+        Unit unit = claim.unit();
         Resources need = unit.spec().perTask();
         List<WorkerState> open =
                 workers.stream().filter(worker -> Placer.allows(worker, unit)).toList();
@@ -74,11 +105,11 @@
             Plan soFar = plan;
             Optional<Clearing> best = open.stream()
                     .map(worker -> clear(
+                            claim,
                             worker,
-                            placer.room(worker).minus(taken.getOrDefault(worker, Resources.NONE)),
-                            need,
+                            claim.placer().room(worker).minus(taken.getOrDefault(worker, Resources.NONE)),
                             soFar.victims(),
-                            guaranteed))
+                            nowMs))
                     .flatMap(Optional::stream)
                     .min(Comparator.comparingDouble(Clearing::loss));
             if (best.isEmpty()) {
@@ -93,36 +124,54 @@
         return Optional.of(plan);
     }
 
-    private static Optional<Clearing> clear(
-            WorkerState worker, Resources freeRoom, Resources need, Set<ActiveRun> stopped, Set<JobState> guaranteed) {
+    private Optional<Clearing> clear(
+            Claim claim, WorkerState worker, Resources freeRoom, Set<ActiveRun> stopped, long nowMs) {
+        Resources need = claim.unit().spec().perTask();
         Resources room = freeRoom;
         List<ActiveRun> candidates = new ArrayList<>();
         for (ActiveRun run : worker.runs.values()) {
             if (run.stopping || stopped.contains(run)) {
                 room = room.plus(run.need);
-            } else if (!guaranteed.contains(run.job)) {
+            } else if (claim.mayStop(run)) {
                 candidates.add(run);
             }
         }
-        candidates.sort(Comparator.comparingDouble(Reclaim::loss));
+        candidates.sort(Comparator.comparingDouble(run -> loss(run, nowMs)));
         List<ActiveRun> victims = new ArrayList<>();
-        double loss = 0;
+        double loss = lateLoss(claim, worker);
         for (ActiveRun run : candidates) {
             if (need.fitsIn(room)) {
                 break;
             }
             victims.add(run);
             room = room.plus(run.need);
-            loss += loss(run);
+            loss += loss(run, nowMs);
         }
         return need.fitsIn(room) ? Optional.of(new Clearing(worker, victims, loss)) : Optional.empty();
     }
 
-    /** Gives the core-seconds that are lost if a run is stopped, with those of the other members of its gang. */
-    private static double loss(ActiveRun run) {
+    /** Gives what is lost if the unit is late because this worker is slow. */
+    private double lateLoss(Claim claim, WorkerState worker) {
+        Unit unit = claim.unit();
+        double runMs = state.forecast.runMs(unit.job(), unit.spec(), worker, state.settings.remoteFactor());
+        double over = claim.placer().share(unit, STOP_MS + runMs) - 1;
+        double loss = state.worth.lossIfLate(unit.job().submission());
+        return loss * Math.max(0, Math.min(1, over + 0.5)) / unit.indexes().size();
+    }
+
+    /** Gives what is lost if a run is stopped, with the other members of its gang. */
+    private double loss(ActiveRun run, long nowMs) {
         double kept = run.step().checkpoints() ? CHECKPOINT_LOSS : 1;
         double progress = Math.max(1, run.percent) / PERCENT * kept;
         int members = run.step().gang() ? run.step().count() : 1;
-        return members * progress * JobWorth.work(run.need, run.step().estimatedMs());
+        double wasted = members * progress * JobWorth.work(run.need, run.step().estimatedMs());
+        double loss = STOP_PRICE * members + WORK_PRICE * wasted;
+        long ageMs = nowMs - run.job.submission().acceptedAtMs();
+        long againMs = Math.round(run.step().estimatedMs() * state.forecast.correction(run.job));
+        boolean inTime = JobWorth.standing(run.job, 0, ageMs) == JobWorth.Standing.IN_TIME;
+        if (inTime && JobWorth.standing(run.job, againMs, ageMs) != JobWorth.Standing.IN_TIME) {
+            loss += state.worth.lossIfLate(run.job.submission());
+        }
+        return loss;
     }
 }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Renewals.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Renewals.java
@@ -216,7 +216,7 @@
         if (nowMs - run.speedMs >= SPEED_SPAN_MS) {
             double doneMs =
                     (run.percent - run.speedPercent) / PERCENT * run.step().estimatedMs();
-            run.worker.health.observeSpeed(doneMs / (nowMs - run.speedMs));
+            state.forecast.observe(run.job, run.worker, doneMs / (nowMs - run.speedMs));
             run.speedPercent = run.percent;
             run.speedMs = nowMs;
         }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Scheduling.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Scheduling.java
@@ -31,7 +31,14 @@
     }
 
     /** A unit with what decides its place in the order. */
-    private record Candidate(Unit unit, boolean guaranteed, JobWorth.Standing standing, double density) {}
+    private record Candidate(Unit unit, boolean guaranteed, JobWorth.Standing standing, double density) {
+
+        /** Work inside a guarantee always gets its room; other urgent work while it can be in time. */
+        boolean mayClaim() {
+            boolean urgent = unit.job().submission().rules().priority() == 0;
+            return guaranteed || urgent && standing == JobWorth.Standing.IN_TIME;
+        }
+    }
 
     void run(long nowMs) {
         Set<JobState> guaranteed = guaranteed();
@@ -39,21 +46,19 @@
         if (candidates.isEmpty()) {
             return;
         }
-        Placer placer = new Placer(state.workers.values(), state.settings.remoteFactor(), nowMs);
+        Placer placer = new Placer(state, nowMs);
         Set<String> misfits = new HashSet<>();
         for (Candidate candidate : candidates) {
             Unit unit = candidate.unit();
             String shape = shape(unit);
-            if (!candidate.guaranteed() && misfits.contains(shape)) {
-                continue;
-            }
-            Optional<List<WorkerState>> workers = placer.place(unit);
+            Optional<List<WorkerState>> workers = misfits.contains(shape) ? Optional.empty() : placer.place(unit);
             if (workers.isPresent()) {
                 assign(unit, workers.get(), candidate, nowMs);
-            } else if (candidate.guaranteed()) {
+                continue;
+            }
+            misfits.add(shape);
+            if (candidate.mayClaim()) {
                 reclaim.claim(unit, placer, guaranteed, nowMs);
-            } else {
-                misfits.add(shape);
             }
         }
     }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerHealth.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerHealth.java
@@ -3,13 +3,15 @@
 /** How well a worker does: its speed, and whether it fails or stalls what it runs. Not thread-safe. */
 final class WorkerHealth {
 
-    /** Weight of a newer observation of the speed; ten observations outweigh the first guess. */
-    private static final double SPEED_WEIGHT = 0.2;
+    /**
+     * Bounds of a believable speed, as natural logarithms: workers differ by 2.5 times, and may turn 7 times slower.
+     */
+    private static final double MAX_LOG_SPEED = 0.9;
 
-    /** Bounds of a believable speed, relative to the callers' estimates. */
-    private static final double MIN_SPEED = 0.05;
+    private static final double MIN_LOG_SPEED = -2;
 
-    private static final double MAX_SPEED = 5;
+    /** Share of a speed that is forgotten with each observation, so that an old surprise fades. */
+    private static final double FADE = 0.02;
 
     /** Failures on end of a worker that has just finished nothing, after which it is quarantined. */
     private static final int FAILURES = 2;
@@ -19,7 +21,7 @@
 
     private static final int MAX_DOUBLINGS = 3;
 
-    private double speed = 1;
+    private double logSpeed;
     private int failuresOnEnd;
     private int quarantines;
     private long quarantinedUntilMs;
@@ -31,8 +33,13 @@
         proven = false;
     }
 
+    /** Gives the speed: how many times as fast the worker is as one of which nothing is known. */
     double speed() {
-        return speed;
+        return Math.exp(logSpeed);
+    }
+
+    double logSpeed() {
+        return logSpeed;
     }
 
     boolean proven() {
@@ -43,9 +50,8 @@
         return nowMs < quarantinedUntilMs;
     }
 
-    void observeSpeed(double observed) {
-        double bounded = Math.max(MIN_SPEED, Math.min(MAX_SPEED, observed));
-        speed += SPEED_WEIGHT * (bounded - speed);
+    void adjustLogSpeed(double change) {
+        logSpeed = Math.max(MIN_LOG_SPEED, Math.min(MAX_LOG_SPEED, logSpeed * (1 - FADE) + change));
     }
 
     void done() {
