Do not count a gang's wait against fast workers, and do not stop runs that are about to end

Claims stopped runs at 80 to 95 percent that would have ended before the stop took effect. Change: no observation at 100 percent; a run whose expected end is within the time of a stop counts as room. The test failed before.

--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Forecast.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Forecast.java
@@ -26,6 +26,8 @@
     /** Bound of a believable surprise, as a natural logarithm: a factor of about ten. */
     private static final double MAX_SURPRISE = 2.3;
 
+    private static final double PERCENT = 100;
+
     private final Map<JobState, Double> estimateErrors = new WeakHashMap<>();
     private final Map<String, Double> queueErrors = new HashMap<>();
 
@@ -53,6 +55,15 @@
         return step.estimatedMs() * (remote ? remoteFactor : 1) / worker.health.speed() * correction(job);
     }
 
+    /** Gives the expected time in ms until a run ends; that of a gang's member counts its own part alone. */
+    double remainingMs(ActiveRun run, double remoteFactor, long nowMs) {
+        double wholeMs = runMs(run.job, run.step(), run.worker, remoteFactor);
+        if (run.percent < 0) {
+            return wholeMs;
+        }
+        return wholeMs * (PERCENT - run.percent) / PERCENT - (nowMs - run.percentMs);
+    }
+
     /** Gives the factor by which the job's estimates are too long or too short. */
     double correction(JobState job) {
         return Math.exp(-error(job));
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Reclaim.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Reclaim.java
@@ -130,7 +130,7 @@
         Resources room = freeRoom;
         List<ActiveRun> candidates = new ArrayList<>();
         for (ActiveRun run : worker.runs.values()) {
-            if (run.stopping || stopped.contains(run)) {
+            if (run.stopping || stopped.contains(run) || endsSoon(run, nowMs)) {
                 room = room.plus(run.need);
             } else if (claim.mayStop(run)) {
                 candidates.add(run);
@@ -150,6 +150,15 @@
         return need.fitsIn(room) ? Optional.of(new Clearing(worker, victims, loss)) : Optional.empty();
     }
 
+    /** Says whether a run will end by itself about as soon as it could be stopped; one that is overdue may hang. */
+    private boolean endsSoon(ActiveRun run, long nowMs) {
+        if (run.percent <= 0 || run.step().gang()) {
+            return false;
+        }
+        double remainingMs = state.forecast.remainingMs(run, state.settings.remoteFactor(), nowMs);
+        return Math.abs(remainingMs) <= STOP_MS;
+    }
+
     /** Gives what is lost if the unit is late because this worker is slow. */
     private double lateLoss(Claim claim, WorkerState worker) {
         Unit unit = claim.unit();
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Renewals.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Renewals.java
@@ -204,8 +204,9 @@
         }
     }
 
+    /** A member that has done its part waits for its gang at a hundred percent, which says nothing of its speed. */
     private void observeSpeed(ActiveRun run, long nowMs) {
-        if (run.percent <= 0 || run.remote) {
+        if (run.percent <= 0 || run.percent >= PERCENT || run.remote) {
             return;
         }
         if (run.speedPercent < 0) {
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/PlacementTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/PlacementTest.java
@@ -64,4 +64,20 @@
         }
         assertTrue(rig.running() > 0);
     }
+
+    @Test
+    public void waitingForTheGangDoesNotCountAgainstAFastWorker() {
+        OwnerRig rig = new OwnerRig().workers(8);
+        rig.gangsEndTogether = true;
+        rig.guarantees = new Guarantees(Map.of(new WorkspaceId("ws"), 32));
+        for (FakeWorker worker : rig.workers.values()) {
+            worker.speed = worker.rack.equals("r0") ? 1.7 : 0.4;
+        }
+        rig.takeOver().run(500);
+        for (int round = 0; round < 3; round++) {
+            rig.submit("gang" + round, 1, OwnerRig.gang(8, 8, 4000)).run(12_000);
+        }
+        rig.submit("urgent", 0, OwnerRig.tasks(4, 8, 4000)).run(300);
+        assertEquals(onFastWorkers(rig, "urgent"), 4);
+    }
 }
