--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Reclaim.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Reclaim.java
@@ -168,13 +168,16 @@
         return loss * Math.max(0, Math.min(1, over + 0.5)) / unit.indexes().size();
     }
 
-    /** Gives what is lost if a run is stopped, with the other members of its gang. */
+    /**
+     * Gives what is lost if a run is stopped, with the other members of its gang. It counts more with each run, so that
+     * the same work is not stopped again and again.
+     */
     private double loss(ActiveRun run, long nowMs) {
         double kept = run.step().checkpoints() ? CHECKPOINT_LOSS : 1;
         double progress = Math.max(1, run.percent) / PERCENT * kept;
         int members = run.step().gang() ? run.step().count() : 1;
         double wasted = members * progress * JobWorth.work(run.need, run.step().estimatedMs());
-        double loss = STOP_PRICE * members + WORK_PRICE * wasted;
+        double loss = run.run.number() * (STOP_PRICE * members + WORK_PRICE * wasted);
         long ageMs = nowMs - run.job.submission().acceptedAtMs();
         long againMs = Math.round(run.step().estimatedMs() * state.forecast.correction(run.job));
         boolean inTime = JobWorth.standing(run.job, 0, ageMs) == JobWorth.Standing.IN_TIME;
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/ReclaimTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/ReclaimTest.java
@@ -113,4 +113,21 @@
         rig.submit("second", 0, OwnerRig.tasks(3, 8, 5000)).run(RECLAIM_MS);
         assertEquals(runningOf(rig, "first"), 64);
     }
+
+    @Test
+    public void doesNotStopTheSameGangAgainAndAgain() {
+        OwnerRig rig = new OwnerRig().workers(8);
+        rig.guarantees = new Guarantees(Map.of(new WorkspaceId("ws"), 16));
+        rig.takeOver().run(500);
+        rig.submit("gang", 1, OwnerRig.gang(4, 8, 9000)).run(300);
+        rig.submit("tasks", 1, OwnerRig.tasks(4, 8, 9000)).run(700);
+        for (int i = 0; i < 8; i++) {
+            rig.submit("urgent" + i, 0, OwnerRig.tasks(1, 8, 1000)).run(2500);
+        }
+        long gangRuns = rig.workers.values().stream()
+                .flatMap(worker -> worker.startedRuns.stream())
+                .filter(run -> run.task().job().equals("gang"))
+                .count();
+        assertTrue(gangRuns <= 8, gangRuns + " runs of the gang's members");
+    }
 }
