--- /dev/null
+++ b/server/src/test/java/org/fuchsiawinch/server/FakeStore.java
@@ -0,0 +1,82 @@
+package org.fuchsiawinch.server;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Supplier;
+
+import org.fuchsiawinch.server.port.Stream;
+import org.fuchsiawinch.server.port.StreamStore;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+
+/** One stream in memory, whose answers a test may replace. */
+final class FakeStore implements StreamStore {
+
+    final List<Entry> entries = new ArrayList<>();
+    final List<Supplier<AppendResult>> appendAnswers = new ArrayList<>();
+    private final Scheduler time;
+    long firstKept;
+    /** End that a page of newest entries states, although its entries are newer; -1 for the true end. */
+    long snapshotEnd = -1;
+
+    boolean down;
+    int appends;
+    int reads;
+
+    FakeStore(Scheduler time) {
+        this.time = time;
+    }
+
+    void put(String key, String value) {
+        entries.add(new Entry(key, value.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    @Override
+    public Mono<AppendResult> append(List<Entry> added, Optional<Writer> writer, OptionalLong atEnd) {
+        appends++;
+        if (!appendAnswers.isEmpty()) {
+            return Mono.just(appendAnswers.remove(0).get());
+        }
+        entries.addAll(added);
+        return Mono.just(new AppendResult.Stored(entries.size()));
+    }
+
+    @Override
+    public Mono<ReadResult> read(Stream stream, long from, long waitMs) {
+        reads++;
+        if (down) {
+            return Mono.just(new ReadResult.Failed("down"));
+        }
+        if (from < firstKept) {
+            return Mono.just(new ReadResult.Expired());
+        }
+        if (from >= entries.size() && waitMs > 0) {
+            return Mono.delay(Duration.ofMillis(waitMs), time).flatMap(waited -> read(stream, from, 0));
+        }
+        List<Placed> placed = new ArrayList<>();
+        for (long offset = from; offset < entries.size(); offset++) {
+            placed.add(new Placed(offset, entries.get((int) offset)));
+        }
+        return Mono.just(new ReadResult.Entries(from + placed.size(), entries.size(), placed));
+    }
+
+    @Override
+    public Mono<PageResult> newest(Stream stream, Optional<String> after) {
+        if (down) {
+            return Mono.just(new PageResult.Failed("down"));
+        }
+        Map<String, Placed> newest = new LinkedHashMap<>();
+        for (int offset = 0; offset < entries.size(); offset++) {
+            newest.put(entries.get(offset).key(), new Placed(offset, entries.get(offset)));
+        }
+        newest.values().removeIf(placed -> placed.entry().value().length == 0);
+        long end = snapshotEnd < 0 ? entries.size() : snapshotEnd;
+        return Mono.just(new PageResult.Page(List.copyOf(newest.values()), false, end));
+    }
+}
--- /dev/null
+++ b/server/src/test/java/org/fuchsiawinch/server/IntakeAppenderTest.java
@@ -0,0 +1,99 @@
+package org.fuchsiawinch.server;
+
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.fuchsiawinch.server.port.StreamStore;
+import org.fuchsiawinch.server.port.StreamStore.AppendResult;
+import org.fuchsiawinch.server.stream.IntakeAppender;
+import org.fuchsiawinch.server.stream.IntakeAppender.Outcome;
+import org.fuchsiawinch.workflow.owner.DecisionLog;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import reactor.test.scheduler.VirtualTimeScheduler;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
+
+/** A caller hears "not run" only when nothing was stored and nothing will be. */
+public class IntakeAppenderTest {
+
+    private static final StreamStore.Entry ENTRY = new StreamStore.Entry("j/1", new byte[] {1});
+
+    private VirtualTimeScheduler time;
+    private FakeStore store;
+    private IntakeAppender intake;
+
+    @BeforeMethod
+    public void create() {
+        time = VirtualTimeScheduler.create();
+        store = new FakeStore(time);
+        intake = new IntakeAppender(store, time, this::nowMs, DecisionLog.NONE);
+    }
+
+    private long nowMs() {
+        return time.now(TimeUnit.MILLISECONDS);
+    }
+
+    private AtomicReference<Outcome> submit(long patienceMs) {
+        AtomicReference<Outcome> outcome = new AtomicReference<>();
+        intake.store(ENTRY, nowMs() + patienceMs).subscribe(outcome::set);
+        return outcome;
+    }
+
+    private void refuse(int times) {
+        for (int i = 0; i < times; i++) {
+            store.appendAnswers.add(() -> new AppendResult.Refused("503"));
+        }
+    }
+
+    @Test
+    public void storesAtOnce() {
+        assertEquals(submit(1000).get(), Outcome.STORED);
+    }
+
+    @Test
+    public void repeatsARefusedAppend() {
+        refuse(1);
+        AtomicReference<Outcome> outcome = submit(1000);
+        assertNull(outcome.get());
+        time.advanceTimeBy(Duration.ofMillis(200));
+        assertEquals(outcome.get(), Outcome.STORED);
+    }
+
+    @Test
+    public void saysNotStoredWhenEachAppendWasRefused() {
+        refuse(100);
+        AtomicReference<Outcome> outcome = submit(300);
+        time.advanceTimeBy(Duration.ofMillis(400));
+        assertEquals(outcome.get(), Outcome.NOT_STORED);
+    }
+
+    @Test
+    public void staysUncertainAfterOneLostAnswer() {
+        store.appendAnswers.add(() -> new AppendResult.Unknown("timeout"));
+        refuse(100);
+        AtomicReference<Outcome> outcome = submit(300);
+        time.advanceTimeBy(Duration.ofMillis(400));
+        assertEquals(outcome.get(), Outcome.UNKNOWN);
+    }
+
+    @Test
+    public void refusesWithoutAnAttemptWhileTheStoreIsSilent() {
+        refuse(100);
+        submit(300);
+        time.advanceTimeBy(Duration.ofMillis(250));
+        int before = store.appends;
+        assertEquals(submit(300).get(), Outcome.NOT_STORED);
+        assertEquals(store.appends, before);
+    }
+
+    @Test
+    public void triesAgainAfterAWhile() {
+        refuse(3);
+        submit(300);
+        time.advanceTimeBy(Duration.ofMillis(2000));
+        assertEquals(submit(300).get(), Outcome.STORED);
+    }
+}
--- /dev/null
+++ b/server/src/test/java/org/fuchsiawinch/server/StreamFollowerTest.java
@@ -0,0 +1,137 @@
+package org.fuchsiawinch.server;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import org.fuchsiawinch.server.port.Stream;
+import org.fuchsiawinch.server.port.StreamStore;
+import org.fuchsiawinch.server.stream.StreamFollower;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import reactor.test.scheduler.VirtualTimeScheduler;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** A follower misses nothing and never goes back, whatever the store forgets or refuses. */
+public class StreamFollowerTest {
+
+    private VirtualTimeScheduler time;
+    private FakeStore store;
+    private List<String> seen;
+    private List<String> log;
+    private StreamFollower follower;
+
+    @BeforeMethod
+    public void create() {
+        time = VirtualTimeScheduler.create();
+        store = new FakeStore(time);
+        seen = new ArrayList<>();
+        log = new ArrayList<>();
+        follower = new StreamFollower(
+                Stream.CELL,
+                store,
+                new StreamFollower.Pace(500, 100),
+                time,
+                () -> time.now(TimeUnit.MILLISECONDS),
+                7,
+                new Seen(),
+                (event, pairs) -> log.add(event));
+    }
+
+    private final class Seen implements StreamFollower.Listener {
+
+        @Override
+        public void snapshot(List<StreamStore.Placed> entries) {
+            seen.add("snapshot");
+            entries(entries);
+        }
+
+        @Override
+        public void entries(List<StreamStore.Placed> entries) {
+            entries.forEach(placed -> seen.add(
+                    placed.entry().key() + "=" + new String(placed.entry().value(), StandardCharsets.UTF_8)));
+        }
+
+        @Override
+        public void readToEnd() {
+            // Not looked at here.
+        }
+    }
+
+    private void pass(long ms) {
+        time.advanceTimeBy(Duration.ofMillis(ms));
+    }
+
+    @Test
+    public void takesTheNewestAndThenWhatFollows() {
+        store.put("a", "1");
+        store.put("a", "2");
+        follower.start();
+        store.put("b", "3");
+        follower.catchUp().subscribe();
+        assertEquals(seen, List.of("snapshot", "a=2", "b=3"));
+    }
+
+    @Test
+    public void takesNothingTwice() {
+        store.put("a", "1");
+        follower.start();
+        store.put("b", "2");
+        follower.catchUp().subscribe();
+        follower.catchUp().subscribe();
+        assertEquals(seen, List.of("snapshot", "a=1", "b=2"));
+    }
+
+    @Test
+    public void startsOverWhenTheStoreForgot() {
+        store.put("a", "1");
+        follower.start();
+        pass(100);
+        store.down = true;
+        pass(1000);
+        store.put("a", "2");
+        store.put("a", "3");
+        store.firstKept = 3;
+        store.down = false;
+        pass(2000);
+        assertEquals(seen, List.of("snapshot", "a=1", "snapshot", "a=3"));
+        assertTrue(log.contains("dependency-lost"));
+        assertTrue(log.contains("stream-expired"));
+        assertTrue(log.contains("dependency-regained"));
+    }
+
+    @Test
+    public void anOlderEntryNeverFollowsANewerOne() {
+        store.put("a", "1");
+        store.put("b", "1");
+        store.snapshotEnd = 1;
+        store.put("a", "2");
+        follower.start();
+        pass(700);
+        assertEquals(seen, List.of("snapshot", "b=1", "a=2"));
+    }
+
+    @Test
+    public void retriesUntilTheStoreIsBack() {
+        store.down = true;
+        follower.start();
+        pass(5000);
+        assertEquals(seen, List.of());
+        store.put("a", "1");
+        store.down = false;
+        pass(2000);
+        assertEquals(seen, List.of("snapshot", "a=1"));
+    }
+
+    @Test
+    public void countsItsAgeFromTheLastAnswer() {
+        follower.start();
+        store.down = true;
+        pass(1500);
+        assertEquals(follower.ageMs(time.now(TimeUnit.MILLISECONDS)), 1500);
+    }
+}
