Hand what was learned of run times to the next owner; send nothing to a store that is silent

Ruled out: the patience itself (a third of the caller's), since the first requests after the silence begins need it. Change: a record `learned` every 2.5 s beside other records; while appends fail, callers are refused at once and nothing is sent for them ("not run" is certain), one probe every 0.4 s apart; the same once the follower has heard nothing for 1.3 s. Test: PlacementTest.aNewOwnerKnowsTheSpeedsThatTheLastOneLearned, RecordCodecTest; IntakeAppenderTest as before.

--- a/server/src/main/java/org/fuchsiawinch/server/desk/CallerDesk.java
+++ b/server/src/main/java/org/fuchsiawinch/server/desk/CallerDesk.java
@@ -35,6 +35,9 @@
     /** Longest time in ms that an append may take before the caller is answered without a result. */
     private static final long MAX_PATIENCE_MS = 1200;
 
+    /** Silence of the store in ms after which nothing is sent to it for a caller; a waiting read answers in 0.5 s. */
+    private static final long SILENT_STORE_MS = 1300;
+
     private static final int RETRY_AFTER_S = 1;
     private static final Pattern JOB_ID = Pattern.compile("[0-9a-f]{16}");
 
@@ -213,7 +216,11 @@
     }
 
     private Mono<Answer> store(Call call, CellRecord record, Answer success) {
-        long giveUpMs = clock.getAsLong() + Math.min(MAX_PATIENCE_MS, call.deadlineMs() / PATIENCE_DIVISOR);
+        long nowMs = clock.getAsLong();
+        if (cell.ageMs(nowMs) > SILENT_STORE_MS) {
+            return Mono.just(new Answer.Unavailable("store-silent", RETRY_AFTER_S));
+        }
+        long giveUpMs = nowMs + Math.min(MAX_PATIENCE_MS, call.deadlineMs() / PATIENCE_DIVISOR);
         return intake.store(new StreamStore.Entry(record.key(), codec.encode(record)), giveUpMs)
                 .map(outcome -> {
                     if (outcome == IntakeAppender.Outcome.STORED) {
--- a/server/src/main/java/org/fuchsiawinch/server/stream/IntakeAppender.java
+++ b/server/src/main/java/org/fuchsiawinch/server/stream/IntakeAppender.java
@@ -30,7 +30,7 @@
     /** Failed appends in a row after which requests are refused without an attempt, while the store stays silent. */
     private static final int FAILURES_BEFORE_REFUSAL = 2;
 
-    /** Time without an attempt after which one request tries the store again, in ms. */
+    /** Time after a failed attempt after which one request tries the store again, in ms. */
     private static final long PROBE_MS = 400;
 
     private final StreamStore store;
@@ -40,7 +40,7 @@
     private List<Waiting> queue = new ArrayList<>();
     private boolean underWay;
     private int failures;
-    private long triedMs;
+    private long failedMs;
 
     /** Creates an appender.
      *
@@ -103,7 +103,7 @@
      * @return true until the next attempt is due
      */
     public boolean unavailable(long nowMs) {
-        return failures >= FAILURES_BEFORE_REFUSAL && nowMs - triedMs < PROBE_MS;
+        return failures >= FAILURES_BEFORE_REFUSAL && (underWay || nowMs - failedMs < PROBE_MS);
     }
 
     private void next() {
@@ -111,7 +111,6 @@
             return;
         }
         underWay = true;
-        triedMs = clock.getAsLong();
         int count = Math.min(queue.size(), MAX_ENTRIES);
         List<Waiting> batch = new ArrayList<>(queue.subList(0, count));
         queue = new ArrayList<>(queue.subList(count, queue.size()));
@@ -129,6 +128,7 @@
             return;
         }
         failures++;
+        failedMs = clock.getAsLong();
         log.line("intake-append-failed", "entries", batch.size(), "failures", failures, "result", result);
         boolean uncertain = !(result instanceof AppendResult.Refused);
         long nowMs = clock.getAsLong();
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
@@ -27,6 +27,9 @@
     /** Pause between two searches for jobs to forget, in ms; far below the time that an ended job stays known. */
     private static final long FORGET_EVERY_MS = 5000;
 
+    /** Pause between two records of what was learned, in ms; what a next owner would learn again in that time. */
+    private static final long LEARNED_EVERY_MS = 2500;
+
     private final CellState state;
     private final Runs runs;
     private final Renewals renewals;
@@ -36,6 +39,7 @@
     private boolean appending;
     private long appendedMs;
     private long forgottenMs;
+    private long learnedMs;
     private List<CellRecord> removals = List.of();
     private List<ActiveRun> startsInFlight = List.of();
     private Map<WorkerId, Long> endsInFlight = Map.of();
@@ -56,6 +60,7 @@
         this.scheduling = new Scheduling(state, runs);
         this.stalls = new Stalls(state, runs);
         this.appendedMs = nowMs;
+        this.learnedMs = nowMs;
     }
 
     /**
@@ -73,6 +78,8 @@
         for (CellRecord record : records) {
             if (record instanceof CellRecord.Progress progress) {
                 restore(progress, nowMs);
+            } else if (record instanceof CellRecord.Learned learned) {
+                restore(learned, nowMs);
             }
         }
         for (CellRecord record : records) {
@@ -227,6 +234,18 @@
         state.close(job);
     }
 
+    private void restore(CellRecord.Learned learned, long nowMs) {
+        state.forecast.restore(learned.queueErrors());
+        learned.logSpeeds()
+                .forEach((id, speed) -> state.worker(id, nowMs).health.adjustLogSpeed(speed));
+    }
+
+    private CellRecord.Learned learned() {
+        Map<WorkerId, Double> speeds = new TreeMap<>();
+        state.workers.values().forEach(worker -> speeds.put(worker.id, worker.health.logSpeed()));
+        return new CellRecord.Learned(speeds, state.forecast.queueErrors());
+    }
+
     private void restoreTask(JobState job, TaskRef ref, CellRecord.TaskProgress recorded, long nowMs) {
         TaskState task = job.task(ref);
         if (task == null) {
@@ -274,6 +293,10 @@
         state.changed.clear();
         records.addAll(removals);
         removals = List.of();
+        if (!records.isEmpty() && nowMs - learnedMs >= LEARNED_EVERY_MS) {
+            learnedMs = nowMs;
+            records.add(learned());
+        }
         if (records.isEmpty() && nowMs - appendedMs >= state.settings.heartbeatMs()) {
             records.add(new CellRecord.Owner(state.settings.node(), epoch, false));
         }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Forecast.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Forecast.java
@@ -47,6 +47,15 @@
         queueErrors.merge(job.submission().queue(), QUEUE_STEP * bounded, Double::sum);
     }
 
+    Map<String, Double> queueErrors() {
+        return queueErrors;
+    }
+
+    /** Takes over what an earlier owner learned of the queues. */
+    void restore(Map<String, Double> learned) {
+        queueErrors.putAll(learned);
+    }
+
     /** Gives the expected run time in ms of a task of the step on a worker. */
     double runMs(JobState job, StepSpec step, WorkerState worker, double remoteFactor) {
         boolean remote = step.dataRack()
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/record/CellRecord.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/record/CellRecord.java
@@ -1,6 +1,7 @@
 package org.fuchsiawinch.workflow.record;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 import org.fuchsiawinch.model.WorkerId;
@@ -107,6 +108,31 @@
         }
     }
 
+    /**
+     * What the owner has learned of run times, for the next owner.
+     *
+     * @param logSpeeds natural logarithm of each worker's speed
+     * @param queueErrors natural logarithm of the error of each queue's estimates
+     */
+    record Learned(Map<WorkerId, Double> logSpeeds, Map<String, Double> queueErrors) implements CellRecord {
+
+        /** The key. */
+        public static final String KEY = "learned";
+
+        /**
+         * Copies the maps.
+         */
+        public Learned {
+            logSpeeds = Map.copyOf(logSpeeds);
+            queueErrors = Map.copyOf(queueErrors);
+        }
+
+        @Override
+        public String key() {
+            return KEY;
+        }
+    }
+
     /**
      * The newest record of a key was removed.
      *
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/record/RecordCodec.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/record/RecordCodec.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 import org.fuchsiawinch.model.Resources;
@@ -48,6 +50,8 @@
                 packSubmission(packer, accepted.submission());
             } else if (record instanceof CellRecord.Progress progress) {
                 packProgress(packer, progress);
+            } else if (record instanceof CellRecord.Learned learned) {
+                packLearned(packer, learned);
             } else if (record instanceof CellRecord.Owner owner) {
                 packer.packString(owner.node()).packLong(owner.epoch()).packBoolean(owner.released());
             }
@@ -84,6 +88,9 @@
         if (key.equals(CellRecord.OWNER_KEY)) {
             return new CellRecord.Owner(unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackBoolean());
         }
+        if (key.equals(CellRecord.Learned.KEY)) {
+            return unpackLearned(unpacker);
+        }
         if (key.startsWith(CellRecord.Accepted.PREFIX)) {
             return new CellRecord.Accepted(
                     unpackSubmission(key.substring(CellRecord.Accepted.PREFIX.length()), unpacker));
@@ -200,6 +207,29 @@
         return new CellRecord.Progress(job, queue, phase, endedAtMs, steps);
     }
 
+    private static void packLearned(MessageBufferPacker packer, CellRecord.Learned learned) throws IOException {
+        packer.packMapHeader(learned.logSpeeds().size());
+        for (Map.Entry<WorkerId, Double> speed : learned.logSpeeds().entrySet()) {
+            packer.packString(speed.getKey().value()).packFloat(speed.getValue().floatValue());
+        }
+        packer.packMapHeader(learned.queueErrors().size());
+        for (Map.Entry<String, Double> error : learned.queueErrors().entrySet()) {
+            packer.packString(error.getKey()).packFloat(error.getValue().floatValue());
+        }
+    }
+
+    private static CellRecord.Learned unpackLearned(MessageUnpacker unpacker) throws IOException {
+        Map<WorkerId, Double> speeds = new HashMap<>();
+        for (int left = unpacker.unpackMapHeader(); left > 0; left--) {
+            speeds.put(new WorkerId(unpacker.unpackString()), (double) unpacker.unpackFloat());
+        }
+        Map<String, Double> errors = new HashMap<>();
+        for (int left = unpacker.unpackMapHeader(); left > 0; left--) {
+            errors.put(unpacker.unpackString(), (double) unpacker.unpackFloat());
+        }
+        return new CellRecord.Learned(speeds, errors);
+    }
+
     private static Optional<String> optional(String text) {
         return text.isEmpty() ? Optional.empty() : Optional.of(text);
     }
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/PlacementTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/PlacementTest.java
@@ -18,7 +18,7 @@
         OwnerRig rig = new OwnerRig().workers(8);
         rig.guarantees = new Guarantees(Map.of(new WorkspaceId("ws"), 32));
         for (FakeWorker worker : rig.workers.values()) {
-            worker.speed = worker.rack.equals("r0") ? 1.7 : 0.7;
+            worker.speed = worker.rack.equals("r1") ? 1.7 : 0.7;
         }
         rig.takeOver().run(500);
         for (int round = 0; round < 4; round++) {
@@ -80,4 +80,12 @@
         rig.submit("urgent", 0, OwnerRig.tasks(4, 8, 4000)).run(300);
         assertEquals(onFastWorkers(rig, "urgent"), 4);
     }
+
+    @Test
+    public void aNewOwnerKnowsTheSpeedsThatTheLastOneLearned() {
+        OwnerRig rig = unevenFleet();
+        rig.takeOver().run(300);
+        rig.submit("urgent", 0, OwnerRig.tasks(4, 8, 4000)).run(300);
+        assertEquals(onFastWorkers(rig, "urgent"), 4);
+    }
 }
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/RecordCodecTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/RecordCodecTest.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 import org.fuchsiawinch.model.Resources;
@@ -54,6 +55,7 @@
             {new CellRecord.CancelAsked("0123456789abcdef")},
             {new CellRecord.Progress("0123456789abcdef", "plans", JobPhase.ACTIVE, 0, List.of(List.of(task, task)))},
             {new CellRecord.Owner("n1", 70_000, true)},
+            {new CellRecord.Learned(Map.of(new WorkerId("i-1"), 0.5), Map.of("plans", -0.25))},
             {new CellRecord.Removed("s/0123456789abcdef")},
         };
     }
