Count a failed run once, although its end is listed again to a new owner

Change: a task stores the number of the last run whose failure was counted; the set that an owner kept for gangs goes. Measured: TakeOverTest.countsAFailureOnceAlthoughItsEndIsListedToEachOwner fails with the old rule, passes now.

--- a/workflow/src/main/java/org/fuchsiawinch/workflow/job/TaskState.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/job/TaskState.java
@@ -10,6 +10,7 @@
     private TaskPhase phase = TaskPhase.WAITING;
     private int run;
     private int failures;
+    private int failedRun;
     private WorkerId worker;
     private String checkpoint = "";
 
@@ -64,6 +65,7 @@
      * @param recordedPhase the phase
      * @param recordedRun number of the last run
      * @param recordedFailures number of failed runs
+     * @param recordedFailedRun number of the last run whose failure was counted
      * @param recordedWorker worker of the present run, or empty
      * @param recordedCheckpoint newest checkpoint
      */
@@ -71,11 +73,13 @@
             TaskPhase recordedPhase,
             int recordedRun,
             int recordedFailures,
+            int recordedFailedRun,
             Optional<WorkerId> recordedWorker,
             String recordedCheckpoint) {
         phase = recordedPhase;
         run = recordedRun;
         failures = recordedFailures;
+        failedRun = recordedFailedRun;
         worker = recordedWorker.orElse(null);
         checkpoint = recordedCheckpoint;
     }
@@ -104,9 +108,25 @@
         worker = null;
     }
 
-    /** Counts a failed run. */
-    public void countFailure() {
-        failures++;
+    /**
+     * Counts a failed run, once: a worker lists an end again to a new owner until that has acknowledged it.
+     *
+     * @param failed number of the run
+     */
+    public void countFailure(int failed) {
+        if (failed > failedRun) {
+            failedRun = failed;
+            failures++;
+        }
+    }
+
+    /**
+     * Gives the number of the last run whose failure was counted.
+     *
+     * @return the number; 0 if none was
+     */
+    public int failedRun() {
+        return failedRun;
     }
 
     /**
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
@@ -251,7 +251,13 @@
         if (task == null) {
             return;
         }
-        task.restore(recorded.phase(), recorded.run(), recorded.failures(), recorded.worker(), recorded.checkpoint());
+        task.restore(
+                recorded.phase(),
+                recorded.run(),
+                recorded.failures(),
+                recorded.failedRun(),
+                recorded.worker(),
+                recorded.checkpoint());
         if (recorded.phase() != TaskPhase.ASSIGNED || recorded.worker().isEmpty()) {
             return;
         }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellState.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellState.java
@@ -78,7 +78,12 @@
             for (TaskState task : job.tasks(step)) {
                 boolean kept = task.phase() != TaskPhase.DONE && !job.phase().ended();
                 tasks.add(new CellRecord.TaskProgress(
-                        task.phase(), task.run(), task.failures(), task.worker(), kept ? task.checkpoint() : ""));
+                        task.phase(),
+                        task.run(),
+                        task.failures(),
+                        task.failedRun(),
+                        task.worker(),
+                        kept ? task.checkpoint() : ""));
             }
             steps.add(tasks);
         }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Runs.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Runs.java
@@ -1,14 +1,11 @@
 package org.fuchsiawinch.workflow.owner;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 
 import org.fuchsiawinch.workflow.job.JobPhase;
 import org.fuchsiawinch.workflow.job.JobState;
 import org.fuchsiawinch.workflow.job.TaskPhase;
-import org.fuchsiawinch.workflow.job.TaskRef;
 import org.fuchsiawinch.workflow.job.TaskRun;
 import org.fuchsiawinch.workflow.job.TaskState;
 
@@ -25,7 +22,6 @@
     private static final long STOP_RETRY_MS = 400;
 
     private final CellState state;
-    private final Set<TaskRun> failedGangs = new HashSet<>();
 
     Runs(CellState state) {
         this.state = state;
@@ -236,9 +232,9 @@
         state.changed.add(job);
         int step = name.task().step();
         if (!gang(job, name)) {
-            job.task(name.task()).countFailure();
-        } else if (failedGangs.add(new TaskRun(new TaskRef(name.task().job(), step, 0), name.number()))) {
-            job.tasks(step).forEach(TaskState::countFailure);
+            job.task(name.task()).countFailure(name.number());
+        } else {
+            job.tasks(step).forEach(member -> member.countFailure(name.number()));
         }
         int failures = job.task(name.task()).failures();
         if (failures >= job.submission().rules().maxAttempts() && !job.phase().ended()) {
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/record/CellRecord.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/record/CellRecord.java
@@ -88,10 +88,12 @@
      * @param phase the phase
      * @param run number of the last run
      * @param failures number of failed runs
+     * @param failedRun number of the last run whose failure was counted
      * @param worker worker of the present run
      * @param checkpoint newest checkpoint; empty text if there is none
      */
-    record TaskProgress(TaskPhase phase, int run, int failures, Optional<WorkerId> worker, String checkpoint) {}
+    record TaskProgress(
+            TaskPhase phase, int run, int failures, int failedRun, Optional<WorkerId> worker, String checkpoint) {}
 
     /**
      * A node owns the cell, or has given it up.
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/record/RecordCodec.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/record/RecordCodec.java
@@ -178,7 +178,10 @@
         for (List<CellRecord.TaskProgress> tasks : progress.steps()) {
             packer.packArrayHeader(tasks.size());
             for (CellRecord.TaskProgress task : tasks) {
-                packer.packInt(task.phase().ordinal()).packInt(task.run()).packInt(task.failures());
+                packer.packInt(task.phase().ordinal())
+                        .packInt(task.run())
+                        .packInt(task.failures())
+                        .packInt(task.failedRun());
                 packer.packString(task.worker().map(WorkerId::value).orElse(""));
                 packer.packString(task.checkpoint());
             }
@@ -199,6 +202,7 @@
                         TASK_PHASES[unpacker.unpackInt()],
                         unpacker.unpackInt(),
                         unpacker.unpackInt(),
+                        unpacker.unpackInt(),
                         optional(unpacker.unpackString()).map(WorkerId::new),
                         unpacker.unpackString()));
             }
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/OwnerRig.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/OwnerRig.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
 
 import org.fuchsiawinch.model.Resources;
 import org.fuchsiawinch.model.WorkerId;
@@ -111,6 +112,15 @@
         return this;
     }
 
+    /** Runs until a condition holds, event by event. */
+    void runUntil(BooleanSupplier condition) {
+        while (!condition.getAsBoolean()) {
+            Event next = events.remove();
+            nowMs = Math.max(nowMs, next.atMs());
+            next.action().run();
+        }
+    }
+
     void input(OwnerInput input) {
         CellOwner acting = owner;
         for (OwnerEffect effect : acting.handle(input, nowMs)) {
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/RecordCodecTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/RecordCodecTest.java
@@ -49,7 +49,7 @@
                 "a text with \u00fc",
                 List.of(step, step));
         CellRecord.TaskProgress task =
-                new CellRecord.TaskProgress(TaskPhase.ASSIGNED, 4, 1, Optional.of(new WorkerId("i-1")), "0b");
+                new CellRecord.TaskProgress(TaskPhase.ASSIGNED, 4, 1, 3, Optional.of(new WorkerId("i-1")), "0b");
         return new Object[][] {
             {new CellRecord.Accepted(job)},
             {new CellRecord.CancelAsked("0123456789abcdef")},
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/TakeOverTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/TakeOverTest.java
@@ -65,4 +65,19 @@
         rig.run(3000);
         assertTrue(rig.abdicated);
     }
+
+    @Test
+    public void countsAFailureOnceAlthoughItsEndIsListedToEachOwner() {
+        OwnerRig rig = new OwnerRig().workers(1).takeOver();
+        rig.run(500);
+        FakeWorker worker = rig.workers.values().iterator().next();
+        worker.failsAll = true;
+        rig.submit("job", 1, OwnerRig.tasks(1, 1, 3000));
+        rig.runUntil(() -> rig.stored.toString().contains("failures=1"));
+        worker.failsAll = false;
+        rig.takeOver().run(3);
+        rig.takeOver().run(3);
+        rig.takeOver().run(20_000);
+        assertEquals(rig.phase("job"), Optional.of(JobPhase.COMPLETED));
+    }
 }
