Let the explorer's schedules hit the window that only the fence closes

Shrinking the two seeds of 12,000 that showed the overcommit names the pattern: an owner is cut off from the log and goes on renewing, its successor's orders arrive twice and late. Without the fence the earlier owner stops and forgets the successor's runs as unknown ones, and the second copy of an order starts them again. Ruled out: an owner that is killed while its orders are late.

--- a/explore/src/main/java/org/fuchsiawinch/explore/ScheduleGenerator.java
+++ b/explore/src/main/java/org/fuchsiawinch/explore/ScheduleGenerator.java
@@ -9,11 +9,13 @@
 import org.fuchsiawinch.model.Adjacency;
 import org.fuchsiawinch.model.JobId;
 import org.fuchsiawinch.model.JobSpec;
+import org.fuchsiawinch.model.NodeId;
 import org.fuchsiawinch.model.Resources;
 import org.fuchsiawinch.model.Shape;
 import org.fuchsiawinch.model.Urgency;
 import org.fuchsiawinch.model.WorkerId;
 import org.fuchsiawinch.model.WorkerSpec;
+import org.fuchsiawinch.protocol.node.NodeSettings;
 
 /** Makes schedules from seeds. The same seed gives the same schedule. */
 final class ScheduleGenerator {
@@ -22,6 +24,13 @@
     private static final long FAULTS_START_MS = 4000;
     private static final long QUIET_MS = 45_000;
 
+    /** Longest delay in ms of an order that may still start something: the nodes' time from placement to start-by. */
+    private static final long LATE_ORDER_MS =
+            NodeSettings.defaults(new NodeId("any"), 0).startWithinMs();
+
+    /** Time in ms after which an owner that is cut off has a successor: silence, claim and inventory. */
+    private static final long TAKE_OVER_MS = 3500;
+
     private final SplittableRandom random;
     private final long seed;
     private final long faultsEndMs;
@@ -97,7 +106,7 @@
     }
 
     private void addFault(long atMs) {
-        switch (random.nextInt(17)) {
+        switch (random.nextInt(18)) {
             case 0 -> events.add(new ScheduleEvent.LogOutage(atMs, 500 + random.nextInt(14_000)));
             case 1 ->
                 events.add(new ScheduleEvent.LogSlow(atMs, 1000 + random.nextInt(8000), 100 + random.nextInt(1500)));
@@ -131,6 +140,7 @@
                 events.add(new ScheduleEvent.WorkerLost(
                         atMs, random.nextInt(workers), chance(50) ? 0 : 15_000 + random.nextInt(5000)));
             case 14 -> cutAfterSubmit();
+            case 16 -> staleOwnerBesideLateOrders();
             case 15 ->
                 events.add(new ScheduleEvent.WorkerRestarted(atMs, random.nextInt(workers), random.nextInt(3000)));
             default -> events.add(new ScheduleEvent.ListLagged(atMs, 2000 + random.nextInt(10_000), 4000));
@@ -184,6 +194,24 @@
         }
     }
 
+    /**
+     * Adds an owner that cannot read of its successor and goes on renewing leases, while orders of the successor arrive
+     * twice and late. The earlier owner stops and forgets runs that it does not know.
+     */
+    private void staleOwnerBesideLateOrders() {
+        List<ScheduleEvent> submits =
+                events.stream().filter(ScheduleEvent.Submit.class::isInstance).toList();
+        long submitMs = submits.get(random.nextInt(submits.size())).atMs();
+        long cutMs = Math.max(FAULTS_START_MS, submitMs - TAKE_OVER_MS - random.nextInt(2000));
+        events.add(new ScheduleEvent.NodeCutFromLog(cutMs, ScheduleEvent.OWNER, 12_000 + random.nextInt(8000)));
+        events.add(new ScheduleEvent.CommandFaults(
+                cutMs + TAKE_OVER_MS,
+                6000,
+                random.nextInt(20),
+                50 + random.nextInt(50),
+                1000 + random.nextLong(LATE_ORDER_MS)));
+    }
+
     private List<Integer> someWorkers() {
         List<Integer> some = new ArrayList<>();
         for (int worker = 0; worker < workers; worker++) {
