--- /dev/null
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/DayLoad.java
@@ -0,0 +1,190 @@
+package org.fuchsiawinch.workflow;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
+
+import org.fuchsiawinch.model.Resources;
+import org.fuchsiawinch.workflow.job.StepSpec;
+import org.fuchsiawinch.workflow.job.Submission;
+import org.fuchsiawinch.workflow.job.TaskRef;
+import org.fuchsiawinch.workflow.job.TaskRun;
+
+/** The jobs of one day of a site, with what callers do not tell. The same seed gives the same day. */
+final class DayLoad implements OwnerRig.Truth {
+
+    /** Time in ms before the day in which jobs come that do not count. */
+    static final long LEAD_MS = 8000;
+
+    /** Length of the day in ms. */
+    static final long LENGTH_MS = 34_000;
+
+    /** Share of a step's tasks of the room beyond which it is expected to run in waves. */
+    private static final double WAVE_SHARE = 0.25;
+
+    private final DaySite site;
+    private final SplittableRandom random;
+    private final long seed;
+    private final List<Arrival> arrivals = new ArrayList<>();
+    private final Map<TaskRef, Double> workMs = new HashMap<>();
+    private final Map<String, Double> failingRuns = new HashMap<>();
+
+    /**
+     * How busy a day is.
+     *
+     * @param load share of the ordinary rates
+     * @param burstFactor times as many urgent jobs come during the burst
+     * @param burstAtMs start of the burst, in ms from the start of the day
+     * @param burstForMs length of the burst in ms
+     */
+    record Shape(double load, double burstFactor, long burstAtMs, long burstForMs) {}
+
+    /**
+     * A job that comes.
+     *
+     * @param atMs time in ms from the start of the day; negative before it
+     * @param queue its queue
+     * @param submission the job as the caller tells it
+     * @param cancelAfterMs time in ms after which the caller cancels it
+     * @param objectiveMs time in ms in which it is done in time
+     * @param neverDone whether it cannot be done
+     */
+    record Arrival(
+            long atMs,
+            DaySite.QueueLoad queue,
+            Submission submission,
+            OptionalLong cancelAfterMs,
+            double objectiveMs,
+            boolean neverDone) {}
+
+    DayLoad(DaySite site, Shape shape, long seed) {
+        this.site = site;
+        this.seed = seed;
+        this.random = new SplittableRandom(seed);
+        for (DaySite.QueueLoad queue : site.queues()) {
+            double atMs = -LEAD_MS;
+            while (true) {
+                boolean burst = queue.rules().priority() == 0
+                        && atMs >= shape.burstAtMs()
+                        && atMs < shape.burstAtMs() + shape.burstForMs();
+                double perMs = queue.perS() * shape.load() * (burst ? shape.burstFactor() : 1) / 1000;
+                atMs += -Math.log(1 - random.nextDouble()) / perMs;
+                if (atMs >= LENGTH_MS) {
+                    break;
+                }
+                arrivals.add(arrival(queue, (long) atMs));
+            }
+        }
+        arrivals.sort((left, right) -> Long.compare(left.atMs(), right.atMs()));
+    }
+
+    List<Arrival> arrivals() {
+        return arrivals;
+    }
+
+    private Arrival arrival(DaySite.QueueLoad queue, long atMs) {
+        String id = String.format("%s-%04d", queue.name(), arrivals.size());
+        DaySite.Traits traits = queue.traits();
+        int count = random.nextDouble() < traits.twoSteps() ? 2 : 1;
+        int accelerators =
+                queue.accelerators().get(random.nextInt(queue.accelerators().size()));
+        List<StepSpec> steps = new ArrayList<>();
+        double chainMs = 0;
+        for (int step = 0; step < count; step++) {
+            StepSpec spec = step(queue, step, accelerators);
+            steps.add(spec);
+            chainMs += stepMs(id, step, queue, spec);
+        }
+        boolean neverDone = random.nextDouble() < traits.neverDone();
+        failingRuns.put(id, neverDone ? 1 : traits.failingRuns());
+        OptionalLong cancelAfterMs = random.nextDouble() < traits.cancelled()
+                ? OptionalLong.of(500 + random.nextInt(8000))
+                : OptionalLong.empty();
+        Submission submission = new Submission(
+                id,
+                queue.name(),
+                "desk",
+                DaySite.workspace(workspace()),
+                queue.rules(),
+                OwnerRig.START_MS + LEAD_MS + atMs,
+                "payload",
+                steps);
+        double objectiveMs =
+                queue.rules().slackFactor() * chainMs + queue.rules().targetMs();
+        return new Arrival(atMs, queue, submission, cancelAfterMs, objectiveMs, neverDone);
+    }
+
+    private StepSpec step(DaySite.QueueLoad queue, int step, int accelerators) {
+        int width = (int) Math.round(spread(queue.width().mean(), queue.width().spread()));
+        int tasks = Math.max(1, Math.min(queue.width().most(), width));
+        boolean gang = queue.traits().gangs() && tasks > 1;
+        Resources need = queue.perTask().plus(new Resources(0, 0, accelerators, 0, 0));
+        double truth = spread(queue.run().meanMs(), queue.run().spread());
+        double estimate = truth * Math.exp(gaussian() * queue.run().estimateError());
+        StepSpec spec = new StepSpec(
+                tasks,
+                need,
+                Math.max(50, Math.round(estimate)),
+                step == 0 ? List.of() : List.of(step - 1),
+                gang,
+                gang && random.nextDouble() < queue.traits().sameRack(),
+                random.nextDouble() < queue.traits().checkpoints(),
+                0,
+                Optional.empty(),
+                Optional.empty());
+        stepMeanMs = truth;
+        return spec;
+    }
+
+    private double stepMeanMs;
+
+    /** Draws the run times of a step's tasks, and gives the longest, in waves if the step is wide. */
+    private double stepMs(String id, int step, DaySite.QueueLoad queue, StepSpec spec) {
+        double longestMs = 0;
+        for (int index = 0; index < spec.count(); index++) {
+            double uneven = 1 + queue.run().uneven() * (2 * random.nextDouble() - 1);
+            workMs.put(new TaskRef(id, step, index), stepMeanMs * uneven);
+            longestMs = Math.max(longestMs, stepMeanMs * uneven);
+        }
+        double room = WAVE_SHARE * site.workers() * site.capacity().accelerators();
+        return longestMs * Math.max(1, Math.ceil(spec.count() * spec.perTask().accelerators() / room));
+    }
+
+    private int workspace() {
+        double[] shares = {0.4, 0.27, 0.19, 0.14};
+        double dice = random.nextDouble();
+        int index = 0;
+        while (index < DaySite.workspaces() - 1 && dice >= shares[index]) {
+            dice -= shares[index++];
+        }
+        return index;
+    }
+
+    private double spread(double mean, double sigma) {
+        return mean * Math.exp(gaussian() * sigma - sigma * sigma / 2);
+    }
+
+    private double gaussian() {
+        return Math.sqrt(-2 * Math.log(1 - random.nextDouble())) * Math.cos(2 * Math.PI * random.nextDouble());
+    }
+
+    @Override
+    public double workMs(TaskRef task) {
+        return workMs.get(task);
+    }
+
+    @Override
+    public double failsAt(TaskRun run) {
+        SplittableRandom dice = new SplittableRandom(seed * 31 + run.toString().hashCode());
+        return dice.nextDouble() < failingRuns.get(run.task().job()) ? dice.nextDouble() : 2;
+    }
+
+    @Override
+    public long stopMs() {
+        return site.stopMs() / 3 + random.nextLong(site.stopMs() * 2 / 3);
+    }
+}
--- /dev/null
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/DayModelMain.java
@@ -0,0 +1,52 @@
+package org.fuchsiawinch.workflow;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.LongStream;
+
+/** Prints what days of both sites are worth, as means over seeds. Arguments: number of seeds, first seed. */
+public final class DayModelMain {
+
+    /** Kinds of days as the users play them: share of the ordinary load, and a burst of urgent jobs. */
+    static final Map<String, DayLoad.Shape> SHAPES = new TreeMap<>(Map.of(
+            "quiet", new DayLoad.Shape(0.56, 2.1, 10_000, 6000),
+            "trouble", new DayLoad.Shape(0.87, 2.2, 1000, 6000),
+            "scale", new DayLoad.Shape(1.1, 2.2, 2500, 6000)));
+
+    private DayModelMain() {}
+
+    public static void main(String[] arguments) {
+        int seeds = arguments.length > 0 ? Integer.parseInt(arguments[0]) : 40;
+        long first = arguments.length > 1 ? Long.parseLong(arguments[1]) : 1;
+        for (DaySite site : List.of(DaySite.lagilagi(), DaySite.bureau())) {
+            SHAPES.forEach((name, shape) -> {
+                List<DayModel.Result> results = LongStream.range(first, first + seeds)
+                        .parallel()
+                        .mapToObj(seed -> new DayModel(site, shape, seed).play())
+                        .toList();
+                System.out.println(line(site.name(), name, results));
+            });
+        }
+    }
+
+    private static String line(String site, String shape, List<DayModel.Result> results) {
+        List<String> parts = new ArrayList<>();
+        parts.add(String.format("site=%s day=%s seeds=%d", site, shape, results.size()));
+        parts.add(mean("worth", results, DayModel.Result::worth));
+        parts.add(mean("whole", results, DayModel.Result::whole));
+        parts.add(mean("windows", results, DayModel.Result::windows));
+        for (String queue : results.get(0).queues().keySet()) {
+            parts.add(mean(queue, results, result -> result.queues().getOrDefault(queue, 1.0)));
+        }
+        parts.add(mean("waste", results, DayModel.Result::wastePrice));
+        return String.join(" ", parts);
+    }
+
+    private static String mean(String name, List<DayModel.Result> results, ToDoubleFunction<DayModel.Result> figure) {
+        return String.format(
+                "%s=%.3f", name, results.stream().mapToDouble(figure).average().orElse(0));
+    }
+}
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/FakeWorker.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/FakeWorker.java
@@ -21,6 +21,12 @@
 
     static final long STOP_MS = 300;
 
+    /** Time in ms between two checkpoints of a run. */
+    private static final long CHECKPOINT_MS = 1000;
+
+    /** Time in ms that a run needs to resume from a checkpoint. */
+    private static final long RESTORE_MS = 250;
+
     final WorkerId id;
     final String rack;
     final Map<TaskRun, Running> running = new HashMap<>();
@@ -34,6 +40,9 @@
     boolean losesStartAnswers;
     boolean failsAll;
     boolean hangs;
+    /** Work in ms of each run that ended otherwise than done and was not saved, and of members that waited. */
+    final Map<TaskRun, Double> thrownAwayMs = new HashMap<>();
+
     /** Runs that show a percentage and never end. */
     final Map<TaskRun, Integer> stuck = new HashMap<>();
 
@@ -44,11 +53,30 @@
     private long leaseEndMs;
     private long sequence;
 
-    /** A run that goes on. */
+    /** A run that goes on; work is in ms of a worker of speed 1. */
     static final class Running {
-        long startedMs;
-        long endsMs;
+        final TaskRun run;
+        final double needMs;
+        double doneMs;
+        double rate;
+        long sinceMs;
         boolean stopping;
+        private int plan;
+
+        private Running(TaskRun run, double needMs, double doneMs, long nowMs) {
+            this.run = run;
+            this.needMs = needMs;
+            this.doneMs = doneMs;
+            this.sinceMs = nowMs;
+        }
+
+        double doneMs(long nowMs) {
+            return Math.min(needMs, doneMs + rate * (nowMs - sinceMs));
+        }
+
+        boolean partDone(long nowMs) {
+            return doneMs(nowMs) >= needMs - 1e-6;
+        }
     }
 
     FakeWorker(OwnerRig rig, WorkerId id, String rack) {
@@ -90,45 +118,92 @@
             return StartOutcome.EXPIRED;
         }
         if (!running.containsKey(order.run())) {
-            begin(order.run());
+            begin(order.run(), order.checkpoint());
         }
         return losesStartAnswers ? StartOutcome.UNANSWERED : StartOutcome.STARTED;
     }
 
     /** Starts a run whose order was carried out late. */
     void begin(TaskRun run) {
-        Running state = new Running();
-        state.startedMs = rig.nowMs;
-        state.endsMs = hangs ? Long.MAX_VALUE / 2 : rig.nowMs + Math.round(runMs(run) / speed);
+        begin(run, "");
+    }
+
+    private void begin(TaskRun run, String checkpoint) {
+        double needMs = rig.truth.workMs(run.task());
+        double keptMs = checkpoint.isEmpty() ? 0 : Double.parseDouble(checkpoint) * needMs - RESTORE_MS;
+        Running state = new Running(run, needMs, keptMs, rig.nowMs);
         running.put(run, state);
         startedRuns.add(run);
-        long delayMs = state.endsMs - rig.nowMs;
         if (failsAll) {
-            rig.later(50, () -> end(run, state, WorkerReport.RunEnd.FAILED));
-        } else if (!hangs) {
-            rig.later(delayMs, () -> partDone(run, state));
+            rig.later(50, () -> end(state, WorkerReport.RunEnd.FAILED));
+            return;
+        }
+        if (hangs) {
+            return;
+        }
+        if (rig.gangsEndTogether && rig.step(run.task()).gang()) {
+            rig.joined(run);
+        } else {
+            rate(state, rig.farFactor(this, run.task()));
         }
     }
 
-    private void partDone(TaskRun run, Running state) {
-        if (rig.gangsEndTogether && !rig.partsDone(run)) {
-            rig.later(20, () -> partDone(run, state));
-            return;
+    /** Lets a run work from now on, at the worker's speed over a factor. */
+    void rate(Running state, double slowdown) {
+        state.doneMs = state.doneMs(rig.nowMs);
+        state.sinceMs = rig.nowMs;
+        state.rate = speed / slowdown;
+        int plan = ++state.plan;
+        double failsAtMs = rig.truth.failsAt(state.run) * state.needMs;
+        double untilMs = Math.min(state.needMs, Math.max(failsAtMs, 0));
+        rig.later((long) Math.ceil(Math.max(0, untilMs - state.doneMs) / state.rate), () -> {
+            if (state.plan == plan && running.get(state.run) == state) {
+                reached(state, failsAtMs < state.needMs);
+            }
+        });
+    }
+
+    /** Changes the worker's speed, for what runs there too. */
+    void turn(double newSpeed) {
+        double before = speed;
+        speed = newSpeed;
+        for (Running state : running.values()) {
+            if (state.rate > 0) {
+                rate(state, before / state.rate);
+            }
         }
-        end(run, state, WorkerReport.RunEnd.DONE);
     }
 
-    private long runMs(TaskRun run) {
-        return rig.runMs(run.task());
+    private void reached(Running state, boolean fails) {
+        if (fails) {
+            end(state, WorkerReport.RunEnd.FAILED);
+        } else if (rig.gangsEndTogether) {
+            rig.partDone(state.run);
+        } else {
+            end(state, WorkerReport.RunEnd.DONE);
+        }
     }
 
-    private void end(TaskRun run, Running state, WorkerReport.RunEnd how) {
-        if (running.remove(run, state)) {
-            barred.merge(run.task(), run.number(), Math::max);
-            ended.add(new WorkerReport.EndedRun(++sequence, run, how, ""));
+    void end(Running state, WorkerReport.RunEnd how) {
+        if (running.remove(state.run, state)) {
+            barred.merge(state.run.task(), state.run.number(), Math::max);
+            ended.add(new WorkerReport.EndedRun(++sequence, state.run, how, checkpoint(state, 1)));
+            boolean kept = how == WorkerReport.RunEnd.DONE
+                    || rig.step(state.run.task()).checkpoints();
+            if (!kept) {
+                thrownAwayMs.put(state.run, state.doneMs(rig.nowMs));
+            }
+            if (how != WorkerReport.RunEnd.DONE && rig.gangsEndTogether) {
+                rig.broken(state.run);
+            }
         }
     }
 
+    private String checkpoint(Running state, long intervalMs) {
+        double savedMs = Math.floor(state.doneMs(rig.nowMs) / intervalMs) * intervalMs;
+        return savedMs <= 0 || !rig.step(state.run.task()).checkpoints() ? "" : Double.toString(savedMs / state.needMs);
+    }
+
     boolean stop(long epoch, OwnerEffect.Stop order) {
         if (silent || epoch < fence) {
             return false;
@@ -138,7 +213,7 @@
         Running state = running.get(order.run());
         if (state != null && !state.stopping) {
             state.stopping = true;
-            rig.later(STOP_MS, () -> end(order.run(), state, WorkerReport.RunEnd.STOPPED));
+            rig.later(rig.truth.stopMs(), () -> end(state, WorkerReport.RunEnd.STOPPED));
         }
         return true;
     }
@@ -170,7 +245,8 @@
             return;
         }
         List<WorkerReport.RunningTask> list = new ArrayList<>();
-        running.forEach((run, state) -> list.add(new WorkerReport.RunningTask(run, "", percent(run, state))));
+        running.forEach((run, state) ->
+                list.add(new WorkerReport.RunningTask(run, checkpoint(state, CHECKPOINT_MS), percent(run, state))));
         rig.answer(
                 asker,
                 OwnerRig.LINK_MS,
@@ -185,14 +261,13 @@
         if (hangs) {
             return 10;
         }
-        double done = (rig.nowMs - state.startedMs) * speed / runMs(run);
-        return (int) Math.min(100, 100 * done);
+        return (int) Math.min(100, 100 * Math.max(0, state.doneMs(rig.nowMs)) / state.needMs);
     }
 
     /** Kills what runs once the lease is over, as a worker does by itself. */
     void expire() {
         if (clockMs() > leaseEndMs) {
-            List.copyOf(running.keySet()).forEach(run -> end(run, running.get(run), WorkerReport.RunEnd.LEASE_EXPIRED));
+            List.copyOf(running.values()).forEach(run -> end(run, WorkerReport.RunEnd.LEASE_EXPIRED));
         }
     }
 }
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/OwnerRig.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/OwnerRig.java
@@ -1,6 +1,7 @@
 package org.fuchsiawinch.workflow;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -23,6 +24,7 @@
 import org.fuchsiawinch.workflow.owner.OwnerInput;
 import org.fuchsiawinch.workflow.owner.OwnerSettings;
 import org.fuchsiawinch.workflow.owner.WorkerEntry;
+import org.fuchsiawinch.workflow.owner.WorkerReport;
 import org.fuchsiawinch.workflow.record.CellRecord;
 
 /** An owner, its stored records and its workers on a virtual clock. */
@@ -31,17 +33,31 @@
     static final Resources WORKER = new Resources(32_000, 64_000, 8, 0, 0);
     static final long STORE_MS = 5;
     static final long LINK_MS = 1;
+    static final long START_MS = 1_000_000;
+
+    /** Times that work takes as long away from its data or its gang's rack. */
+    private static final double FAR_FACTOR = 3;
+
+    /** Time in ms that the members of a gang wait for each other. */
+    private static final long GANG_MS = 3000;
+
+    /** Time in ms until the other members of a broken gang have ended. */
+    private static final long BREAK_MS = 200;
 
     final Map<String, CellRecord> stored = new LinkedHashMap<>();
+    final Map<String, Submission> submissions = new HashMap<>();
     final Map<WorkerId, FakeWorker> workers = new TreeMap<>();
     final List<String> log = new ArrayList<>();
     final PriorityQueue<Event> events = new PriorityQueue<>();
     CellOwner owner;
     Guarantees guarantees = Guarantees.NONE;
     long epoch;
-    long nowMs = 1_000_000;
+    long nowMs = START_MS;
     boolean storeDown;
+    /** Whether the members of a gang work and end only together; otherwise each for itself. */
     boolean gangsEndTogether;
+
+    Truth truth = task -> step(task).estimatedMs();
     boolean abdicated;
     private long order;
 
@@ -181,7 +197,7 @@
     }
 
     OwnerRig submit(String id, int priority, StepSpec... steps) {
-        Submission submission = new Submission(
+        return submit(new Submission(
                 id,
                 "q" + priority,
                 "desk",
@@ -189,7 +205,10 @@
                 new Submission.QueueRules(priority, 3, priority == 0 ? 1.5 : 3, 500),
                 nowMs,
                 "payload",
-                List.of(steps));
+                List.of(steps)));
+    }
+
+    OwnerRig submit(Submission submission) {
         store(new CellRecord.Accepted(submission));
         return this;
     }
@@ -202,6 +221,9 @@
     /** Stores a record of another node; the owner reads it at once. */
     void store(CellRecord record) {
         stored.put(record.key(), record);
+        if (record instanceof CellRecord.Accepted accepted) {
+            submissions.put(accepted.submission().id(), accepted.submission());
+        }
         if (owner != null) {
             input(new OwnerInput.RecordsRead(List.of(record)));
         }
@@ -246,16 +268,83 @@
                 .sum();
     }
 
-    /** Says whether all members of a run have done their part. */
-    boolean partsDone(TaskRun run) {
-        return workers.values().stream()
-                .flatMap(worker -> worker.running.entrySet().stream())
-                .filter(entry -> entry.getKey().task().job().equals(run.task().job()))
-                .allMatch(entry -> entry.getValue().endsMs <= nowMs);
+    StepSpec step(TaskRef task) {
+        return submissions.get(task.job()).steps().get(task.step());
+    }
+
+    /** Gives how many times as long a task takes on a worker because its data is elsewhere. */
+    double farFactor(FakeWorker worker, TaskRef task) {
+        boolean far =
+                step(task).dataRack().filter(rack -> !rack.equals(worker.rack)).isPresent();
+        return far ? FAR_FACTOR : 1;
+    }
+
+    /** Lets a gang work once all its members are there, and breaks it if some do not come. */
+    void joined(TaskRun run) {
+        Map<FakeWorker.Running, FakeWorker> members = members(run);
+        if (members.size() < step(run.task()).count()) {
+            later(GANG_MS, () -> {
+                if (members(run).size() < step(run.task()).count()) {
+                    endAll(run, WorkerReport.RunEnd.GANG_INCOMPLETE);
+                }
+            });
+            return;
+        }
+        long racks =
+                members.values().stream().map(worker -> worker.rack).distinct().count();
+        boolean spread = step(run.task()).sameRack() && racks > 1;
+        members.forEach((state, worker) -> worker.rate(state, spread ? FAR_FACTOR : farFactor(worker, run.task())));
+    }
+
+    /** Ends a task that has done its part, or its gang once all members have. */
+    void partDone(TaskRun run) {
+        if (members(run).keySet().stream().allMatch(state -> state.partDone(nowMs))) {
+            endAll(run, WorkerReport.RunEnd.DONE);
+        }
+    }
+
+    /** Breaks the gang of a member that has ended before the others. */
+    void broken(TaskRun run) {
+        if (step(run.task()).gang()) {
+            later(BREAK_MS, () -> endAll(run, WorkerReport.RunEnd.GANG_BROKEN));
+        }
+    }
+
+    private void endAll(TaskRun run, WorkerReport.RunEnd how) {
+        members(run).forEach((state, worker) -> worker.end(state, how));
+    }
+
+    private Map<FakeWorker.Running, FakeWorker> members(TaskRun run) {
+        boolean gang = step(run.task()).gang();
+        Map<FakeWorker.Running, FakeWorker> found = new LinkedHashMap<>();
+        for (FakeWorker worker : workers.values()) {
+            for (FakeWorker.Running state : worker.running.values()) {
+                TaskRef other = state.run.task();
+                boolean member = other.job().equals(run.task().job())
+                        && other.step() == run.task().step()
+                        && state.run.number() == run.number();
+                if (gang ? member : state.run.equals(run)) {
+                    found.put(state, worker);
+                }
+            }
+        }
+        return found;
     }
 
-    long runMs(TaskRef task) {
-        CellRecord.Accepted job = (CellRecord.Accepted) stored.get(CellRecord.Accepted.PREFIX + task.job());
-        return job.submission().steps().get(task.step()).estimatedMs();
+    /** What callers do not tell: run times, failures, and how long a stop takes. */
+    interface Truth {
+
+        /** Gives the run time in ms of a task on a worker of speed 1. */
+        double workMs(TaskRef task);
+
+        /** Gives the share of the work after which a run fails; 2 if it does not. */
+        default double failsAt(TaskRun run) {
+            return 2;
+        }
+
+        /** Gives the time in ms that a stop takes. */
+        default long stopMs() {
+            return FakeWorker.STOP_MS;
+        }
     }
 }
