Weigh starts, stops and workers by the worth that is expected of them

Change: a job's worth is its expectation over what its run times may turn out to be; order, claims, victims and the choice of workers use it. Speeds and estimate errors are beliefs with a certainty. A gang takes no member faster than its slowest needs to be. An eighth of the workers is left empty by work that can wait (a setting of the owner), once half of the accelerators are in use. One gang at a time has its workers held, and one that has waited 0.4 of its objective goes before all that is no more urgent. Renewals that only report progress start no search. ReclaimTest's full fleet is set up without headroom, or it would not be full; what is asserted is unchanged. Of BusyFleetTest two cases fail on the code before (starved gang, urgent job beside work that can wait).

--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
@@ -98,6 +98,7 @@
      * @return what to do, in order
      */
     public List<OwnerEffect> handle(OwnerInput input, long nowMs) {
+        boolean mayStart = mayStart(input, nowMs);
         if (input instanceof OwnerInput.RecordsRead read) {
             read.records().forEach(record -> recordRead(record, nowMs));
         } else if (input instanceof OwnerInput.Appended) {
@@ -110,7 +111,9 @@
             workerInput(input, nowMs);
         }
         if (!appending) {
-            scheduling.run(nowMs);
+            if (mayStart) {
+                scheduling.run(nowMs);
+            }
             append(nowMs);
         }
         renewals.sendDue(nowMs);
@@ -139,6 +142,19 @@
         return state.open.size();
     }
 
+    /** Says whether an input may make room; most renewals only report progress, and each tick looks anyway. */
+    private boolean mayStart(OwnerInput input, long nowMs) {
+        if (!(input instanceof OwnerInput.Renewed renewed)) {
+            return !(input instanceof OwnerInput.RenewalFailed);
+        }
+        WorkerState worker = state.workers.get(renewed.worker());
+        return worker != null
+                && worker.entry != null
+                && (!worker.usable(nowMs)
+                        || !renewed.report().ended().isEmpty()
+                        || renewed.report().running().size() != worker.runs.size());
+    }
+
     private void workerInput(OwnerInput input, long nowMs) {
         if (input instanceof OwnerInput.WorkerListed listed) {
             listed(listed.entry(), nowMs);
@@ -237,12 +253,15 @@
     private void restore(CellRecord.Learned learned, long nowMs) {
         state.forecast.restore(learned.queueErrors());
         learned.logSpeeds()
-                .forEach((id, speed) -> state.worker(id, nowMs).health.adjustLogSpeed(speed));
+                .forEach((id, speed) -> state.worker(id, nowMs).health.restoreLogSpeed(speed));
     }
 
     private CellRecord.Learned learned() {
         Map<WorkerId, Double> speeds = new TreeMap<>();
-        state.workers.values().forEach(worker -> speeds.put(worker.id, worker.health.logSpeed()));
+        state.workers
+                .values()
+                .forEach(
+                        worker -> speeds.put(worker.id, worker.health.logSpeed().mean()));
         return new CellRecord.Learned(speeds, state.forecast.queueErrors());
     }
 
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/JobWorth.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/JobWorth.java
@@ -4,7 +4,6 @@
 import java.util.Map;
 
 import org.fuchsiawinch.model.Resources;
-import org.fuchsiawinch.workflow.job.JobState;
 import org.fuchsiawinch.workflow.job.StepSpec;
 import org.fuchsiawinch.workflow.job.Submission;
 
@@ -36,6 +35,11 @@
     /** Weight of a newer job in the mean size of its queue. */
     private static final double MEAN_WEIGHT = 0.1;
 
+    private static final double EVEN_CHANCE = 0.5;
+
+    /** Makes a logistic curve close to the normal distribution's. */
+    private static final double LOGISTIC_SCALE = 1.7;
+
     private static final double MS_PER_S = 1000;
     private static final double MILLIS_PER_CORE = 1000;
 
@@ -69,18 +73,56 @@
         return (need.cpuMillis() / MILLIS_PER_CORE + CORES_PER_ACCELERATOR * need.accelerators()) * runMs / MS_PER_S;
     }
 
-    /** Gives the worth for each core-second that the job takes. */
-    double density(Submission job) {
+    /** Gives what the job is worth if it is in time, in the unit of the users' sheets. */
+    double inTime(Submission job) {
         double work = Math.max(1e-3, work(job));
         double mean = Math.max(1e-3, meanWork.getOrDefault(job.queue(), work));
         int rank = Math.min(job.rules().priority(), WORTH_BY_PRIORITY.length - 1);
         double factor = Math.min(MAX_FACTOR, FIXED_SHARE + (1 - FIXED_SHARE) * work / mean);
-        return WORTH_BY_PRIORITY[rank] * factor / work;
+        return WORTH_BY_PRIORITY[rank] * factor;
     }
 
-    /** Gives what the job's caller loses if the job is late instead of in time, in the unit of the users' sheets. */
-    double lossIfLate(Submission job) {
-        return LATE_LOSS * density(job) * Math.max(1e-3, work(job));
+    /**
+     * A forecast of how a job goes on.
+     *
+     * @param startAgeMs age of the job at the next start, in ms
+     * @param leftMs time from then until its last task ends, as forecast, in ms
+     * @param chainMs longest chain of run times, as forecast, in ms
+     * @param deviation deviation of true run times from forecasts, as a natural logarithm
+     */
+    record Prospect(double startAgeMs, double leftMs, double chainMs, double deviation) {
+
+        Prospect later(double delayMs) {
+            return new Prospect(startAgeMs + delayMs, leftMs, chainMs, deviation);
+        }
+
+        Prospect withLeft(double newLeftMs) {
+            return new Prospect(startAgeMs, newLeftMs, chainMs, deviation);
+        }
+    }
+
+    /** Gives what a job is worth on average over what its run times may turn out to be. */
+    double expected(Submission job, Prospect prospect) {
+        double inTime = chance(job.rules(), prospect, 1);
+        double paid = chance(job.rules(), prospect, LATE_FACTOR);
+        return inTime(job) * (inTime + (1 - LATE_LOSS) * Math.max(0, paid - inTime));
+    }
+
+    /**
+     * Gives the chance that a job ends within a multiple of its objective. Objective and rest of the job grow alike
+     * with the true run time, the time that has passed does not.
+     */
+    static double chance(Submission.QueueRules rules, Prospect prospect, double times) {
+        double waitedMs = prospect.startAgeMs() - times * rules.targetMs();
+        double marginMs = times * rules.slackFactor() * prospect.chainMs() - prospect.leftMs();
+        if (waitedMs <= 0 && marginMs >= 0) {
+            return 1;
+        }
+        if (waitedMs >= 0 && marginMs <= 0) {
+            return 0;
+        }
+        double distance = Math.log(marginMs / waitedMs) / prospect.deviation();
+        return 1 / (1 + Math.exp(-LOGISTIC_SCALE * (waitedMs > 0 ? distance : -distance)));
     }
 
     static long objectiveMs(Submission job) {
@@ -88,11 +130,10 @@
                 + job.rules().targetMs();
     }
 
-    static Standing standing(JobState job, long remainingMs, long ageMs) {
-        long objectiveMs = objectiveMs(job.submission());
-        if (ageMs + remainingMs <= objectiveMs) {
+    static Standing standing(Submission job, Prospect prospect) {
+        if (chance(job.rules(), prospect, 1) >= EVEN_CHANCE) {
             return Standing.IN_TIME;
         }
-        return ageMs + remainingMs <= LATE_FACTOR * objectiveMs ? Standing.LATE : Standing.HOPELESS;
+        return chance(job.rules(), prospect, LATE_FACTOR) >= EVEN_CHANCE ? Standing.LATE : Standing.HOPELESS;
     }
 }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/OwnerSettings.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/OwnerSettings.java
@@ -10,6 +10,7 @@
  * @param heartbeatMs time without a record after which the owner appends one, in ms
  * @param remoteFactor how many times as long a task takes away from its data or its gang's rack
  * @param retentionMs time that an ended job stays known, in ms
+ * @param headroomShare share of the workers that work which can wait leaves empty for urgent work
  */
 public record OwnerSettings(
         String node,
@@ -18,7 +19,8 @@
         long idleWaitMs,
         long heartbeatMs,
         double remoteFactor,
-        long retentionMs) {
+        long retentionMs,
+        double headroomShare) {
 
     /** Share by which a worker's clock may be slow, as the platform states. */
     public static final double CLOCK_DRIFT = 0.02;
@@ -35,6 +37,9 @@
     /** Longer leases delay the rerun of work on a lost worker; shorter ones lapse during a change of owner. */
     private static final long LEASE_MS = 6000;
 
+    /** Share of the workers; an eighth gave the best days in the offline model. */
+    private static final double HEADROOM_SHARE = 0.125;
+
     /** Late retries of a caller arrive within seconds; a removed job would be run again by one. */
     private static final long RETENTION_SLACK_MS = 60_000;
 
@@ -55,6 +60,7 @@
                 IDLE_WAIT_MS,
                 HEARTBEAT_MS,
                 remoteFactor,
-                statusMs + RETENTION_SLACK_MS);
+                statusMs + RETENTION_SLACK_MS,
+                HEADROOM_SHARE);
     }
 }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Placer.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Placer.java
@@ -7,8 +7,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
-import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 import org.fuchsiawinch.model.Resources;
 import org.fuchsiawinch.workflow.job.StepSpec;
@@ -23,21 +24,38 @@
     /** Weight of accelerators left over on a worker against its slowness: alike workers are filled one by one. */
     private static final double LEFTOVER_WEIGHT = 0.3;
 
-    /** Share of the objective up to which work may take a slow worker; the rest is kept for a second run. */
-    private static final double RELAXED_SHARE = 0.65;
+    /** Weight of a worker's slowness against accelerators left over on it. */
+    private static final double SLOW_WEIGHT = 0.3;
 
-    /** Cost of the slowest worker for work that is not urgent; keeps the costs of both kinds comparable. */
-    private static final double RELAXED_WEIGHT = 0.3;
+    /** Times the expected run time beyond which a worker's slowness counts no more. */
+    private static final double SLOWEST = 2;
+
+    /** Share of a job's worth that may be lost to a slower worker, so that a faster one is left for other work. */
+    private static final double SPEED_LOSS = 0.03;
+
+    /** Safety factor on run times when a slower worker is weighed, as speeds are estimates. */
+    private static final double SPEED_MARGIN = 1.25;
+
+    /** Share of all accelerators in use below which no headroom is kept, as there is room anyway. */
+    private static final double HEADROOM_USE = 0.5;
+
+    /** Delay in ms whose cost decides whether work may wait for the sake of headroom. */
+    private static final double HEADROOM_DELAY_MS = 2000;
+
+    /** Share of a job's worth that such a delay may cost. */
+    private static final double HEADROOM_LOSS = 0.05;
 
     private final Map<WorkerState, Resources> room = new HashMap<>();
     private final Map<String, List<WorkerState>> racks = new TreeMap<>();
     private final List<WorkerState> usable = new ArrayList<>();
     private final CellState state;
     private final long nowMs;
+    private final Reservations reservations;
 
     Placer(CellState state, long nowMs) {
         this.state = state;
         this.nowMs = nowMs;
+        this.reservations = new Reservations(state, nowMs);
         for (WorkerState worker : state.workers.values()) {
             if (worker.entry == null) {
                 continue;
@@ -70,32 +88,24 @@
     /** Finds a worker for each task of the unit, or none for any; takes their room. */
     Optional<List<WorkerState>> place(Unit unit) {
         Optional<List<WorkerState>> found = find(unit);
-        found.ifPresent(
-                workers -> workers.forEach(worker -> take(worker, unit.spec().perTask())));
+        found.ifPresent(workers -> workers.forEach(worker -> {
+            take(worker, unit.spec().perTask());
+            reservations.started(worker, unit.spec().perTask(), runMs(unit, worker));
+        }));
         return found;
     }
 
     private Optional<List<WorkerState>> find(Unit unit) {
-        StepSpec step = unit.spec();
         if (!unit.rackBound() || racks.values().stream().noneMatch(rack -> couldHold(rack, unit))) {
             return fill(unit, usable);
         }
-        Optional<List<WorkerState>> best = Optional.empty();
-        double bestCost = Double.MAX_VALUE;
-        for (List<WorkerState> rack : racks.values()) {
-            Optional<List<WorkerState>> workers = fill(unit, rack);
-            if (workers.isPresent()) {
-                double cost = workers.get().stream()
-                        .mapToDouble(worker -> cost(worker, unit))
+        return racks.values().stream()
+                .map(rack -> fill(unit, rack))
+                .flatMap(Optional::stream)
+                .min(Comparator.comparingDouble(workers -> workers.stream()
+                        .mapToDouble(worker -> runMs(unit, worker))
                         .max()
-                        .orElse(0);
-                if (cost < bestCost) {
-                    bestCost = cost;
-                    best = workers;
-                }
-            }
-        }
-        return best;
+                        .orElse(0)));
     }
 
     /** Says whether an empty rack would hold the unit. */
@@ -115,42 +125,132 @@
     }
 
     private Optional<List<WorkerState>> fill(Unit unit, List<WorkerState> candidates) {
-        StepSpec step = unit.spec();
-        Predicate<WorkerState> allowed = worker -> allows(worker, unit);
-        List<WorkerState> open = candidates.stream().filter(allowed).toList();
+        Set<WorkerState> kept = headroom(unit);
+        List<WorkerState> open = candidates.stream()
+                .filter(worker -> allows(worker, unit) && !kept.contains(worker))
+                .toList();
         if (unit.lastAttempt()) {
             List<WorkerState> proven =
                     open.stream().filter(worker -> worker.health.proven()).toList();
-            Optional<List<WorkerState>> workers = choose(unit, step, proven);
+            Optional<List<WorkerState>> workers = choose(unit, proven);
             if (workers.isPresent()) {
                 return workers;
             }
         }
-        return choose(unit, step, open);
+        return choose(unit, open);
+    }
+
+    /** Gives the empty workers that the unit leaves for urgent work: the fastest, if it can well wait. */
+    private Set<WorkerState> headroom(Unit unit) {
+        long count = Math.round(usable.size() * state.settings.headroomShare());
+        if (count == 0 || unit.urgent() || shareInUse() < HEADROOM_USE) {
+            return Set.of();
+        }
+        JobWorth.Prospect prospect = prospect(unit, state.forecast.meanMs(unit.job(), unit.spec()));
+        Submission job = unit.job().submission();
+        double worth = state.worth.expected(job, prospect);
+        if (worth - state.worth.expected(job, prospect.later(HEADROOM_DELAY_MS)) > HEADROOM_LOSS * worth) {
+            return Set.of();
+        }
+        return usable.stream()
+                .filter(worker -> room.get(worker).accelerators()
+                        == worker.entry.capacity().accelerators())
+                .sorted(Comparator.comparingDouble(worker -> -worker.health.speed()))
+                .limit(count)
+                .collect(Collectors.toSet());
+    }
+
+    private double shareInUse() {
+        double capacity = 0;
+        double free = 0;
+        for (WorkerState worker : usable) {
+            capacity += worker.entry.capacity().accelerators();
+            free += room.get(worker).accelerators();
+        }
+        return capacity == 0 ? 0 : 1 - free / capacity;
     }
 
-    private Optional<List<WorkerState>> choose(Unit unit, StepSpec step, List<WorkerState> open) {
+    /**
+     * Takes the slowest workers that cost the job next to nothing, so that fast ones are left for those in need. Urgent
+     * work takes the fastest; its gang needs no member to be faster than the slowest.
+     */
+    private Optional<List<WorkerState>> choose(Unit unit, List<WorkerState> open) {
+        Map<WorkerState, Double> runMs = new HashMap<>();
+        open.forEach(worker -> runMs.put(worker, runMs(unit, worker)));
+        Optional<List<WorkerState>> fastest = take(unit, open, Comparator.comparing(runMs::get));
+        if (fastest.isEmpty()) {
+            return fastest;
+        }
+        double bestMs = fastest.get().stream().mapToDouble(runMs::get).max().orElse(0);
+        double longestMs = unit.urgent() ? bestMs : longestMs(unit, runMs.values(), bestMs);
+        List<WorkerState> allowed =
+                open.stream().filter(worker -> runMs.get(worker) <= longestMs).toList();
+        double meanMs = Math.max(1, state.forecast.meanMs(unit.job(), unit.spec()));
+        return take(
+                unit,
+                allowed,
+                Comparator.comparingDouble(worker ->
+                        leftover(worker, unit) - SLOW_WEIGHT * Math.min(SLOWEST, runMs.get(worker) / meanMs)));
+    }
+
+    /** Gives the longest run time that costs the job next to nothing against the best one. */
+    private double longestMs(Unit unit, Collection<Double> runMs, double bestMs) {
+        double least = worth(unit, bestMs) * (1 - SPEED_LOSS);
+        return runMs.stream()
+                .filter(time -> time <= bestMs || worth(unit, time * SPEED_MARGIN) >= least)
+                .mapToDouble(time -> time)
+                .max()
+                .orElse(bestMs);
+    }
+
+    /** Fills workers in an order until the unit has room for all its tasks. */
+    private Optional<List<WorkerState>> take(Unit unit, List<WorkerState> open, Comparator<WorkerState> order) {
+        Resources need = unit.spec().perTask();
+        List<WorkerState> sorted = open.stream()
+                .filter(worker -> need.fitsIn(room.get(worker)))
+                .sorted(order.thenComparing(worker -> worker.id))
+                .toList();
         List<WorkerState> chosen = new ArrayList<>();
-        Map<WorkerState, Resources> left = new HashMap<>();
-        Map<WorkerState, Integer> placed = new HashMap<>();
-        for (int i = 0; i < unit.indexes().size(); i++) {
-            Optional<WorkerState> next = open.stream()
-                    .filter(worker -> step.perTask().fitsIn(left.getOrDefault(worker, room.get(worker))))
-                    .filter(worker -> step.maxPerWorker() == 0
-                            || onWorker(worker, unit) + placed.getOrDefault(worker, 0) < step.maxPerWorker())
-                    .min(Comparator.comparingDouble(
-                                    (WorkerState worker) -> cost(worker, unit) + leftover(worker, step, left))
-                            .thenComparing(worker -> worker.id));
-            if (next.isEmpty()) {
-                return Optional.empty();
+        for (WorkerState worker : sorted) {
+            int most = Math.min(unit.indexes().size() - chosen.size(), placesOn(worker, unit));
+            for (int place = 0; place < most; place++) {
+                chosen.add(worker);
             }
-            chosen.add(next.get());
-            placed.merge(next.get(), 1, Integer::sum);
-            left.put(
-                    next.get(),
-                    left.getOrDefault(next.get(), room.get(next.get())).minus(step.perTask()));
         }
-        return Optional.of(chosen);
+        return chosen.size() < unit.indexes().size() ? Optional.empty() : Optional.of(chosen);
+    }
+
+    /** Gives the number of the unit's tasks that may start on a worker now. */
+    private int placesOn(WorkerState worker, Unit unit) {
+        Resources need = unit.spec().perTask();
+        int limit = unit.spec().maxPerWorker();
+        int most = limit == 0 ? unit.indexes().size() : limit - onWorker(worker, unit);
+        double runMs = runMs(unit, worker);
+        Resources taken = need;
+        int places = 0;
+        while (places < most && taken.fitsIn(room.get(worker)) && reservations.allows(worker, taken, runMs)) {
+            places++;
+            taken = taken.plus(need);
+        }
+        return places;
+    }
+
+    private double runMs(Unit unit, WorkerState worker) {
+        return state.forecast.runMs(unit.job(), unit.spec(), worker, state.settings.remoteFactor());
+    }
+
+    private JobWorth.Prospect prospect(Unit unit, double runMs) {
+        return state.forecast.prospect(
+                unit.job(), unit.step(), nowMs - unit.job().submission().acceptedAtMs(), runMs);
+    }
+
+    private double worth(Unit unit, double runMs) {
+        return state.worth.expected(unit.job().submission(), prospect(unit, runMs));
+    }
+
+    /** Holds workers for a unit that has found no room. */
+    void reserve(Unit unit) {
+        reservations.reserve(unit, usable, racks.values());
     }
 
     /** Says whether a worker may run the unit's tasks, whatever its room. */
@@ -171,32 +271,10 @@
         return count;
     }
 
-    /**
-     * Urgent work goes to the fastest workers. Other work leaves these free as long as it is in time on a slow one.
-     */
-    private double cost(WorkerState worker, Unit unit) {
-        double runMs = state.forecast.runMs(unit.job(), unit.spec(), worker, state.settings.remoteFactor());
-        double relative = runMs / Math.max(1, unit.spec().estimatedMs());
-        if (unit.job().submission().rules().priority() == 0 || share(unit, runMs) > RELAXED_SHARE) {
-            return relative;
-        }
-        return RELAXED_WEIGHT / Math.max(RELAXED_WEIGHT, relative);
-    }
-
-    /** Gives the share of the job's objective that is used up when a run of this length and all after it end. */
-    double share(Unit unit, double runMs) {
-        Submission job = unit.job().submission();
-        double laterMs = job.chainAfterMs(unit.step()) * state.forecast.correction(unit.job());
-        return (nowMs - job.acceptedAtMs() + runMs + laterMs) / Math.max(1, JobWorth.objectiveMs(job));
-    }
-
-    private double leftover(WorkerState worker, StepSpec step, Map<WorkerState, Resources> left) {
-        Resources capacity = worker.entry.capacity();
-        if (capacity.accelerators() == 0) {
-            return 0;
-        }
-        Resources free = left.getOrDefault(worker, room.get(worker));
-        double after = free.accelerators() - step.perTask().accelerators();
-        return LEFTOVER_WEIGHT * after / capacity.accelerators();
+    /** Gives the share of a worker's accelerators that is left over beside a task, by its weight. */
+    private double leftover(WorkerState worker, Unit unit) {
+        double capacity = worker.entry.capacity().accelerators();
+        double after = room.get(worker).accelerators() - unit.spec().perTask().accelerators();
+        return capacity == 0 ? 0 : LEFTOVER_WEIGHT * after / capacity;
     }
 }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Reclaim.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Reclaim.java
@@ -34,12 +34,20 @@
     /** Times that the gain of a claim outside a guarantee has to outweigh its loss, as both are estimates. */
     private static final double GAIN_FACTOR = 2;
 
+    /** Gain of a claim outside a guarantee below which no room is looked for; a stop costs more. */
+    private static final double LEAST_GAIN = 0.05;
+
     /** Time in ms that a stop takes until the room is free. */
     private static final long STOP_MS = 450;
 
+    /** Time in ms that work waits for room on a busy day. */
+    private static final long ROOM_MS = 2500;
+
     private final CellState state;
     private final Runs runs;
     private final Map<Unit, List<WorkerState>> claims = new HashMap<>();
+    private final Map<ActiveRun, Double> losses = new HashMap<>();
+    private long lossesMs;
 
     Reclaim(CellState state, Runs runs) {
         this.state = state;
@@ -64,6 +72,10 @@
     /** Claims room for each task of the unit, and orders the stops that it takes; false if nothing was claimed. */
     boolean claim(Unit unit, Placer placer, Set<JobState> guaranteed, long nowMs) {
         Claim claim = new Claim(unit, placer, guaranteed, guaranteed.contains(unit.job()));
+        double gain = gain(unit, nowMs);
+        if (!claim.entitled() && gain < LEAST_GAIN) {
+            return false;
+        }
         Optional<Plan> plan = standing(claim, nowMs);
         if (plan.isEmpty() && unit.rackBound()) {
             plan = placer.racks().stream()
@@ -74,7 +86,6 @@
         if (plan.isEmpty()) {
             plan = plan(claim, placer.usable(), nowMs);
         }
-        double gain = state.worth.lossIfLate(unit.job().submission());
         if (!claim.entitled()
                 && plan.filter(found -> found.loss() * GAIN_FACTOR <= gain).isEmpty()) {
             return false;
@@ -158,7 +169,7 @@
         }
         candidates.sort(Comparator.comparingDouble(run -> loss(run, nowMs)));
         List<ActiveRun> victims = new ArrayList<>();
-        double loss = lateLoss(claim, worker);
+        double loss = slowLoss(claim, worker, nowMs);
         for (ActiveRun run : candidates) {
             if (need.fitsIn(room)) {
                 break;
@@ -179,31 +190,54 @@
         return Math.abs(remainingMs) <= STOP_MS;
     }
 
-    /** Gives what is lost if the unit is late because this worker is slow. */
-    private double lateLoss(Claim claim, WorkerState worker) {
+    /** Gives what the job is worth more if it starts after a stop than if it waits for room. */
+    private double gain(Unit unit, long nowMs) {
+        double runMs = state.forecast.meanMs(unit.job(), unit.spec());
+        double ageMs = nowMs - unit.job().submission().acceptedAtMs();
+        JobWorth.Prospect prospect = state.forecast.prospect(unit.job(), unit.step(), ageMs + STOP_MS, runMs);
+        return state.worth.expected(unit.job().submission(), prospect)
+                - state.worth.expected(unit.job().submission(), prospect.later(ROOM_MS));
+    }
+
+    /** Gives what is lost because this worker is slower than a usual one. */
+    private double slowLoss(Claim claim, WorkerState worker, long nowMs) {
         Unit unit = claim.unit();
+        double ageMs = nowMs - unit.job().submission().acceptedAtMs() + STOP_MS;
         double runMs = state.forecast.runMs(unit.job(), unit.spec(), worker, state.settings.remoteFactor());
-        double over = claim.placer().share(unit, STOP_MS + runMs) - 1;
-        double loss = state.worth.lossIfLate(unit.job().submission());
-        return loss * Math.max(0, Math.min(1, over + 0.5)) / unit.indexes().size();
+        JobWorth.Prospect usual =
+                state.forecast.prospect(unit.job(), unit.step(), ageMs, state.forecast.meanMs(unit.job(), unit.spec()));
+        JobWorth.Prospect here = state.forecast.prospect(unit.job(), unit.step(), ageMs, runMs);
+        double loss = state.worth.expected(unit.job().submission(), usual)
+                - state.worth.expected(unit.job().submission(), here);
+        return loss / unit.indexes().size();
     }
 
     /**
-     * Gives what is lost if a run is stopped, with the other members of its gang. It counts more with each run, so that
-     * the same work is not stopped again and again.
+     * Gives what is lost if a run is stopped, with the other members of its gang: work, and the worth of starting again
+     * after another wait for room. It counts more with each run, so that the same work is not stopped again and again.
      */
     private double loss(ActiveRun run, long nowMs) {
+        if (lossesMs != nowMs) {
+            lossesMs = nowMs;
+            losses.clear();
+        }
+        return losses.computeIfAbsent(run, stopped -> computeLoss(stopped, nowMs));
+    }
+
+    private double computeLoss(ActiveRun run, long nowMs) {
         double kept = run.step().checkpoints() ? CHECKPOINT_LOSS : 1;
-        double progress = Math.max(1, run.percent) / PERCENT * kept;
+        double done = Math.max(1, run.percent) / PERCENT;
         int members = run.step().gang() ? run.step().count() : 1;
-        double wasted = members * progress * JobWorth.work(run.need, run.step().estimatedMs());
-        double loss = run.run.number() * (STOP_PRICE * members + WORK_PRICE * wasted);
-        long ageMs = nowMs - run.job.submission().acceptedAtMs();
-        long againMs = Math.round(run.step().estimatedMs() * state.forecast.correction(run.job));
-        boolean inTime = JobWorth.standing(run.job, 0, ageMs) == JobWorth.Standing.IN_TIME;
-        if (inTime && JobWorth.standing(run.job, againMs, ageMs) != JobWorth.Standing.IN_TIME) {
-            loss += state.worth.lossIfLate(run.job.submission());
-        }
-        return loss;
+        double wasted =
+                members * done * kept * JobWorth.work(run.need, run.step().estimatedMs());
+        double ageMs = nowMs - run.job.submission().acceptedAtMs();
+        double remainingMs = Math.max(0, state.forecast.remainingMs(run, state.settings.remoteFactor(), nowMs));
+        double againMs = state.forecast.meanMs(run.job, run.step()) * (1 - done * (1 - kept));
+        int step = run.run.task().step();
+        double goesOn =
+                state.worth.expected(run.job.submission(), state.forecast.prospect(run.job, step, ageMs, remainingMs));
+        double again = state.worth.expected(
+                run.job.submission(), state.forecast.prospect(run.job, step, ageMs + ROOM_MS, againMs));
+        return run.run.number() * (STOP_PRICE * members + WORK_PRICE * wasted) + Math.max(0, goesOn - again);
     }
 }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Scheduling.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Scheduling.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.ToDoubleFunction;
 import java.util.stream.Collectors;
 
 import org.fuchsiawinch.model.Resources;
@@ -23,6 +24,15 @@
  */
 final class Scheduling {
 
+    /** Share of its objective that a gang waits before less urgent work must not pass it; longer costs more plans. */
+    private static final double STARVED_SHARE = 0.4;
+
+    /** Delay in ms whose cost decides the order of work. */
+    private static final double DELAY_MS = 2000;
+
+    /** Share of a job's worth after the delay that does not count, so that work in no hurry comes up too. */
+    private static final double KEPT_SHARE = 0.5;
+
     private final CellState state;
     private final Reclaim reclaim;
 
@@ -32,12 +42,22 @@
     }
 
     /** A unit with what decides its place in the order. */
-    private record Candidate(Unit unit, boolean guaranteed, JobWorth.Standing standing, double density) {
+    private record Candidate(Unit unit, boolean guaranteed, JobWorth.Standing standing, double density, long ageMs) {
+
+        int priority() {
+            return unit.job().submission().rules().priority();
+        }
+
+        /** Says whether this is a gang that has waited so long that less urgent work must not pass it any more. */
+        boolean starved() {
+            return unit.spec().gang()
+                    && ageMs >= STARVED_SHARE * JobWorth.objectiveMs(unit.job().submission())
+                    && standing != JobWorth.Standing.HOPELESS;
+        }
 
-        /** Work inside a guarantee always gets its room; other urgent work while it can be in time. */
+        /** Only urgent work may stop other work. */
         boolean mayClaim() {
-            boolean urgent = unit.job().submission().rules().priority() == 0;
-            return guaranteed || urgent && standing == JobWorth.Standing.IN_TIME;
+            return guaranteed || unit.urgent();
         }
     }
 
@@ -60,8 +80,9 @@
                 continue;
             }
             misfits.add(shape);
-            if (candidate.mayClaim()) {
-                reclaim.claim(unit, placer, guaranteed, nowMs);
+            boolean claimed = candidate.mayClaim() && reclaim.claim(unit, placer, guaranteed, nowMs);
+            if (!claimed && candidate.standing() != JobWorth.Standing.HOPELESS) {
+                placer.reserve(unit);
             }
         }
     }
@@ -101,30 +122,55 @@
                 addUnits(job, step, ageMs, guaranteed.contains(job), found);
             }
         }
-        found.sort(Comparator.comparing((Candidate candidate) -> !candidate.guaranteed())
-                .thenComparing(Candidate::standing)
-                .thenComparing(Comparator.comparingDouble(Candidate::density).reversed()));
+        sort(found);
         return found;
     }
 
+    /**
+     * Puts work inside guarantees first, then what loses most by waiting for each core-second that it takes. A starved
+     * gang goes before all work that is no more urgent.
+     */
+    private static void sort(List<Candidate> found) {
+        Optional<Candidate> starved =
+                found.stream().filter(Candidate::starved).max(Comparator.comparingLong(Candidate::ageMs));
+        ToDoubleFunction<Candidate> density = candidate -> starved.filter(candidate::equals)
+                .map(gang -> densest(found, gang.priority()))
+                .orElse(candidate.density());
+        found.sort(Comparator.comparing((Candidate candidate) -> !candidate.guaranteed())
+                .thenComparing(Comparator.comparingDouble(density).reversed())
+                .thenComparing(candidate -> starved.filter(candidate::equals).isEmpty()));
+    }
+
+    private static double densest(List<Candidate> found, int priority) {
+        return found.stream()
+                .filter(candidate -> candidate.priority() >= priority)
+                .mapToDouble(Candidate::density)
+                .max()
+                .orElse(0);
+    }
+
     private void addUnits(JobState job, int step, long ageMs, boolean guaranteed, List<Candidate> found) {
         StepSpec spec = job.submission().steps().get(step);
         if (job.tasks(step).stream().noneMatch(task -> task.phase() == TaskPhase.WAITING) || !job.mayRun(step)) {
             return;
         }
-        JobWorth.Standing standing = JobWorth.standing(job, spec.estimatedMs(), ageMs);
-        double density = state.worth.density(job.submission());
+        JobWorth.Prospect prospect = state.forecast.prospect(job, step, ageMs, state.forecast.meanMs(job, spec));
+        JobWorth.Standing standing = JobWorth.standing(job.submission(), prospect);
+        double work = Math.max(1e-3, JobWorth.work(job.submission()) * state.forecast.correction(job));
+        double density = (state.worth.expected(job.submission(), prospect)
+                        - KEPT_SHARE * state.worth.expected(job.submission(), prospect.later(DELAY_MS)))
+                / work;
         if (spec.gang()) {
             Unit unit = Unit.gang(job, step);
             if (unit.ready()) {
-                found.add(new Candidate(unit, guaranteed, standing, density));
+                found.add(new Candidate(unit, guaranteed, standing, density, ageMs));
             }
             return;
         }
         for (int index = 0; index < spec.count(); index++) {
             Unit unit = Unit.task(job, step, index);
             if (unit.ready()) {
-                found.add(new Candidate(unit, guaranteed, standing, density));
+                found.add(new Candidate(unit, guaranteed, standing, density, ageMs));
             }
         }
     }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Unit.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Unit.java
@@ -31,6 +31,11 @@
         return job.submission().steps().get(step);
     }
 
+    /** Says whether the job may stop other work. */
+    boolean urgent() {
+        return job.submission().rules().priority() == 0;
+    }
+
     /** Says whether the tasks slow each other down unless they share a rack. */
     boolean rackBound() {
         return spec().sameRack() && indexes.size() > 1;
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerHealth.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerHealth.java
@@ -10,8 +10,11 @@
 
     private static final double MIN_LOG_SPEED = -2;
 
-    /** Share of a speed that is forgotten with each observation, so that an old surprise fades. */
-    private static final double FADE = 0.02;
+    /** Variance of the logarithm of a speed of which nothing is known. */
+    private static final double SPEED_VARIANCE = 0.12;
+
+    /** Variance that a speed gains with each observation, so that a worker that turns slow is noticed. */
+    private static final double SPEED_DRIFT = 0.004;
 
     /** Failures on end of a worker that has just finished nothing, after which it is quarantined. */
     private static final int FAILURES = 2;
@@ -21,7 +24,7 @@
 
     private static final int MAX_DOUBLINGS = 3;
 
-    private double logSpeed;
+    private Belief logSpeed = new Belief(0, SPEED_VARIANCE);
     private int failuresOnEnd;
     private int quarantines;
     private long quarantinedUntilMs;
@@ -35,10 +38,10 @@
 
     /** Gives the speed: how many times as fast the worker is as one of which nothing is known. */
     double speed() {
-        return Math.exp(logSpeed);
+        return Math.exp(Math.max(MIN_LOG_SPEED, Math.min(MAX_LOG_SPEED, logSpeed.mean())));
     }
 
-    double logSpeed() {
+    Belief logSpeed() {
         return logSpeed;
     }
 
@@ -50,8 +53,14 @@
         return nowMs < quarantinedUntilMs;
     }
 
-    void adjustLogSpeed(double change) {
-        logSpeed = Math.max(MIN_LOG_SPEED, Math.min(MAX_LOG_SPEED, logSpeed * (1 - FADE) + change));
+    void learnSpeed(double surprise, double total) {
+        logSpeed.learn(surprise, total);
+        logSpeed.drift(SPEED_DRIFT, SPEED_VARIANCE);
+    }
+
+    /** Takes over what an earlier owner learned. */
+    void restoreLogSpeed(double learned) {
+        logSpeed = new Belief(learned, SPEED_VARIANCE / 2);
     }
 
     void done() {
--- /dev/null
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/BusyFleetTest.java
@@ -0,0 +1,105 @@
+package org.fuchsiawinch.workflow;
+
+import java.util.Map;
+import java.util.Optional;
+
+import org.fuchsiawinch.model.WorkspaceId;
+import org.fuchsiawinch.workflow.job.JobPhase;
+import org.fuchsiawinch.workflow.owner.Guarantees;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** Pattern: a steady stream of small jobs meets large and urgent ones on a fleet that is nearly full. */
+public class BusyFleetTest {
+
+    private static OwnerRig fleet(int guaranteed) {
+        OwnerRig rig = new OwnerRig().workers(16);
+        rig.gangsEndTogether = true;
+        rig.guarantees = new Guarantees(Map.of(new WorkspaceId("ws"), guaranteed));
+        return rig.takeOver().run(500);
+    }
+
+    private static long running(OwnerRig rig, String job) {
+        return rig.workers.values().stream()
+                .flatMap(worker -> worker.running.keySet().stream())
+                .filter(run -> run.task().job().startsWith(job))
+                .count();
+    }
+
+    private static long stops(OwnerRig rig) {
+        return rig.log.stream()
+                .filter(line -> line.contains("cause, reclaimed"))
+                .count();
+    }
+
+    @Test
+    public void aLargeGangIsNotStarvedByAStreamOfSmallJobs() {
+        OwnerRig rig = fleet(0);
+        for (int i = 0; i < 16; i++) {
+            rig.submit("first" + i, 2, OwnerRig.tasks(9, 1, 2000 + 200 * i)).run(50);
+        }
+        long sentMs = rig.nowMs;
+        rig.submit("gang", 1, OwnerRig.gang(8, 8, 4000));
+        for (int i = 0; running(rig, "gang") == 0 && i < 240; i++) {
+            rig.submit("small" + i, 2, OwnerRig.tasks(12, 1, 2000 + 300 * (i % 11)))
+                    .run(250);
+        }
+        assertTrue(rig.nowMs - sentMs <= 12_000, "the gang waited " + (rig.nowMs - sentMs) + " ms");
+    }
+
+    @Test
+    public void smallJobsRunBesideAWaitingGangWhereTheyEndBeforeItStarts() {
+        OwnerRig rig = fleet(0);
+        rig.submit("first", 2, OwnerRig.tasks(120, 1, 12_000)).run(200);
+        rig.submit("gang", 1, OwnerRig.gang(8, 8, 4000)).run(200);
+        rig.submit("short", 2, OwnerRig.tasks(8, 1, 1000)).run(300);
+        assertEquals(running(rig, "short"), 8);
+    }
+
+    @Test
+    public void anUrgentJobFindsRoomAtOnceBesideWorkThatCanWait() {
+        OwnerRig rig = fleet(0);
+        rig.submit("lent", 2, OwnerRig.tasks(200, 1, 20_000)).run(1000);
+        long before = stops(rig);
+        rig.submit("urgent", 0, OwnerRig.gang(2, 8, 2000)).run(100);
+        assertEquals(running(rig, "urgent"), 2);
+        assertEquals(stops(rig), before);
+    }
+
+    @Test
+    public void workThatCannotWaitTakesTheRoomThatIsKeptForUrgentJobs() {
+        OwnerRig rig = fleet(0);
+        rig.submit("lent", 2, OwnerRig.tasks(112, 1, 20_000)).run(1000);
+        rig.submit("tight", 1, OwnerRig.step(2, 8, 400, true, false)).run(2500);
+        assertTrue(
+                rig.phase("tight").filter(phase -> phase == JobPhase.COMPLETED).isPresent(), "the job waited too long");
+    }
+
+    @Test
+    public void anUrgentJobThatPaysNothingAnyMoreStopsNothing() {
+        OwnerRig rig = fleet(0);
+        rig.submit("others", 0, OwnerRig.tasks(128, 1, 8000)).run(300);
+        rig.submit("late", 0, OwnerRig.gang(4, 8, 500)).run(7000);
+        rig.submit("lent", 2, OwnerRig.tasks(128, 1, 20_000)).run(3500);
+        assertEquals(stops(rig), 0);
+    }
+
+    @Test
+    public void urgentWorkAvoidsSlowWorkersAfterOneJobHasRunThere() {
+        OwnerRig rig = new OwnerRig().workers(16);
+        rig.gangsEndTogether = true;
+        for (FakeWorker worker : rig.workers.values()) {
+            worker.speed = worker.rack.equals("r0") ? 0.55 : 1.2;
+        }
+        rig.takeOver().run(500);
+        rig.submit("first", 1, OwnerRig.gang(16, 8, 2500)).run(6000);
+        assertEquals(rig.phase("first"), Optional.of(JobPhase.COMPLETED));
+        rig.submit("urgent", 0, OwnerRig.gang(10, 8, 3000)).run(100);
+        long slow = rig.workers.values().stream()
+                .filter(worker -> worker.speed < 1 && !worker.running.isEmpty())
+                .count();
+        assertEquals(slow, 0);
+    }
+}
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/ReclaimTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/ReclaimTest.java
@@ -24,6 +24,7 @@
 
     private static OwnerRig fullFleet(int guaranteed) {
         OwnerRig rig = new OwnerRig().workers(8);
+        rig.headroomShare = 0;
         rig.guarantees = new Guarantees(Map.of(new WorkspaceId("ws"), guaranteed));
         rig.takeOver().run(500);
         rig.submit("lent", 2, OwnerRig.tasks(64, 1, 30_000)).run(1000);
