Notice within a quarter of a second that a silent store is back

A read that was sent into the silence was waited for until its time-out of 1.2 s, then a pause of up to 0.6 s; appends of callers and owner likewise. Ruled out: holding requests during the outage (callers come again within their three seconds, and the last try would still come before the end of it). Change: while the store does not answer, a read goes out every 0.2 to 0.3 s whether or not the one before has ended; the first answer counts. At that moment appends that are under way are sent again: an entry replaces its like, and the owner's sequence number keeps its append from being stored twice. The owner's appends are a class of their own (FencedAppender). New tests on the virtual clock; the one for the return of a silent store fails on the code before.

--- a/server/src/main/java/org/fuchsiawinch/server/Node.java
+++ b/server/src/main/java/org/fuchsiawinch/server/Node.java
@@ -56,6 +56,7 @@
     private final Election election;
     private final StreamFollower cell;
     private final StreamFollower operator;
+    private final IntakeAppender intake;
     private final CallerDesk desk;
     private Optional<CellRules> rules = Optional.empty();
     private Optional<OwnerLoop> ownership = Optional.empty();
@@ -92,7 +93,7 @@
         this.election = new Election(settings.name(), settings.seed(), clock.getAsLong());
         this.cell = follower(Stream.CELL, FOLLOWER_PACE, new CellListener());
         this.operator = follower(Stream.OPERATOR, OPERATOR_PACE, new OperatorListener());
-        IntakeAppender intake = new IntakeAppender(ports.store(), scheduler, clock, log);
+        this.intake = new IntakeAppender(ports.store(), scheduler, clock, log);
         this.desk = new CallerDesk(index, () -> rules, cell, operator, intake, codec, clock, log, metrics);
     }
 
@@ -250,6 +251,12 @@
         public void readToEnd() {
             election.readToEnd(clock.getAsLong());
         }
+
+        @Override
+        public void regained() {
+            intake.contactRegained();
+            ownership.ifPresent(OwnerLoop::contactRegained);
+        }
     }
 
     /** Puts newer documents in force; an older one never replaces a newer one. */
--- /dev/null
+++ b/server/src/main/java/org/fuchsiawinch/server/owner/FencedAppender.java
@@ -0,0 +1,135 @@
+package org.fuchsiawinch.server.owner;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+
+import org.fuchsiawinch.server.port.StreamStore;
+import org.fuchsiawinch.server.port.StreamStore.AppendResult;
+import org.fuchsiawinch.workflow.owner.DecisionLog;
+import reactor.core.scheduler.Scheduler;
+
+/**
+ * Stores the records of one ownership under its epoch, one append at a time. An append is repeated until it is
+ * certainly stored; its sequence number keeps it from being stored twice. Runs on one thread, which also calls it; used
+ * once.
+ */
+final class FencedAppender {
+
+    private static final long MIN_RETRY_MS = 40;
+    private static final long MAX_RETRY_MS = 400;
+
+    private final StreamStore store;
+    private final Scheduler scheduler;
+    private final long epoch;
+    private final DecisionLog log;
+    private final Runnable fenced;
+    private Optional<Pending> pending = Optional.empty();
+    private long sequence = 1;
+    private boolean closed;
+
+    /**
+     * Creates an appender whose epoch has stored its claim as the append before the first one.
+     *
+     * @param store the store
+     * @param scheduler the one thread
+     * @param epoch the epoch
+     * @param log takes a line for each failed append
+     * @param fenced called when the store knows a higher epoch
+     */
+    FencedAppender(StreamStore store, Scheduler scheduler, long epoch, DecisionLog log, Runnable fenced) {
+        this.store = store;
+        this.scheduler = scheduler;
+        this.epoch = epoch;
+        this.log = log;
+        this.fenced = fenced;
+    }
+
+    /** An append that is not certainly stored yet. */
+    private static final class Pending {
+        private final List<StreamStore.Entry> entries;
+        private final long sequence;
+        private final Runnable stored;
+        private long retryMs = MIN_RETRY_MS;
+        private int tries;
+
+        private Pending(List<StreamStore.Entry> entries, long sequence, Runnable stored) {
+            this.entries = entries;
+            this.sequence = sequence;
+            this.stored = stored;
+        }
+    }
+
+    /** Says whether an append is under way. */
+    boolean busy() {
+        return pending.isPresent();
+    }
+
+    /** Stores entries; there must be no append under way. */
+    void append(List<StreamStore.Entry> entries, Runnable stored) {
+        Pending next = new Pending(entries, sequence++, stored);
+        pending = Optional.of(next);
+        send(next);
+    }
+
+    /** Repeats the append that is under way, as the store answers again; its last try may never be answered. */
+    void contactRegained() {
+        pending.ifPresent(this::send);
+    }
+
+    /** Sends nothing any more. */
+    void close() {
+        closed = true;
+    }
+
+    private void send(Pending append) {
+        if (closed || !current(append)) {
+            return;
+        }
+        int attempt = ++append.tries;
+        store.append(append.entries, Optional.of(new StreamStore.Writer(epoch, append.sequence)), OptionalLong.empty())
+                .subscribe(result -> answered(append, attempt, result));
+    }
+
+    private boolean current(Pending append) {
+        return pending.filter(append::equals).isPresent();
+    }
+
+    private void answered(Pending append, int attempt, AppendResult result) {
+        if (closed || !current(append)) {
+            return;
+        }
+        if (result instanceof AppendResult.Stored) {
+            pending = Optional.empty();
+            append.stored.run();
+            return;
+        }
+        if (result instanceof AppendResult.Fenced) {
+            fenced.run();
+            return;
+        }
+        log.line(
+                "owner-append-failed",
+                "epoch",
+                epoch,
+                "sequence",
+                append.sequence,
+                "entries",
+                append.entries.size(),
+                "tries",
+                append.tries,
+                "result",
+                result);
+        if (attempt == append.tries) {
+            scheduler.schedule(() -> retry(append, attempt), append.retryMs, TimeUnit.MILLISECONDS);
+            append.retryMs = Math.min(MAX_RETRY_MS, 2 * append.retryMs);
+        }
+    }
+
+    private void retry(Pending append, int attempt) {
+        if (attempt == append.tries) {
+            send(append);
+        }
+    }
+}
--- a/server/src/main/java/org/fuchsiawinch/server/owner/OwnerLoop.java
+++ b/server/src/main/java/org/fuchsiawinch/server/owner/OwnerLoop.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
@@ -15,7 +14,6 @@
 import org.fuchsiawinch.server.port.Directory;
 import org.fuchsiawinch.server.port.Stream;
 import org.fuchsiawinch.server.port.StreamStore;
-import org.fuchsiawinch.server.port.StreamStore.AppendResult;
 import org.fuchsiawinch.server.port.WorkerGateway;
 import org.fuchsiawinch.server.stream.RecordReader;
 import org.fuchsiawinch.server.stream.StreamFollower;
@@ -39,8 +37,8 @@
     /** Time between ticks in ms; well below each time-out that they check. */
     private static final long TICK_MS = 100;
 
-    private static final long MIN_RETRY_MS = 40;
-    private static final long MAX_RETRY_MS = 400;
+    /** Pause in ms before the stored state is asked for again. */
+    private static final long LOAD_RETRY_MS = 400;
 
     /** Workers write about every second; a pause lets one read take several entries. */
     private static final StreamFollower.Pace WORKERS_PACE = new StreamFollower.Pace(1000, 200);
@@ -56,12 +54,11 @@
     private final Map<WorkerId, String> addresses = new HashMap<>();
     private final List<CellRecord> early = new ArrayList<>();
     private final StreamFollower workers;
+    private final FencedAppender appender;
     private final long takenMs;
     private Optional<CellOwner> owner = Optional.empty();
     private Guarantees guarantees;
     private Disposable ticks = () -> {};
-    private long sequence = 1;
-    private boolean appending;
     private boolean releasing;
     private boolean ended;
 
@@ -106,6 +103,7 @@
         this.takenMs = clock.getAsLong();
         this.workers = new StreamFollower(
                 Stream.WORKERS, ports.store(), WORKERS_PACE, scheduler, clock, epoch, new WorkerList(), log);
+        this.appender = new FencedAppender(ports.store(), scheduler, epoch, log, () -> end("fenced-by-store"));
     }
 
     /** Loads the stored state and starts to schedule. */
@@ -139,11 +137,16 @@
     /** Hands the cell over: stores a release once the last append is certain, and ends. */
     public void release() {
         releasing = true;
-        if (!appending) {
+        if (!appender.busy()) {
             storeRelease();
         }
     }
 
+    /** Repeats at once what the store has not answered, as it answers again. */
+    public void contactRegained() {
+        appender.contactRegained();
+    }
+
     /**
      * Gives the owner.
      *
@@ -170,7 +173,7 @@
             if (result instanceof StreamStore.PageResult.Failed failed) {
                 log.line("owner-load-failed", "epoch", epoch, "problem", failed.problem());
                 scheduler.schedule(
-                        () -> load(new ArrayList<>(), Optional.empty()), MAX_RETRY_MS, TimeUnit.MILLISECONDS);
+                        () -> load(new ArrayList<>(), Optional.empty()), LOAD_RETRY_MS, TimeUnit.MILLISECONDS);
                 return;
             }
             StreamStore.PageResult.Page page = (StreamStore.PageResult.Page) result;
@@ -259,12 +262,7 @@
     }
 
     private void append(List<CellRecord> records) {
-        List<StreamStore.Entry> entries = records.stream()
-                .map(record -> new StreamStore.Entry(record.key(), codec.encode(record)))
-                .toList();
-        appending = true;
-        store(entries, sequence++, MIN_RETRY_MS, () -> {
-            appending = false;
+        appender.append(entries(records), () -> {
             if (releasing) {
                 storeRelease();
             } else {
@@ -273,45 +271,15 @@
         });
     }
 
-    /** Repeats an append until it is certainly stored; the sequence number keeps it from being stored twice. */
-    private void store(List<StreamStore.Entry> entries, long number, long retryMs, Runnable stored) {
-        if (ended) {
-            return;
-        }
-        ports.store()
-                .append(entries, Optional.of(new StreamStore.Writer(epoch, number)), OptionalLong.empty())
-                .subscribe(result -> {
-                    if (ended) {
-                        return;
-                    }
-                    if (result instanceof AppendResult.Stored) {
-                        stored.run();
-                    } else if (result instanceof AppendResult.Fenced) {
-                        end("fenced-by-store");
-                    } else {
-                        log.line(
-                                "owner-append-failed",
-                                "epoch",
-                                epoch,
-                                "sequence",
-                                number,
-                                "entries",
-                                entries.size(),
-                                "result",
-                                result);
-                        scheduler.schedule(
-                                () -> store(entries, number, Math.min(MAX_RETRY_MS, 2 * retryMs), stored),
-                                retryMs,
-                                TimeUnit.MILLISECONDS);
-                    }
-                });
+    private List<StreamStore.Entry> entries(List<CellRecord> records) {
+        return records.stream()
+                .map(record -> new StreamStore.Entry(record.key(), codec.encode(record)))
+                .toList();
     }
 
     private void storeRelease() {
-        CellRecord release = new CellRecord.Owner(settings.node(), epoch, true);
-        List<StreamStore.Entry> entries = List.of(new StreamStore.Entry(release.key(), codec.encode(release)));
         owner = Optional.empty();
-        store(entries, sequence++, MIN_RETRY_MS, () -> end("released"));
+        appender.append(entries(List.of(new CellRecord.Owner(settings.node(), epoch, true))), () -> end("released"));
     }
 
     private void end(String cause) {
@@ -322,6 +290,7 @@
         owner = Optional.empty();
         ticks.dispose();
         workers.close();
+        appender.close();
         log.line("cell-given-up", "epoch", epoch, "cause", cause, "heldMs", clock.getAsLong() - takenMs);
         onEnd.run();
     }
--- a/server/src/main/java/org/fuchsiawinch/server/stream/IntakeAppender.java
+++ b/server/src/main/java/org/fuchsiawinch/server/stream/IntakeAppender.java
@@ -38,7 +38,7 @@
     private final LongSupplier clock;
     private final DecisionLog log;
     private List<Waiting> queue = new ArrayList<>();
-    private boolean underWay;
+    private List<Waiting> underWay = List.of();
     private int failures;
     private long failedMs;
 
@@ -103,16 +103,27 @@
      * @return true until the next attempt is due
      */
     public boolean unavailable(long nowMs) {
-        return failures >= FAILURES_BEFORE_REFUSAL && (underWay || nowMs - failedMs < PROBE_MS);
+        return failures >= FAILURES_BEFORE_REFUSAL && (!underWay.isEmpty() || nowMs - failedMs < PROBE_MS);
+    }
+
+    /** Sends what waits at once, as the store answers again; an append that is under way may never be answered. */
+    public void contactRegained() {
+        failures = 0;
+        List<Waiting> again = new ArrayList<>(underWay);
+        again.forEach(waiting -> waiting.uncertain = true);
+        again.addAll(queue);
+        queue = again;
+        underWay = List.of();
+        next();
     }
 
     private void next() {
-        if (underWay || queue.isEmpty()) {
+        if (!underWay.isEmpty() || queue.isEmpty()) {
             return;
         }
-        underWay = true;
         int count = Math.min(queue.size(), MAX_ENTRIES);
         List<Waiting> batch = new ArrayList<>(queue.subList(0, count));
+        underWay = batch;
         queue = new ArrayList<>(queue.subList(count, queue.size()));
         List<StreamStore.Entry> entries =
                 batch.stream().map(waiting -> waiting.entry).toList();
@@ -120,18 +131,26 @@
     }
 
     private void finished(List<Waiting> batch, AppendResult result) {
-        underWay = false;
+        boolean current = underWay == batch;
+        if (current) {
+            underWay = List.of();
+        }
         if (result instanceof AppendResult.Stored) {
             failures = 0;
             batch.forEach(waiting -> waiting.result.tryEmitValue(Outcome.STORED));
             next();
             return;
         }
+        log.line("intake-append-failed", "entries", batch.size(), "current", current, "result", result);
+        if (current) {
+            failed(batch, !(result instanceof AppendResult.Refused));
+        }
+    }
+
+    private void failed(List<Waiting> batch, boolean uncertain) {
         failures++;
-        failedMs = clock.getAsLong();
-        log.line("intake-append-failed", "entries", batch.size(), "failures", failures, "result", result);
-        boolean uncertain = !(result instanceof AppendResult.Refused);
         long nowMs = clock.getAsLong();
+        failedMs = nowMs;
         List<Waiting> again = new ArrayList<>();
         for (Waiting waiting : batch) {
             waiting.uncertain |= uncertain;
--- a/server/src/main/java/org/fuchsiawinch/server/stream/StreamFollower.java
+++ b/server/src/main/java/org/fuchsiawinch/server/stream/StreamFollower.java
@@ -41,6 +41,9 @@
 
         /** Notes that the stream was read to its end. */
         void readToEnd();
+
+        /** Notes that the store answers again after it did not. */
+        default void regained() {}
     }
 
     /**
@@ -51,6 +54,9 @@
      */
     public record Pace(long waitMs, long paceMs) {}
 
+    /** Pause between two reads of a store that does not answer, in ms; a caller comes again within a second. */
+    private static final long PROBE_MS = 200;
+
     private static final long MIN_RETRY_MS = 80;
     private static final long MAX_RETRY_MS = 600;
 
@@ -213,22 +219,44 @@
                 return;
             }
             if (result instanceof StreamStore.ReadResult.Failed failed) {
-                retry(failed.problem(), this::read);
+                lost(failed.problem());
+                probe();
                 return;
             }
-            if (result instanceof StreamStore.ReadResult.Expired) {
-                log.line("stream-expired", "stream", stream, "offset", cursor);
-                load(new ArrayList<>(), Optional.empty(), -1);
-                return;
-            }
-            StreamStore.ReadResult.Entries read = (StreamStore.ReadResult.Entries) result;
-            regained();
-            boolean news = !read.entries().isEmpty();
-            take(read);
-            later(news ? pace.paceMs() : 0, this::read);
+            answered(result);
+        });
+    }
+
+    /**
+     * Reads again and again without waiting for the reads before, which may never be answered although the store is
+     * back. The first answer ends it.
+     */
+    private void probe() {
+        later(PROBE_MS + jitter % (PROBE_MS / 2), () -> {
+            probe();
+            store.read(stream, cursor, 0).subscribe(result -> {
+                if (closed || !lost || result instanceof StreamStore.ReadResult.Failed) {
+                    return;
+                }
+                pending.dispose();
+                answered(result);
+            });
         });
     }
 
+    private void answered(StreamStore.ReadResult result) {
+        if (result instanceof StreamStore.ReadResult.Expired) {
+            log.line("stream-expired", "stream", stream, "offset", cursor);
+            load(new ArrayList<>(), Optional.empty(), -1);
+            return;
+        }
+        StreamStore.ReadResult.Entries read = (StreamStore.ReadResult.Entries) result;
+        boolean news = !read.entries().isEmpty();
+        regained();
+        take(read);
+        later(news ? pace.paceMs() : 0, this::read);
+    }
+
     private void take(StreamStore.ReadResult.Entries read) {
         confirmedMs = clock.getAsLong();
         List<StreamStore.Placed> fresh = new ArrayList<>(read.entries().size());
@@ -260,14 +288,19 @@
         if (lost) {
             lost = false;
             log.line("dependency-regained", "stream", stream, "offset", cursor);
+            listener.regained();
         }
     }
 
-    private void retry(String problem, Runnable action) {
+    private void lost(String problem) {
         if (!lost) {
             lost = true;
             log.line("dependency-lost", "stream", stream, "problem", problem, "offset", cursor);
         }
+    }
+
+    private void retry(String problem, Runnable action) {
+        lost(problem);
         later(retryMs + jitter % Math.max(1, retryMs), action);
         retryMs = Math.min(MAX_RETRY_MS, 2 * retryMs);
     }
--- a/server/src/test/java/org/fuchsiawinch/server/FakeStore.java
+++ b/server/src/test/java/org/fuchsiawinch/server/FakeStore.java
@@ -27,6 +27,10 @@
 
     Runnable beforeAppend = () -> {};
     boolean down;
+
+    /** Whether calls that begin now are never answered and end by their time-out. */
+    boolean silent;
+
     int appends;
     int reads;
 
@@ -38,9 +42,15 @@
         entries.add(new Entry(key, value.getBytes(StandardCharsets.UTF_8)));
     }
 
+    /** Time in ms after which a call without an answer ends. */
+    static final long TIMEOUT_MS = 1200;
+
     @Override
     public Mono<AppendResult> append(List<Entry> added, Optional<Writer> writer, OptionalLong atEnd) {
         appends++;
+        if (silent) {
+            return Mono.delay(Duration.ofMillis(TIMEOUT_MS), time).map(ended -> new AppendResult.Unknown("silent"));
+        }
         beforeAppend.run();
         if (atEnd.isPresent() && atEnd.getAsLong() != entries.size()) {
             return Mono.just(new AppendResult.Moved(entries.size()));
@@ -55,20 +65,27 @@
     @Override
     public Mono<ReadResult> read(Stream stream, long from, long waitMs) {
         reads++;
+        if (silent) {
+            return Mono.delay(Duration.ofMillis(TIMEOUT_MS), time).map(ended -> new ReadResult.Failed("silent"));
+        }
+        if (!down && from >= entries.size() && waitMs > 0) {
+            return Mono.delay(Duration.ofMillis(waitMs), time).map(waited -> answer(from));
+        }
+        return Mono.just(answer(from));
+    }
+
+    private ReadResult answer(long from) {
         if (down) {
-            return Mono.just(new ReadResult.Failed("down"));
+            return new ReadResult.Failed("down");
         }
         if (from < firstKept) {
-            return Mono.just(new ReadResult.Expired());
-        }
-        if (from >= entries.size() && waitMs > 0) {
-            return Mono.delay(Duration.ofMillis(waitMs), time).flatMap(waited -> read(stream, from, 0));
+            return new ReadResult.Expired();
         }
         List<Placed> placed = new ArrayList<>();
         for (long offset = from; offset < entries.size(); offset++) {
             placed.add(new Placed(offset, entries.get((int) offset)));
         }
-        return Mono.just(new ReadResult.Entries(from + placed.size(), entries.size(), placed));
+        return new ReadResult.Entries(from + placed.size(), entries.size(), placed);
     }
 
     @Override
--- a/server/src/test/java/org/fuchsiawinch/server/IntakeAppenderTest.java
+++ b/server/src/test/java/org/fuchsiawinch/server/IntakeAppenderTest.java
@@ -96,4 +96,39 @@
         time.advanceTimeBy(Duration.ofMillis(2000));
         assertEquals(submit(300).get(), Outcome.STORED);
     }
+
+    @Test
+    public void sendsWhatWaitsWhenTheStoreAnswersAgain() {
+        store.silent = true;
+        AtomicReference<Outcome> first = submit(3000);
+        time.advanceTimeBy(Duration.ofMillis(100));
+        AtomicReference<Outcome> second = submit(3000);
+        store.silent = false;
+        intake.contactRegained();
+        assertEquals(first.get(), Outcome.STORED);
+        assertEquals(second.get(), Outcome.STORED);
+    }
+
+    @Test
+    public void aRequestThatWasSentTwiceIsNotCalledNotStored() {
+        store.silent = true;
+        AtomicReference<Outcome> outcome = submit(500);
+        time.advanceTimeBy(Duration.ofMillis(100));
+        store.silent = false;
+        refuse(100);
+        intake.contactRegained();
+        time.advanceTimeBy(Duration.ofMillis(3000));
+        assertEquals(outcome.get(), Outcome.UNKNOWN);
+    }
+
+    @Test
+    public void refusesNothingOnceTheStoreAnswersAgain() {
+        refuse(2);
+        submit(10);
+        submit(10);
+        time.advanceTimeBy(Duration.ofMillis(130));
+        assertEquals(submit(300).get(), Outcome.NOT_STORED);
+        intake.contactRegained();
+        assertEquals(submit(300).get(), Outcome.STORED);
+    }
 }
--- a/server/src/test/java/org/fuchsiawinch/server/StreamFollowerTest.java
+++ b/server/src/test/java/org/fuchsiawinch/server/StreamFollowerTest.java
@@ -127,6 +127,31 @@
         assertEquals(seen, List.of("snapshot", "a=1"));
     }
 
+    @Test
+    public void noticesSoonThatASilentStoreIsBack() {
+        follower.start();
+        pass(1000);
+        store.silent = true;
+        pass(4000);
+        store.silent = false;
+        store.put("a", "1");
+        pass(350);
+        assertEquals(seen, List.of("snapshot", "a=1"));
+        assertTrue(log.contains("dependency-regained"));
+    }
+
+    @Test
+    public void goesOnWithOneReadAtATimeAfterTheStoreIsBack() {
+        follower.start();
+        store.silent = true;
+        pass(4000);
+        store.silent = false;
+        pass(2000);
+        int before = store.reads;
+        pass(5000);
+        assertTrue(store.reads - before <= 11, store.reads - before + " reads in 5 s, each of which waits 0.5 s");
+    }
+
     @Test
     public void countsItsAgeFromTheLastAnswer() {
         follower.start();
--- /dev/null
+++ b/server/src/test/java/org/fuchsiawinch/server/owner/FencedAppenderTest.java
@@ -0,0 +1,134 @@
+package org.fuchsiawinch.server.owner;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import org.fuchsiawinch.server.port.Stream;
+import org.fuchsiawinch.server.port.StreamStore;
+import org.fuchsiawinch.workflow.owner.DecisionLog;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+import reactor.test.scheduler.VirtualTimeScheduler;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/** An owner's append is told as stored once, whatever answers get lost, late or doubled. */
+public class FencedAppenderTest {
+
+    private static final StreamStore.AppendResult STORED = new StreamStore.AppendResult.Stored(1);
+    private static final StreamStore.AppendResult UNKNOWN = new StreamStore.AppendResult.Unknown("timeout");
+
+    private VirtualTimeScheduler time;
+    private AnswersLater store;
+    private List<String> told;
+    private FencedAppender appender;
+
+    /** Keeps each append until the test answers it. */
+    private static final class AnswersLater implements StreamStore {
+
+        private final List<Sinks.One<AppendResult>> open = new ArrayList<>();
+        private final List<Long> sequences = new ArrayList<>();
+
+        @Override
+        public Mono<AppendResult> append(List<Entry> entries, Optional<Writer> writer, OptionalLong atEnd) {
+            Sinks.One<AppendResult> answer = Sinks.one();
+            open.add(answer);
+            sequences.add(writer.orElseThrow().sequence());
+            return answer.asMono();
+        }
+
+        @Override
+        public Mono<ReadResult> read(Stream stream, long from, long waitMs) {
+            throw new UnsupportedOperationException("nothing is read here");
+        }
+
+        @Override
+        public Mono<PageResult> newest(Stream stream, Optional<String> after) {
+            throw new UnsupportedOperationException("nothing is read here");
+        }
+
+        private void answer(int index, AppendResult result) {
+            open.get(index).tryEmitValue(result).orThrow();
+        }
+    }
+
+    @BeforeMethod
+    public void create() {
+        time = VirtualTimeScheduler.create();
+        store = new AnswersLater();
+        told = new ArrayList<>();
+        appender = new FencedAppender(store, time, 7, DecisionLog.NONE, () -> told.add("fenced"));
+    }
+
+    private void append(String name) {
+        appender.append(List.of(new StreamStore.Entry(name, new byte[1])), () -> told.add(name));
+    }
+
+    private void pass(long ms) {
+        time.advanceTimeBy(Duration.ofMillis(ms));
+    }
+
+    @Test
+    public void repeatsAnUnansweredAppendUnderTheSameNumber() {
+        append("a");
+        store.answer(0, UNKNOWN);
+        pass(50);
+        store.answer(1, STORED);
+        assertEquals(store.sequences, List.of(1L, 1L));
+        assertEquals(told, List.of("a"));
+        assertFalse(appender.busy());
+    }
+
+    @Test
+    public void sendsAgainAtOnceWhenTheStoreAnswersAgain() {
+        append("a");
+        appender.contactRegained();
+        store.answer(1, STORED);
+        assertEquals(told, List.of("a"));
+    }
+
+    @Test
+    public void tellsOnceAlthoughBothTriesAreAnswered() {
+        append("a");
+        appender.contactRegained();
+        store.answer(0, STORED);
+        append("b");
+        store.answer(1, STORED);
+        assertEquals(told, List.of("a"));
+        assertTrue(appender.busy());
+        assertEquals(store.sequences, List.of(1L, 1L, 2L));
+    }
+
+    @Test
+    public void aLateFailureOfAnEarlierTryStartsNoSecondRoundOfTries() {
+        append("a");
+        appender.contactRegained();
+        store.answer(0, UNKNOWN);
+        pass(5000);
+        assertEquals(store.open.size(), 2);
+    }
+
+    @Test
+    public void endsWhenTheStoreKnowsAHigherEpoch() {
+        append("a");
+        store.answer(0, new StreamStore.AppendResult.Fenced());
+        assertEquals(told, List.of("fenced"));
+    }
+
+    @Test
+    public void sendsNothingAfterItWasClosed() {
+        append("a");
+        appender.close();
+        store.answer(0, UNKNOWN);
+        pass(5000);
+        appender.contactRegained();
+        assertEquals(store.open.size(), 1);
+    }
+}
