Count a gang as one when room is claimed, and weigh slow workers against stops

The loss of a stop was that of the one member; each further member of a gang that breaks anyway was counted in full again; and a slow worker's loss was spread over the members, though a gang is as slow as its slowest. Change: the loss of a stop is the whole gang's, progress is carried on from the last report, further members of a broken gang cost nothing, and plans are made for all workers and for ever faster ones, of which the cheapest is taken. BusyFleetTest's case of one gang fails on the code before (28 starts of members instead of 16); its case of slow workers passes there too.

--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Forecast.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Forecast.java
@@ -78,13 +78,23 @@
         return step.estimatedMs() * correction(job);
     }
 
+    /** Gives the share of its own part that a run has done by now; reports of it are up to a second old. */
+    double doneShare(ActiveRun run, double remoteFactor, long nowMs) {
+        if (run.stage != ActiveRun.Stage.RUNNING) {
+            return 0;
+        }
+        double reported = Math.max(0, run.percent) / PERCENT;
+        double since = (nowMs - run.percentMs) / runMs(run.job, run.step(), run.worker, remoteFactor);
+        return Math.min(1, reported + since);
+    }
+
     /** Gives the expected time in ms until a run ends; that of a gang's member counts its own part alone. */
     double remainingMs(ActiveRun run, double remoteFactor, long nowMs) {
         double wholeMs = runMs(run.job, run.step(), run.worker, remoteFactor);
-        if (run.percent < 0) {
+        if (run.stage != ActiveRun.Stage.RUNNING) {
             return wholeMs;
         }
-        return wholeMs * (PERCENT - run.percent) / PERCENT - (nowMs - run.percentMs);
+        return wholeMs * (PERCENT - Math.max(0, run.percent)) / PERCENT - (nowMs - run.percentMs);
     }
 
     /** Gives how the job goes on if a unit of it starts at an age and runs for a time, as forecast. */
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Reclaim.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Reclaim.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -11,6 +12,7 @@
 
 import org.fuchsiawinch.model.Resources;
 import org.fuchsiawinch.workflow.job.JobState;
+import org.fuchsiawinch.workflow.job.Submission;
 
 /**
  * Makes room for urgent work by stopping other work where the least is lost: work inside a guarantee takes what it
@@ -23,8 +25,6 @@
     /** Share of a run's progress that is lost although it saves checkpoints: the part since the last one. */
     private static final double CHECKPOINT_LOSS = 0.2;
 
-    private static final double PERCENT = 100;
-
     /** Price of a core-second of lost work, as the users state it. */
     private static final double WORK_PRICE = 0.0021;
 
@@ -37,6 +37,9 @@
     /** Gain of a claim outside a guarantee below which no room is looked for; a stop costs more. */
     private static final double LEAST_GAIN = 0.05;
 
+    /** Limits on run times that plans are made for, as multiples of the usual one: any worker, and ever faster ones. */
+    private static final double[] SPEED_LIMITS = {Double.MAX_VALUE, 1.4, 1.1, 0.85};
+
     /** Time in ms that a stop takes until the room is free. */
     private static final long STOP_MS = 450;
 
@@ -64,7 +67,21 @@
     }
 
     /** Where the tasks of a unit go, and what has to be stopped for them. */
-    private record Plan(List<WorkerState> workers, Set<ActiveRun> victims, double loss) {}
+    private record Plan(List<WorkerState> workers, Set<ActiveRun> victims, double loss) {
+
+        /** Says whether a run ends in any case, since another member of its gang is stopped. */
+        boolean breaks(ActiveRun run) {
+            return run.step().gang()
+                    && victims.stream()
+                            .anyMatch(victim -> victim.job == run.job
+                                    && victim.run.task().step()
+                                            == run.run.task().step());
+        }
+
+        Plan withLoss(double newLoss) {
+            return new Plan(workers, victims, newLoss);
+        }
+    }
 
     /** The cheapest way to make room for one task on a worker. */
     private record Clearing(WorkerState worker, List<ActiveRun> victims, double loss) {}
@@ -125,21 +142,44 @@
         claims.keySet().retainAll(waiting);
     }
 
+    /** Weighs the loss of stops against that of slow workers: a gang is as slow as its slowest member. */
     private Optional<Plan> plan(Claim claim, List<WorkerState> workers, long nowMs) {
         Unit unit = claim.unit();
-        Resources need = unit.spec().perTask();
-        List<WorkerState> open =
-                workers.stream().filter(worker -> Placer.allows(worker, unit)).toList();
+        double meanMs = state.forecast.meanMs(unit.job(), unit.spec());
+        Optional<Plan> best = Optional.empty();
+        for (double limit : SPEED_LIMITS) {
+            List<WorkerState> open = workers.stream()
+                    .filter(worker -> Placer.allows(worker, unit) && runMs(unit, worker) <= limit * meanMs)
+                    .toList();
+            Optional<Plan> found = clear(claim, open, nowMs)
+                    .map(plan -> plan.withLoss(plan.loss()
+                            + slowLoss(
+                                    unit,
+                                    plan.workers().stream()
+                                            .mapToDouble(worker -> runMs(unit, worker))
+                                            .max()
+                                            .orElse(meanMs),
+                                    nowMs)));
+            if (found.isPresent()
+                    && (best.isEmpty() || found.get().loss() < best.get().loss())) {
+                best = found;
+            }
+        }
+        return best;
+    }
+
+    private Optional<Plan> clear(Claim claim, List<WorkerState> open, long nowMs) {
+        Resources need = claim.unit().spec().perTask();
         Map<WorkerState, Resources> taken = new HashMap<>();
         Plan plan = new Plan(new ArrayList<>(), new LinkedHashSet<>(), 0);
-        for (int i = 0; i < unit.indexes().size(); i++) {
+        for (int i = 0; i < claim.unit().indexes().size(); i++) {
             Plan soFar = plan;
             Optional<Clearing> best = open.stream()
                     .map(worker -> clear(
                             claim,
                             worker,
                             claim.placer().room(worker).minus(taken.getOrDefault(worker, Resources.NONE)),
-                            soFar.victims(),
+                            soFar,
                             nowMs))
                     .flatMap(Optional::stream)
                     .min(Comparator.comparingDouble(Clearing::loss));
@@ -150,33 +190,34 @@
             taken.merge(clearing.worker(), need, Resources::plus);
             plan.workers().add(clearing.worker());
             plan.victims().addAll(clearing.victims());
-            plan = new Plan(plan.workers(), plan.victims(), plan.loss() + clearing.loss());
+            plan = plan.withLoss(plan.loss() + clearing.loss());
         }
         return Optional.of(plan);
     }
 
-    private Optional<Clearing> clear(
-            Claim claim, WorkerState worker, Resources freeRoom, Set<ActiveRun> stopped, long nowMs) {
+    private Optional<Clearing> clear(Claim claim, WorkerState worker, Resources freeRoom, Plan plan, long nowMs) {
         Resources need = claim.unit().spec().perTask();
         Resources room = freeRoom;
-        List<ActiveRun> candidates = new ArrayList<>();
+        Map<ActiveRun, Double> candidates = new LinkedHashMap<>();
         for (ActiveRun run : worker.runs.values()) {
-            if (run.stopping || stopped.contains(run) || endsSoon(run, nowMs)) {
+            if (run.stopping || plan.victims().contains(run) || endsSoon(run, nowMs)) {
                 room = room.plus(run.need);
             } else if (claim.mayStop(run)) {
-                candidates.add(run);
+                candidates.put(run, plan.breaks(run) ? 0 : loss(run, nowMs));
             }
         }
-        candidates.sort(Comparator.comparingDouble(run -> loss(run, nowMs)));
         List<ActiveRun> victims = new ArrayList<>();
-        double loss = slowLoss(claim, worker, nowMs);
-        for (ActiveRun run : candidates) {
+        double loss = 0;
+        List<ActiveRun> cheapestFirst = candidates.keySet().stream()
+                .sorted(Comparator.comparing(candidates::get))
+                .toList();
+        for (ActiveRun run : cheapestFirst) {
             if (need.fitsIn(room)) {
                 break;
             }
             victims.add(run);
             room = room.plus(run.need);
-            loss += loss(run, nowMs);
+            loss += candidates.get(run);
         }
         return need.fitsIn(room) ? Optional.of(new Clearing(worker, victims, loss)) : Optional.empty();
     }
@@ -199,17 +240,18 @@
                 - state.worth.expected(unit.job().submission(), prospect.later(ROOM_MS));
     }
 
-    /** Gives what is lost because this worker is slower than a usual one. */
-    private double slowLoss(Claim claim, WorkerState worker, long nowMs) {
-        Unit unit = claim.unit();
-        double ageMs = nowMs - unit.job().submission().acceptedAtMs() + STOP_MS;
-        double runMs = state.forecast.runMs(unit.job(), unit.spec(), worker, state.settings.remoteFactor());
+    private double runMs(Unit unit, WorkerState worker) {
+        return state.forecast.runMs(unit.job(), unit.spec(), worker, state.settings.remoteFactor());
+    }
+
+    /** Gives what is lost if the unit runs longer than on workers of the usual speed. */
+    private double slowLoss(Unit unit, double runMs, long nowMs) {
+        Submission job = unit.job().submission();
+        double ageMs = nowMs - job.acceptedAtMs() + STOP_MS;
         JobWorth.Prospect usual =
                 state.forecast.prospect(unit.job(), unit.step(), ageMs, state.forecast.meanMs(unit.job(), unit.spec()));
         JobWorth.Prospect here = state.forecast.prospect(unit.job(), unit.step(), ageMs, runMs);
-        double loss = state.worth.expected(unit.job().submission(), usual)
-                - state.worth.expected(unit.job().submission(), here);
-        return loss / unit.indexes().size();
+        return state.worth.expected(job, usual) - state.worth.expected(job, here);
     }
 
     /**
@@ -225,19 +267,34 @@
     }
 
     private double computeLoss(ActiveRun run, long nowMs) {
+        List<ActiveRun> members = run.step().gang() ? members(run) : List.of(run);
         double kept = run.step().checkpoints() ? CHECKPOINT_LOSS : 1;
-        double done = Math.max(1, run.percent) / PERCENT;
-        int members = run.step().gang() ? run.step().count() : 1;
-        double wasted =
-                members * done * kept * JobWorth.work(run.need, run.step().estimatedMs());
-        double ageMs = nowMs - run.job.submission().acceptedAtMs();
-        double remainingMs = Math.max(0, state.forecast.remainingMs(run, state.settings.remoteFactor(), nowMs));
+        double done = members.stream()
+                .mapToDouble(member -> state.forecast.doneShare(member, state.settings.remoteFactor(), nowMs))
+                .average()
+                .orElse(0);
+        double leftMs = members.stream()
+                .mapToDouble(member -> state.forecast.remainingMs(member, state.settings.remoteFactor(), nowMs))
+                .max()
+                .orElse(0);
+        double wasted = members.size()
+                * done
+                * kept
+                * JobWorth.work(run.need, run.step().estimatedMs());
         double againMs = state.forecast.meanMs(run.job, run.step()) * (1 - done * (1 - kept));
-        int step = run.run.task().step();
-        double goesOn =
-                state.worth.expected(run.job.submission(), state.forecast.prospect(run.job, step, ageMs, remainingMs));
-        double again = state.worth.expected(
-                run.job.submission(), state.forecast.prospect(run.job, step, ageMs + ROOM_MS, againMs));
-        return run.run.number() * (STOP_PRICE * members + WORK_PRICE * wasted) + Math.max(0, goesOn - again);
+        double ageMs = nowMs - run.job.submission().acceptedAtMs();
+        JobWorth.Prospect goesOn =
+                state.forecast.prospect(run.job, run.run.task().step(), ageMs, Math.max(0, leftMs));
+        JobWorth.Prospect again =
+                state.forecast.prospect(run.job, run.run.task().step(), ageMs + ROOM_MS, againMs);
+        double lost =
+                state.worth.expected(run.job.submission(), goesOn) - state.worth.expected(run.job.submission(), again);
+        return run.run.number() * (STOP_PRICE * members.size() + WORK_PRICE * wasted) + Math.max(0, lost);
+    }
+
+    private List<ActiveRun> members(ActiveRun run) {
+        return runs.of(run.job).stream()
+                .filter(other -> other.run.task().step() == run.run.task().step())
+                .toList();
     }
 }
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/BusyFleetTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/BusyFleetTest.java
@@ -102,4 +102,50 @@
                 .count();
         assertEquals(slow, 0);
     }
+
+    @Test
+    public void aClaimBreaksOneGangRatherThanMembersOfSeveral() {
+        OwnerRig rig = new OwnerRig().workers(16);
+        rig.headroomShare = 0;
+        rig.gangsEndTogether = true;
+        rig.guarantees = new Guarantees(Map.of(new WorkspaceId("ws"), 32));
+        rig.takeOver().run(500);
+        for (int i = 0; i < 4; i++) {
+            rig.submit("gang" + i, 1, OwnerRig.gang(4, 8, 20_000)).run(300 * i);
+        }
+        for (int i = 0; i < 4; i++) {
+            String gang = "gang" + i;
+            rig.workers.values().stream()
+                    .filter(worker -> worker.running.keySet().stream()
+                            .anyMatch(run -> run.task().job().equals(gang)))
+                    .findFirst()
+                    .ifPresent(worker -> worker.turn(0.6));
+        }
+        rig.run(4000).submit("urgent", 0, OwnerRig.gang(4, 8, 3000)).run(2000);
+        assertEquals(running(rig, "urgent"), 4);
+        assertEquals(running(rig, "gang"), 12);
+        long gangStarts = rig.starts() - 4;
+        assertEquals(gangStarts, 16, "the other gangs run on");
+    }
+
+    @Test
+    public void aClaimPassesOverSlowWorkers() {
+        OwnerRig rig = new OwnerRig().workers(16);
+        rig.headroomShare = 0;
+        rig.gangsEndTogether = true;
+        rig.guarantees = new Guarantees(Map.of(new WorkspaceId("ws"), 32));
+        for (FakeWorker worker : rig.workers.values()) {
+            worker.speed = worker.rack.equals("r0") ? 0.55 : 1.2;
+        }
+        rig.takeOver().run(500);
+        rig.submit("lent", 2, OwnerRig.step(16, 8, 40_000, false, true)).run(10_000);
+        rig.submit("urgent", 0, OwnerRig.gang(4, 8, 3000)).run(1500);
+        assertEquals(running(rig, "urgent"), 4);
+        long slow = rig.workers.values().stream()
+                .filter(worker -> worker.speed < 1)
+                .flatMap(worker -> worker.running.keySet().stream())
+                .filter(run -> run.task().job().equals("urgent"))
+                .count();
+        assertEquals(slow, 0);
+    }
 }
