--- a/workflow/src/test/java/org/fuchsiawinch/workflow/DayLoad.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/DayLoad.java
@@ -26,6 +26,9 @@
     /** Share of a step's tasks of the room beyond which it is expected to run in waves. */
     private static final double WAVE_SHARE = 0.25;
 
+    /** Shares of the jobs that come from each workspace: a few of them are large. */
+    private static final double[] WORKSPACE_SHARES = {0.4, 0.27, 0.19, 0.14};
+
     /** Most workers that a gang needs for itself. */
     private static final int GANG_WORKERS = 5;
 
@@ -98,9 +101,10 @@
         List<StepSpec> steps = new ArrayList<>();
         double chainMs = 0;
         for (int step = 0; step < count; step++) {
-            StepSpec spec = step(queue, step, accelerators);
+            double meanMs = spread(queue.run().meanMs(), queue.run().spread());
+            StepSpec spec = step(queue, step, accelerators, meanMs);
             steps.add(spec);
-            chainMs += stepMs(id, step, queue, spec);
+            chainMs += stepMs(id, step, queue, spec, meanMs);
         }
         boolean neverDone = random.nextDouble() < traits.neverDone();
         failingRuns.put(id, neverDone ? 1 : traits.failingRuns());
@@ -121,7 +125,7 @@
         return new Arrival(atMs, queue, submission, cancelAfterMs, objectiveMs, neverDone);
     }
 
-    private StepSpec step(DaySite.QueueLoad queue, int step, int accelerators) {
+    private StepSpec step(DaySite.QueueLoad queue, int step, int accelerators, double meanMs) {
         int width = (int) Math.round(spread(queue.width().mean(), queue.width().spread()));
         Resources need = queue.perTask().plus(new Resources(0, 0, accelerators, 0, 0));
         int most = queue.traits().gangs()
@@ -130,9 +134,8 @@
         int tasks = Math.max(1, Math.min(Math.min(queue.width().most(), most), width));
         boolean gang = queue.traits().gangs() && tasks > 1;
         boolean halfRack = tasks <= site.rackSize() / 2 * perWorker(need);
-        double truth = spread(queue.run().meanMs(), queue.run().spread());
-        double estimate = truth * Math.exp(gaussian() * queue.run().estimateError());
-        StepSpec spec = new StepSpec(
+        double estimate = meanMs * Math.exp(gaussian() * queue.run().estimateError());
+        return new StepSpec(
                 tasks,
                 need,
                 Math.max(50, Math.round(estimate)),
@@ -143,12 +146,8 @@
                 0,
                 Optional.empty(),
                 Optional.empty());
-        stepMeanMs = truth;
-        return spec;
     }
 
-    private double stepMeanMs;
-
     private int perWorker(Resources need) {
         int count = 0;
         Resources left = site.capacity();
@@ -160,23 +159,22 @@
     }
 
     /** Draws the run times of a step's tasks, and gives the longest, in waves if the step is wide. */
-    private double stepMs(String id, int step, DaySite.QueueLoad queue, StepSpec spec) {
+    private double stepMs(String id, int step, DaySite.QueueLoad queue, StepSpec spec, double meanMs) {
         double longestMs = 0;
         for (int index = 0; index < spec.count(); index++) {
             double uneven = 1 + queue.run().uneven() * (2 * random.nextDouble() - 1);
-            workMs.put(new TaskRef(id, step, index), stepMeanMs * uneven);
-            longestMs = Math.max(longestMs, stepMeanMs * uneven);
+            workMs.put(new TaskRef(id, step, index), meanMs * uneven);
+            longestMs = Math.max(longestMs, meanMs * uneven);
         }
         double room = WAVE_SHARE * site.workers() * site.capacity().accelerators();
         return longestMs * Math.max(1, Math.ceil(spec.count() * spec.perTask().accelerators() / room));
     }
 
     private int workspace() {
-        double[] shares = {0.4, 0.27, 0.19, 0.14};
         double dice = random.nextDouble();
         int index = 0;
-        while (index < DaySite.workspaces() - 1 && dice >= shares[index]) {
-            dice -= shares[index++];
+        while (index < DaySite.workspaces() - 1 && dice >= WORKSPACE_SHARES[index]) {
+            dice -= WORKSPACE_SHARES[index++];
         }
         return index;
     }
