--- a/server/src/main/java/org/fuchsiawinch/server/Node.java
+++ b/server/src/main/java/org/fuchsiawinch/server/Node.java
@@ -30,6 +30,9 @@
  */
 public final class Node {
 
+    /** Number of claims conditional on the end offset before the node claims by its epoch alone. */
+    private static final int MAX_CONDITIONAL_CLAIMS = 3;
+
     /** Interval in ms between checks whether to claim the cell. */
     private static final long TICK_MS = 80;
 
@@ -62,10 +65,12 @@
     private Optional<CellRules> rules = Optional.empty();
     private Optional<OwnerSession> ownership = Optional.empty();
     private OptionalLong claimedEpoch = OptionalLong.empty();
+
+    /** Whether a claim, or the read after a failed one, is unanswered. */
     private boolean claimInFlight;
 
-    /** Whether the next claim does not check the end offset, as an earlier one failed without a competing claim. */
-    private boolean claimByEpochAlone;
+    /** Number of claims in a row that failed as the stream had moved, without a competing claim among its entries. */
+    private int movedClaims;
 
     /** Offset up to which this node must have read the cell's stream before it claims again. */
     private long minClaimOffset;
@@ -172,17 +177,23 @@
         if (draining || claimInFlight || ownership.isPresent() || !cellFollower.loaded() || rules.isEmpty() || behind) {
             return;
         }
-        election.epochToClaim(nowMs).ifPresent(this::claim);
+        OptionalLong epoch = election.epochToClaim(nowMs);
+        if (epoch.isEmpty()) {
+            movedClaims = 0;
+            return;
+        }
+        claim(epoch.getAsLong());
     }
 
     /**
-     * Claims the cell. The first claim succeeds only if the stream still ends where this node has read, so that one of
-     * several claims wins. If it fails and the entries stored meanwhile contain no claim, the next claim relies on the
-     * epoch alone: under load on a slow store, the stream always ends beyond what a node has read.
+     * Claims the cell on condition that the stream still ends where this node has read, so that one of several claims
+     * wins. After several such claims have failed although no other node has claimed, the next one relies on the epoch
+     * alone: on a slow store under load, the stream always ends beyond what a node has read.
      */
     private void claim(long epoch) {
         claimInFlight = true;
         claimedEpoch = OptionalLong.of(epoch);
+        boolean conditional = movedClaims < MAX_CONDITIONAL_CLAIMS;
         log.line("cell-claimed", "epoch", epoch, "lastOwner", election.owner(), "at", cellFollower.nextOffset());
         CellRecord record = new CellRecord.Owner(settings.name(), epoch, false);
         List<StreamStore.Entry> entries = List.of(new StreamStore.Entry(record.key(), codec.encode(record)));
@@ -190,21 +201,37 @@
                 .append(
                         entries,
                         Optional.of(new StreamStore.Writer(epoch, 0)),
-                        claimByEpochAlone ? OptionalLong.empty() : OptionalLong.of(cellFollower.nextOffset()))
+                        conditional ? OptionalLong.of(cellFollower.nextOffset()) : OptionalLong.empty())
                 .subscribe(result -> {
-                    claimInFlight = false;
                     if (result instanceof AppendResult.Stored) {
+                        claimInFlight = false;
                         startOwnership(epoch);
                         return;
                     }
-                    log.line("claim-failed", "epoch", epoch, "contested", claimByEpochAlone, "result", result);
-                    if (result instanceof AppendResult.Moved moved) {
-                        minClaimOffset = moved.end();
-                        claimByEpochAlone = true;
-                    }
+                    log.line("claim-failed", "epoch", epoch, "contested", !conditional, "result", result);
+                    claimFailed(result);
                 });
     }
 
+    /** Reads at once what this node has missed, so that it claims again without a pause or learns who has claimed. */
+    private void claimFailed(AppendResult result) {
+        boolean moved = result instanceof AppendResult.Moved;
+        if (!moved && !(result instanceof AppendResult.Fenced)) {
+            claimInFlight = false;
+            return;
+        }
+        if (result instanceof AppendResult.Moved missed) {
+            minClaimOffset = missed.end();
+            movedClaims++;
+        }
+        cellFollower.catchUp().subscribe(caughtUp -> {
+            claimInFlight = false;
+            if (moved && caughtUp) {
+                tick();
+            }
+        });
+    }
+
     private void startOwnership(long epoch) {
         if (ownership.isPresent() || draining || claimedEpoch.isEmpty() || claimedEpoch.getAsLong() != epoch) {
             return;
@@ -245,7 +272,9 @@
             for (CellRecord record : records) {
                 index.apply(record);
                 election.apply(record, nowMs);
-                claimByEpochAlone &= !(record instanceof CellRecord.Owner);
+                if (record instanceof CellRecord.Owner) {
+                    movedClaims = 0;
+                }
                 if (record instanceof CellRecord.Owner owner
                         && owner.node().equals(settings.name())
                         && !owner.released()) {
--- a/server/src/test/java/org/fuchsiawinch/server/FakeStore.java
+++ b/server/src/test/java/org/fuchsiawinch/server/FakeStore.java
@@ -45,6 +45,12 @@
     /** Delay in ms of the answers to reads, including reads of the latest entries. */
     long answerDelayMs;
 
+    /** Delay in ms until an append takes effect and is answered. */
+    long appendDelayMs;
+
+    /** Highest epoch that has written; writers of lower epochs are rejected. */
+    private long highestEpoch;
+
     /** Time-out in ms of an unanswered call. */
     static final long TIMEOUT_MS = 1200;
 
@@ -54,15 +60,26 @@
         if (silent) {
             return Mono.delay(Duration.ofMillis(TIMEOUT_MS), time).map(ended -> new AppendResult.Unknown("silent"));
         }
+        return appendDelayMs == 0
+                ? Mono.just(store(added, writer, expectedEnd))
+                : Mono.delay(Duration.ofMillis(appendDelayMs), time).map(waited -> store(added, writer, expectedEnd));
+    }
+
+    private AppendResult store(List<Entry> added, Optional<Writer> writer, OptionalLong expectedEnd) {
         beforeAppend.run();
+        long epoch = writer.map(Writer::epoch).orElse(highestEpoch);
+        if (epoch < highestEpoch) {
+            return new AppendResult.Fenced();
+        }
         if (expectedEnd.isPresent() && expectedEnd.getAsLong() != entries.size()) {
-            return Mono.just(new AppendResult.Moved(entries.size()));
+            return new AppendResult.Moved(entries.size());
         }
         if (!appendAnswers.isEmpty()) {
-            return Mono.just(appendAnswers.remove(0).get());
+            return appendAnswers.remove(0).get();
         }
+        highestEpoch = epoch;
         entries.addAll(added);
-        return Mono.just(new AppendResult.Stored(entries.size()));
+        return new AppendResult.Stored(entries.size());
     }
 
     @Override
