--- a/explore/src/test/java/org/fuchsiawinch/explore/DisabledFeatureTest.java
+++ b/explore/src/test/java/org/fuchsiawinch/explore/DisabledFeatureTest.java
@@ -6,7 +6,6 @@
 import org.fuchsiawinch.explore.Violation.Promise;
 import org.fuchsiawinch.protocol.ProtocolFeature;
 import org.testng.annotations.DataProvider;
-import org.testng.annotations.Listeners;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertTrue;
@@ -15,7 +14,6 @@
  * Guards against an explorer that finds nothing: with a safety mechanism disabled, some schedule must break the promise
  * that the mechanism protects.
  */
-@Listeners(KnownRedListener.class)
 public class DisabledFeatureTest {
 
     private static final int SEEDS = 2000;
--- a/replay/src/test/java/org/fuchsiawinch/replay/SampleReplayTest.java
+++ b/replay/src/test/java/org/fuchsiawinch/replay/SampleReplayTest.java
@@ -15,7 +15,6 @@
 import org.fuchsiawinch.replay.outcome.Reference;
 import org.fuchsiawinch.replay.outcome.Target;
 import org.testng.annotations.DataProvider;
-import org.testng.annotations.Listeners;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -25,7 +24,6 @@
  * Guards against changes of the scheduler that break a promise or miss an absolute target of a sample's outcome file
  * under the guarantee policy. Targets relative to the baselines are checked by the replay command.
  */
-@Listeners(KnownRedListener.class)
 public class SampleReplayTest {
 
     private static final Path TRACES = Path.of("..", "samples", "traces");
--- a/explore/src/test/java/org/fuchsiawinch/explore/KnownRedListener.java
+++ b/test-support/src/main/java/org/fuchsiawinch/testsupport/KnownRedListener.java
@@ -1,4 +1,4 @@
-package org.fuchsiawinch.explore;
+package org.fuchsiawinch.testsupport;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
--- /dev/null
+++ b/test-support/src/main/java/org/fuchsiawinch/testsupport/package-info.java
@@ -0,0 +1,2 @@
+/** Support for the tests of the other modules. */
+package org.fuchsiawinch.testsupport;
