--- /dev/null
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/OwnerFaultScheduleTest.java
@@ -0,0 +1,51 @@
+package org.fuchsiawinch.workflow;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Guards against tasks that run twice, out of order or never, over seeded schedules of faults. A run by hand sets
+ * {@code -Dschedules}, {@code -DfirstSeed} and, for a report of each failing seed, {@code -Dtrace=true}.
+ */
+public class OwnerFaultScheduleTest {
+
+    private static final int SCHEDULES = Integer.getInteger("schedules", 30);
+    private static final long FIRST_SEED = Long.getLong("firstSeed", 1L);
+    private static final boolean TRACE = Boolean.getBoolean("trace");
+
+    @Test
+    public void keepsTheRulesUnderFaults() {
+        Map<String, List<Long>> failing = new TreeMap<>();
+        List<String> firstReports = new ArrayList<>();
+        for (long seed = FIRST_SEED; seed < FIRST_SEED + SCHEDULES; seed++) {
+            FaultSchedule schedule = new FaultSchedule(seed);
+            try {
+                schedule.play();
+            } catch (RunRules.Violation violation) {
+                List<Long> seeds = failing.computeIfAbsent(violation.rule, rule -> new ArrayList<>());
+                seeds.add(seed);
+                if (TRACE || seeds.size() == 1) {
+                    firstReports.add(report(seed, schedule.simulation(), violation));
+                }
+            }
+        }
+        String summary = "of " + SCHEDULES + " seeds from " + FIRST_SEED + " fail " + failing;
+        System.out.println("event=fault-schedules " + summary);
+        if (TRACE) {
+            firstReports.forEach(System.out::println);
+        }
+        assertTrue(failing.isEmpty(), summary + "\n" + String.join("\n", firstReports));
+    }
+
+    private static String report(long seed, FaultSimulation simulation, RunRules.Violation violation) {
+        return "seed " + seed + " at " + (simulation.nowMs - FaultSimulation.START_MS) + " ms: "
+                + violation.getMessage() + "\n" + String.join("\n", simulation.logOf(violation.job)) + "\nfaults:\n"
+                + String.join("\n", simulation.faults);
+    }
+}
--- /dev/null
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/RestartSafetyTest.java
@@ -0,0 +1,93 @@
+package org.fuchsiawinch.workflow;
+
+import org.fuchsiawinch.workflow.job.StepSpec;
+import org.testng.annotations.Test;
+
+/** Guards against tasks that run twice when a worker starts again under its id or leaves the list while it runs. */
+public class RestartSafetyTest {
+
+    private static FaultSimulation settled(int workers) {
+        return new FaultSimulation(1, 1, workers).run(20_000);
+    }
+
+    private static StepSpec task(long runMs) {
+        return FaultSimulation.step(1, 1, runMs, false);
+    }
+
+    private static void restartAll(FaultSimulation simulation) {
+        simulation.workers.values().forEach(worker -> worker.crash(1));
+        simulation.run(10);
+    }
+
+    private static SimulatedWorker holder(FaultSimulation simulation) {
+        return simulation.workers.values().stream()
+                .filter(worker -> !worker.running.isEmpty())
+                .findFirst()
+                .orElseThrow();
+    }
+
+    // Guards against the release of a run that began after a restart which the owner learns of only later.
+    @Test
+    public void keepsARunThatBeganAfterAnUnnoticedRestart() {
+        FaultSimulation simulation = settled(1);
+        restartAll(simulation);
+        simulation.submit("job", task(8000)).run(15_000);
+        simulation.rules.checkAllEnded();
+    }
+
+    // Guards against a rerun during a drain when the worker's entry expires before the worker exits.
+    @Test
+    public void keepsTheRunsOfADrainingWorkerWhoseEntryExpires() {
+        FaultSimulation simulation = settled(2).submit("job", task(8000)).run(1000);
+        SimulatedWorker worker = holder(simulation);
+        worker.leaving = true;
+        simulation.run(1000);
+        worker.cutFromStore = true;
+        simulation.run(15_000);
+        simulation.rules.checkAllEnded();
+    }
+
+    // Guards against an acknowledgement for an earlier incarnation that forgets an end of the new one.
+    @Test
+    public void acknowledgesNoEndOfAnIncarnationThatItHasNotSeen() {
+        FaultSimulation simulation = settled(1).submit("first", task(300)).run(5000);
+        restartAll(simulation);
+        simulation.submit("second", task(300)).run(15_000);
+        simulation.rules.checkAllEnded();
+    }
+
+    // Guards against an unanswered start that is carried out after a restart, beside the run that replaced it.
+    @Test
+    public void barsALateStartAfterARestart() {
+        FaultSimulation simulation = settled(1);
+        simulation.links.nextStartDelays.add(5000L);
+        simulation.submit("job", task(8000)).run(1500);
+        restartAll(simulation);
+        simulation.run(20_000);
+        simulation.rules.checkAllEnded();
+    }
+
+    // Guards against an unanswered start that is carried out after a restart, when its task is done already.
+    @Test
+    public void barsALateStartOfADoneTaskAfterARestart() {
+        FaultSimulation simulation = settled(1);
+        simulation.links.nextStartDelays.add(9000L);
+        simulation.submit("job", task(500)).run(3000);
+        restartAll(simulation);
+        simulation.run(15_000);
+        simulation.rules.checkAllEnded();
+    }
+
+    // Guards against a rerun while the run of a cut-off worker still holds a lease from before a restart was noticed.
+    @Test
+    public void waitsForTheLongestLeaseAfterAnUnnoticedRestart() {
+        FaultSimulation simulation = settled(2);
+        restartAll(simulation);
+        simulation.submit("job", task(9500)).run(50);
+        String link = SimulatedLinks.link(simulation.nodes.get(0), holder(simulation).id);
+        simulation.links.cutCalls.add(link);
+        simulation.links.cutAnswers.add(link);
+        simulation.run(25_000);
+        simulation.rules.checkAllEnded();
+    }
+}
