--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
@@ -211,8 +211,20 @@
     private void workerUnlisted(WorkerId id, long nowMs) {
         findWorker(id).ifPresent(worker -> {
             worker.listed = false;
-            state.log.line("worker-unlisted", "worker", id, "runs", worker.runs.size());
-            if (worker.registration != null && worker.registration.leaving()) {
+            boolean leaving = worker.registration != null && worker.registration.leaving();
+            state.log.line(
+                    "worker-unlisted",
+                    "worker",
+                    id,
+                    "runs",
+                    worker.runs.size(),
+                    "leaving",
+                    leaving,
+                    "silentMs",
+                    worker.silentMs(nowMs),
+                    "leaseLeftMs",
+                    worker.leaseLeftText(nowMs));
+            if (leaving) {
                 leaseRenewer.workerLost(worker, "worker-left", nowMs);
             }
         });
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
@@ -82,7 +82,7 @@
                 "problem",
                 problem,
                 "silentMs",
-                nowMs - worker.lastContactMs,
+                worker.silentMs(nowMs),
                 "runs",
                 worker.runs.size());
     }
@@ -113,6 +113,7 @@
 
     private void incarnationChanged(WorkerState worker, WorkerReport report, long nowMs) {
         boolean firstContact = !worker.contacted;
+        long previousIncarnation = worker.incarnation;
         worker.startIncarnation(report.incarnation());
         if (firstContact) {
             // An earlier owner may have granted a lease of this length just before.
@@ -125,8 +126,14 @@
                 worker.id,
                 "incarnation",
                 report.incarnation(),
+                "before",
+                previousIncarnation,
                 "lostRuns",
-                worker.runs.size());
+                worker.runs.size(),
+                "confirmed",
+                worker.runCount(ActiveRun.Stage.RUNNING),
+                "unconfirmed",
+                worker.runCount(ActiveRun.Stage.ORDERED));
         for (ActiveRun run : List.copyOf(worker.runs.values())) {
             if (run.stage == ActiveRun.Stage.RUNNING) {
                 runTracker.release(run, "worker-restarted", nowMs);
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTracker.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTracker.java
@@ -187,7 +187,9 @@
                 "end",
                 end.end(),
                 "current",
-                current);
+                current,
+                "incarnation",
+                worker.incarnation);
         if (end.end() == WorkerReport.RunEnd.DONE) {
             taskDone(worker, job, end.run(), nowMs);
             return;
@@ -251,7 +253,23 @@
             return;
         }
         state.log.line(
-                "run-released", "request", run.id.task().job(), "run", run.id, "worker", run.worker.id, "cause", cause);
+                "run-released",
+                "request",
+                run.id.task().job(),
+                "run",
+                run.id,
+                "worker",
+                run.worker.id,
+                "cause",
+                cause,
+                "stage",
+                run.stage,
+                "silentMs",
+                run.worker.silentMs(nowMs),
+                "leaseLeftMs",
+                run.worker.leaseLeftText(nowMs),
+                "incarnation",
+                run.worker.incarnation);
         releaseTask(run.job, run.id, nowMs);
     }
 
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerState.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerState.java
@@ -71,6 +71,10 @@
         }
     }
 
+    long runCount(ActiveRun.Stage stage) {
+        return runs.values().stream().filter(run -> run.stage == stage).count();
+    }
+
     Resources free() {
         return registration.capacity().minus(used);
     }
@@ -97,6 +101,19 @@
         return contacted && clockMs + (nowMs - clockReadMs) * (1 - OwnerSettings.CLOCK_DRIFT) > leaseEndMs;
     }
 
+    /** Returns the time in ms since the worker's last answer, or since the owner learned of it if it gave none. */
+    long silentMs(long nowMs) {
+        return nowMs - lastContactMs;
+    }
+
+    /**
+     * Returns the estimated rest of the lease in ms on the worker's clock for the log; negative once it is over, and
+     * {@code none} if this owner has granted no lease to the present process of the worker.
+     */
+    String leaseLeftText(long nowMs) {
+        return leaseEndMs == 0 ? "none" : Long.toString(leaseEndMs - newLeaseEndMs(0, nowMs));
+    }
+
     void extendLease(long endMs) {
         leaseEndMs = Math.max(leaseEndMs, endMs);
     }
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/OwnerHarness.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/OwnerHarness.java
@@ -48,6 +48,7 @@
     final Map<String, Submission> submissions = new HashMap<>();
     final Map<WorkerId, FakeWorker> workers = new TreeMap<>();
     final List<String> log = new ArrayList<>();
+    final LogLines lines = new LogLines();
     final PriorityQueue<Event> events = new PriorityQueue<>();
     CellOwner owner;
     Guarantees guarantees = Guarantees.NONE;
@@ -92,7 +93,7 @@
         owner = new CellOwner(
                 new OwnerSettings("n" + epoch, 6000, 1000, 2000, 400, 3, 60_000, headroomShare),
                 epoch,
-                (event, pairs) -> log.add(nowMs + " " + event + " " + List.of(pairs)),
+                this::log,
                 nowMs);
         owner.load(List.copyOf(stored.values()), nowMs);
         input(new OwnerInput.GuaranteesChanged(guarantees));
@@ -104,6 +105,11 @@
         return this;
     }
 
+    private void log(String event, Object... pairs) {
+        log.add(nowMs + " " + event + " " + List.of(pairs));
+        lines.add(event, pairs);
+    }
+
     private void tick(CellOwner tickedOwner) {
         if (owner == tickedOwner) {
             input(new OwnerInput.Tick());
