--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
@@ -375,6 +375,7 @@
             if (expired) {
                 String id = job.submission().id();
                 state.cancelled.remove(id);
+                state.duplicateRuns.forget(id);
                 removed.add(new CellRecord.Removed(CellRecord.Accepted.PREFIX + id));
                 removed.add(new CellRecord.Removed(CellRecord.Progress.PREFIX + id));
                 removed.add(new CellRecord.Removed(CellRecord.CancelRequested.PREFIX + id));
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellState.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellState.java
@@ -39,6 +39,7 @@
 
     final JobUtility utility = new JobUtility();
     final RunTimePredictor predictor = new RunTimePredictor();
+    final DuplicateRuns duplicateRuns = new DuplicateRuns(this);
     Guarantees guarantees = Guarantees.NONE;
     List<OwnerEffect> effects = new ArrayList<>();
 
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/DecisionLog.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/DecisionLog.java
@@ -14,4 +14,11 @@
      * @param pairs alternating keys and values
      */
     void line(String event, Object... pairs);
+
+    /**
+     * Counts a decision, also where its line is suppressed. Does nothing by default.
+     *
+     * @param counter name of the counter
+     */
+    default void count(String counter) {}
 }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
@@ -148,6 +148,7 @@
         Map<TaskRun, WorkerReport.RunningTask> running = new HashMap<>();
         report.running().forEach(task -> running.put(task.run(), task));
         for (WorkerReport.RunningTask task : report.running()) {
+            state.duplicateRuns.check(worker, task.run(), "RUNNING");
             ActiveRun run = worker.runs.get(task.run());
             if (run == null) {
                 unexpectedRun(worker, task.run(), nowMs);
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTracker.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTracker.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 import org.fuchsiawinch.workflow.job.JobPhase;
 import org.fuchsiawinch.workflow.job.JobState;
 import org.fuchsiawinch.workflow.job.TaskPhase;
+import org.fuchsiawinch.workflow.job.TaskRef;
 import org.fuchsiawinch.workflow.job.TaskRun;
 import org.fuchsiawinch.workflow.job.TaskState;
 
@@ -172,6 +174,9 @@
         if (run != null) {
             worker.remove(run);
         }
+        if (end.end() == WorkerReport.RunEnd.DONE) {
+            state.duplicateRuns.check(worker, end.run(), "DONE");
+        }
         if (task == null || task.phase() == TaskPhase.DONE) {
             return;
         }
@@ -207,8 +212,10 @@
         worker.health.runSucceeded();
         state.changedJobs.add(job);
         if (inGang(job, id)) {
+            recordGangDone(job, id);
             job.tasks(id.task().step()).forEach(TaskState::markDone);
         } else {
+            state.duplicateRuns.taskDone(id, Optional.of(worker.id));
             job.task(id.task()).markDone();
         }
         stopOtherRuns(job, id, nowMs);
@@ -218,6 +225,15 @@
         state.closeIfDone(job);
     }
 
+    private void recordGangDone(JobState job, TaskRun id) {
+        int step = id.task().step();
+        List<TaskState> members = job.tasks(step);
+        for (int index = 0; index < members.size(); index++) {
+            TaskRun member = new TaskRun(new TaskRef(job.submission().id(), step, index), id.number());
+            state.duplicateRuns.taskDone(member, members.get(index).worker());
+        }
+    }
+
     /** Stops other runs of a task that is done. Members of a gang that is done end by themselves. */
     private void stopOtherRuns(JobState job, TaskRun id, long nowMs) {
         for (ActiveRun other : runsOf(job)) {
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/OwnerHarness.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/OwnerHarness.java
@@ -19,6 +19,7 @@
 import org.fuchsiawinch.workflow.job.TaskRef;
 import org.fuchsiawinch.workflow.job.TaskRun;
 import org.fuchsiawinch.workflow.owner.CellOwner;
+import org.fuchsiawinch.workflow.owner.DecisionLog;
 import org.fuchsiawinch.workflow.owner.Guarantees;
 import org.fuchsiawinch.workflow.owner.OwnerEffect;
 import org.fuchsiawinch.workflow.owner.OwnerInput;
@@ -49,6 +50,7 @@
     final Map<WorkerId, FakeWorker> workers = new TreeMap<>();
     final List<String> log = new ArrayList<>();
     final LogLines lines = new LogLines();
+    final Map<String, Integer> counts = new TreeMap<>();
     final PriorityQueue<Event> events = new PriorityQueue<>();
     CellOwner owner;
     Guarantees guarantees = Guarantees.NONE;
@@ -93,7 +95,7 @@
         owner = new CellOwner(
                 new OwnerSettings("n" + epoch, 6000, 1000, 2000, 400, 3, 60_000, headroomShare),
                 epoch,
-                this::log,
+                new Recorder(),
                 nowMs);
         owner.load(List.copyOf(stored.values()), nowMs);
         input(new OwnerInput.GuaranteesChanged(guarantees));
@@ -105,9 +107,19 @@
         return this;
     }
 
-    private void log(String event, Object... pairs) {
-        log.add(nowMs + " " + event + " " + List.of(pairs));
-        lines.add(event, pairs);
+    /** Records the lines and counts of all owners. */
+    private final class Recorder implements DecisionLog {
+
+        @Override
+        public void line(String event, Object... pairs) {
+            log.add(nowMs + " " + event + " " + List.of(pairs));
+            lines.add(event, pairs);
+        }
+
+        @Override
+        public void count(String counter) {
+            counts.merge(counter, 1, Integer::sum);
+        }
     }
 
     private void tick(CellOwner tickedOwner) {
