--- a/server/src/main/java/org/fuchsiawinch/server/api/CallerRequestHandler.java
+++ b/server/src/main/java/org/fuchsiawinch/server/api/CallerRequestHandler.java
@@ -266,6 +266,24 @@
                 "rulesAgeMs",
                 operatorFollower.stalenessMs(nowMs),
                 "tookMs",
-                nowMs - startedMs);
+                nowMs - startedMs,
+                "workspace",
+                workspace(request),
+                "queue",
+                queue(request));
+    }
+
+    private String workspace(CallerRequest request) {
+        return rules.get()
+                .flatMap(current -> request.key().flatMap(current::workspace))
+                .map(WorkspaceId::value)
+                .orElse("none");
+    }
+
+    private String queue(CallerRequest request) {
+        return rules.get()
+                .flatMap(current -> current.queue(request.host(), request.path()))
+                .map(Queue::name)
+                .orElse("none");
     }
 }
