--- a/server/src/main/java/org/fuchsiawinch/server/Node.java
+++ b/server/src/main/java/org/fuchsiawinch/server/Node.java
@@ -93,15 +93,15 @@
         this.ports = ports;
         this.scheduler = scheduler;
         this.clock = clock;
-        this.log = log;
+        this.log = new CountingLog(log, metrics);
         this.metrics = metrics;
-        this.reader = new RecordReader(log);
+        this.reader = new RecordReader(this.log);
         this.election = new Election(settings.name(), settings.seed(), clock.getAsLong());
         this.cellFollower = createFollower(Stream.CELL, FOLLOWER_POLL, new CellListener());
         this.operatorFollower = createFollower(Stream.OPERATOR, OPERATOR_POLL, new OperatorListener());
-        this.requestAppender = new BatchingAppender(ports.store(), scheduler, clock, log);
+        this.requestAppender = new BatchingAppender(ports.store(), scheduler, clock, this.log);
         this.requestHandler = new CallerRequestHandler(
-                index, () -> rules, cellFollower, operatorFollower, requestAppender, codec, clock, log, metrics);
+                index, () -> rules, cellFollower, operatorFollower, requestAppender, codec, clock, this.log, metrics);
     }
 
     private StreamFollower createFollower(
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
@@ -36,6 +36,7 @@
     private final LeaseRenewer leaseRenewer;
     private final Scheduler scheduler;
     private final StallDetector stallDetector;
+    private final OwnerLoad load;
     private final long epoch;
     private boolean appendPending;
     private long lastAppendMs;
@@ -64,6 +65,7 @@
         this.leaseRenewer = new LeaseRenewer(state, runTracker, nowMs);
         this.scheduler = new Scheduler(state, runTracker);
         this.stallDetector = new StallDetector(state, runTracker);
+        this.load = new OwnerLoad(state, nowMs);
         this.lastAppendMs = nowMs;
         this.lastLearnedRecordMs = nowMs;
     }
@@ -107,6 +109,7 @@
         if (input instanceof OwnerInput.RecordsRead read) {
             read.records().forEach(record -> recordRead(record, nowMs));
         } else if (input instanceof OwnerInput.Appended) {
+            load.appendStored(nowMs);
             appendStored(nowMs);
         } else if (input instanceof OwnerInput.Tick) {
             tick(nowMs);
@@ -316,6 +319,7 @@
         for (WorkerState worker : state.workers.values()) {
             runTracker.retryStops(worker, nowMs);
         }
+        load.tick(nowMs);
     }
 
     private void appendStored(long nowMs) {
@@ -363,6 +367,7 @@
             return;
         }
         appendPending = true;
+        load.appendSent(nowMs);
         state.effects.add(new OwnerEffect.Append(records));
     }
 
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
@@ -120,6 +120,7 @@
             worker.extendLease(report.clockMs() + state.settings.leaseMs());
             return;
         }
+        state.log.count("workers.restarted");
         state.log.line(
                 "worker-restarted",
                 "worker",
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTracker.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTracker.java
@@ -108,6 +108,7 @@
             return;
         }
         run.stopping = true;
+        state.log.count("runs.stopped." + cause);
         state.log.line(
                 "run-stopped",
                 "request",
@@ -181,6 +182,7 @@
             return;
         }
         boolean current = run != null && run.current();
+        state.log.count("runs.ended." + end.end());
         state.log.line(
                 "run-ended",
                 "request",
@@ -268,6 +270,7 @@
         if (!run.current()) {
             return;
         }
+        state.log.count("runs.released." + cause);
         state.log.line(
                 "run-released",
                 "request",
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerState.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerState.java
@@ -79,6 +79,11 @@
         return registration.capacity().minus(used);
     }
 
+    /** Returns whether the worker has not answered yet, or has been silent for too long to get new work. */
+    boolean silent(long nowMs) {
+        return !contacted || silentMs(nowMs) > MAX_SILENCE_MS;
+    }
+
     /** Returns whether the worker may get new work. */
     boolean usable(long nowMs) {
         return listed
