--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
@@ -36,6 +36,7 @@
     private final LeaseRenewer leaseRenewer;
     private final Scheduler scheduler;
     private final StallDetector stallDetector;
+    private final OwnerLoad load;
     private final long epoch;
     private boolean appendPending;
     private long lastAppendMs;
@@ -64,6 +65,7 @@
         this.leaseRenewer = new LeaseRenewer(state, runTracker, nowMs);
         this.scheduler = new Scheduler(state, runTracker);
         this.stallDetector = new StallDetector(state, runTracker);
+        this.load = new OwnerLoad(state, nowMs);
         this.lastAppendMs = nowMs;
         this.lastLearnedRecordMs = nowMs;
     }
@@ -107,6 +109,7 @@
         if (input instanceof OwnerInput.RecordsRead read) {
             read.records().forEach(record -> recordRead(record, nowMs));
         } else if (input instanceof OwnerInput.Appended) {
+            load.appendStored(nowMs);
             appendStored(nowMs);
         } else if (input instanceof OwnerInput.Tick) {
             tick(nowMs);
@@ -211,8 +214,20 @@
     private void workerUnlisted(WorkerId id, long nowMs) {
         findWorker(id).ifPresent(worker -> {
             worker.listed = false;
-            state.log.line("worker-unlisted", "worker", id, "runs", worker.runs.size());
-            if (worker.registration != null && worker.registration.leaving()) {
+            boolean leaving = worker.registration != null && worker.registration.leaving();
+            state.log.line(
+                    "worker-unlisted",
+                    "worker",
+                    id,
+                    "runs",
+                    worker.runs.size(),
+                    "leaving",
+                    leaving,
+                    "silentMs",
+                    worker.silentMs(nowMs),
+                    "leaseLeftMs",
+                    worker.leaseLeftText(nowMs));
+            if (leaving) {
                 leaseRenewer.workerLost(worker, "worker-left", nowMs);
             }
         });
@@ -304,6 +319,7 @@
         for (WorkerState worker : state.workers.values()) {
             runTracker.retryStops(worker, nowMs);
         }
+        load.tick(nowMs);
     }
 
     private void appendStored(long nowMs) {
@@ -351,6 +367,7 @@
             return;
         }
         appendPending = true;
+        load.appendSent(nowMs);
         state.effects.add(new OwnerEffect.Append(records));
     }
 
@@ -363,6 +380,7 @@
             if (expired) {
                 String id = job.submission().id();
                 state.cancelled.remove(id);
+                state.duplicateRuns.forget(id);
                 removed.add(new CellRecord.Removed(CellRecord.Accepted.PREFIX + id));
                 removed.add(new CellRecord.Removed(CellRecord.Progress.PREFIX + id));
                 removed.add(new CellRecord.Removed(CellRecord.CancelRequested.PREFIX + id));
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
@@ -82,7 +82,7 @@
                 "problem",
                 problem,
                 "silentMs",
-                nowMs - worker.lastContactMs,
+                worker.silentMs(nowMs),
                 "runs",
                 worker.runs.size());
     }
@@ -113,20 +113,28 @@
 
     private void incarnationChanged(WorkerState worker, WorkerReport report, long nowMs) {
         boolean firstContact = !worker.contacted;
+        long previousIncarnation = worker.incarnation;
         worker.startIncarnation(report.incarnation());
         if (firstContact) {
             // An earlier owner may have granted a lease of this length just before.
             worker.extendLease(report.clockMs() + state.settings.leaseMs());
             return;
         }
+        state.log.count("workers.restarted");
         state.log.line(
                 "worker-restarted",
                 "worker",
                 worker.id,
                 "incarnation",
                 report.incarnation(),
+                "before",
+                previousIncarnation,
                 "lostRuns",
-                worker.runs.size());
+                worker.runs.size(),
+                "confirmed",
+                worker.runCount(ActiveRun.Stage.RUNNING),
+                "unconfirmed",
+                worker.runCount(ActiveRun.Stage.ORDERED));
         for (ActiveRun run : List.copyOf(worker.runs.values())) {
             if (run.stage == ActiveRun.Stage.RUNNING) {
                 runTracker.release(run, "worker-restarted", nowMs);
@@ -141,6 +149,7 @@
         Map<TaskRun, WorkerReport.RunningTask> running = new HashMap<>();
         report.running().forEach(task -> running.put(task.run(), task));
         for (WorkerReport.RunningTask task : report.running()) {
+            state.duplicateRuns.check(worker, task.run(), "RUNNING");
             ActiveRun run = worker.runs.get(task.run());
             if (run == null) {
                 unexpectedRun(worker, task.run(), nowMs);
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTracker.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTracker.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 import org.fuchsiawinch.workflow.job.JobPhase;
 import org.fuchsiawinch.workflow.job.JobState;
 import org.fuchsiawinch.workflow.job.TaskPhase;
+import org.fuchsiawinch.workflow.job.TaskRef;
 import org.fuchsiawinch.workflow.job.TaskRun;
 import org.fuchsiawinch.workflow.job.TaskState;
 
@@ -106,6 +108,7 @@
             return;
         }
         run.stopping = true;
+        state.log.count("runs.stopped." + cause);
         state.log.line(
                 "run-stopped",
                 "request",
@@ -172,10 +175,14 @@
         if (run != null) {
             worker.remove(run);
         }
+        if (end.end() == WorkerReport.RunEnd.DONE) {
+            state.duplicateRuns.check(worker, end.run(), "DONE");
+        }
         if (task == null || task.phase() == TaskPhase.DONE) {
             return;
         }
         boolean current = run != null && run.current();
+        state.log.count("runs.ended." + end.end());
         state.log.line(
                 "run-ended",
                 "request",
@@ -187,7 +194,9 @@
                 "end",
                 end.end(),
                 "current",
-                current);
+                current,
+                "incarnation",
+                worker.incarnation);
         if (end.end() == WorkerReport.RunEnd.DONE) {
             taskDone(worker, job, end.run(), nowMs);
             return;
@@ -205,8 +214,10 @@
         worker.health.runSucceeded();
         state.changedJobs.add(job);
         if (inGang(job, id)) {
+            recordGangDone(job, id);
             job.tasks(id.task().step()).forEach(TaskState::markDone);
         } else {
+            state.duplicateRuns.taskDone(id, Optional.of(worker.id));
             job.task(id.task()).markDone();
         }
         stopOtherRuns(job, id, nowMs);
@@ -216,6 +227,15 @@
         state.closeIfDone(job);
     }
 
+    private void recordGangDone(JobState job, TaskRun id) {
+        int step = id.task().step();
+        List<TaskState> members = job.tasks(step);
+        for (int index = 0; index < members.size(); index++) {
+            TaskRun member = new TaskRun(new TaskRef(job.submission().id(), step, index), id.number());
+            state.duplicateRuns.taskDone(member, members.get(index).worker());
+        }
+    }
+
     /** Stops other runs of a task that is done. Members of a gang that is done end by themselves. */
     private void stopOtherRuns(JobState job, TaskRun id, long nowMs) {
         for (ActiveRun other : runsOf(job)) {
@@ -250,8 +270,25 @@
         if (!run.current()) {
             return;
         }
+        state.log.count("runs.released." + cause);
         state.log.line(
-                "run-released", "request", run.id.task().job(), "run", run.id, "worker", run.worker.id, "cause", cause);
+                "run-released",
+                "request",
+                run.id.task().job(),
+                "run",
+                run.id,
+                "worker",
+                run.worker.id,
+                "cause",
+                cause,
+                "stage",
+                run.stage,
+                "silentMs",
+                run.worker.silentMs(nowMs),
+                "leaseLeftMs",
+                run.worker.leaseLeftText(nowMs),
+                "incarnation",
+                run.worker.incarnation);
         releaseTask(run.job, run.id, nowMs);
     }
 
