--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
@@ -164,7 +164,7 @@
         if (input instanceof OwnerInput.WorkerListed listed) {
             workerListed(listed.registration(), nowMs);
         } else if (input instanceof OwnerInput.WorkerUnlisted unlisted) {
-            workerUnlisted(unlisted.worker(), nowMs);
+            workerUnlisted(unlisted.worker());
         } else if (input instanceof OwnerInput.Renewed renewed) {
             findWorker(renewed.worker())
                     .ifPresent(
@@ -208,13 +208,14 @@
         }
     }
 
-    private void workerUnlisted(WorkerId id, long nowMs) {
+    /**
+     * Stops placing work on a worker that left the list. Its runs are kept until their ends are reported or its lease
+     * has expired: an entry also expires while the worker cannot reach the platform, and the worker then runs on.
+     */
+    private void workerUnlisted(WorkerId id) {
         findWorker(id).ifPresent(worker -> {
             worker.listed = false;
             state.log.line("worker-unlisted", "worker", id, "runs", worker.runs.size());
-            if (worker.registration != null && worker.registration.leaving()) {
-                leaseRenewer.workerLost(worker, "worker-left", nowMs);
-            }
         });
     }
 
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
@@ -50,7 +50,8 @@
         boolean busy = !worker.runs.isEmpty();
         OptionalLong leaseEndMs = OptionalLong.empty();
         if (worker.contacted && busy && !worker.renewalFailing) {
-            long endMs = worker.newLeaseEndMs(state.settings.leaseMs(), nowMs);
+            long leaseMs = worker.registration.leaving() ? state.settings.leavingLeaseMs() : state.settings.leaseMs();
+            long endMs = worker.newLeaseEndMs(leaseMs, nowMs);
             worker.extendLease(endMs);
             leaseEndMs = OptionalLong.of(endMs);
         }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/OwnerSettings.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/OwnerSettings.java
@@ -5,6 +5,7 @@
  *
  * @param node name of the node
  * @param leaseMs duration of a worker's lease in ms; at most the platform's longest lease
+ * @param leavingLeaseMs duration of a draining worker's lease in ms; bounds the wait after its exit
  * @param busyWorkerWaitMs maximum time in ms that a renewal waits at a worker with runs
  * @param idleWorkerWaitMs maximum time in ms that a renewal waits at an idle worker
  * @param heartbeatMs time in ms without a stored record after which the owner appends a heartbeat
@@ -15,6 +16,7 @@
 public record OwnerSettings(
         String node,
         long leaseMs,
+        long leavingLeaseMs,
         long busyWorkerWaitMs,
         long idleWorkerWaitMs,
         long heartbeatMs,
@@ -37,6 +39,9 @@
     /** Lease in ms. A longer one delays the rerun of a lost worker's runs; a shorter one expires during a takeover. */
     private static final long LEASE_MS = 6000;
 
+    /** Lease in ms of a draining worker; a few renewals long. Its exit is certain only once the lease has expired. */
+    private static final long LEAVING_LEASE_MS = 3000;
+
     /** Share of the workers kept free. A smaller one causes more preemptions; a larger one delays other units. */
     private static final double HEADROOM_SHARE = 0.125;
 
@@ -56,6 +61,7 @@
         return new OwnerSettings(
                 node,
                 Math.min(LEASE_MS, longestLeaseMs),
+                Math.min(LEAVING_LEASE_MS, longestLeaseMs),
                 BUSY_WORKER_WAIT_MS,
                 IDLE_WORKER_WAIT_MS,
                 HEARTBEAT_MS,
