--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/ActiveRun.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/ActiveRun.java
@@ -73,6 +73,12 @@
                 && task.worker().filter(worker.id::equals).isPresent();
     }
 
+    /** Discards what the worker accepted before it restarted: it no longer refuses the run, so a stop is sent again. */
+    void forgetStop() {
+        stopAccepted = false;
+        absenceConclusiveAfterMs = NEVER;
+    }
+
     void confirm(long nowMs) {
         if (stage != Stage.RUNNING) {
             stage = Stage.RUNNING;
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
@@ -1,9 +1,11 @@
 package org.fuchsiawinch.workflow.owner;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 
 import org.fuchsiawinch.workflow.job.JobState;
 import org.fuchsiawinch.workflow.job.TaskRun;
@@ -95,7 +97,7 @@
             return;
         }
         if (!worker.contacted || report.incarnation() != worker.incarnation) {
-            incarnationChanged(worker, report, nowMs);
+            incarnationChanged(worker, sentMs, report, nowMs);
         }
         worker.readClock(report.clockMs(), nowMs);
         worker.renewalFailing = false;
@@ -112,7 +114,7 @@
         }
     }
 
-    private void incarnationChanged(WorkerState worker, WorkerReport report, long nowMs) {
+    private void incarnationChanged(WorkerState worker, long sentMs, WorkerReport report, long nowMs) {
         boolean firstContact = !worker.contacted;
         worker.startIncarnation(report.incarnation());
         if (firstContact) {
@@ -128,16 +130,39 @@
                 report.incarnation(),
                 "lostRuns",
                 worker.runs.size());
+        Set<TaskRun> reported = reportedRuns(report);
         for (ActiveRun run : List.copyOf(worker.runs.values())) {
-            if (run.stage == ActiveRun.Stage.RUNNING) {
-                runTracker.release(run, "worker-restarted", nowMs);
-            } else if (run.stage == ActiveRun.Stage.ORDERED) {
-                run.startUnanswered = true;
-                runTracker.stop(run, "worker-restarted", nowMs);
+            if (run.stage == ActiveRun.Stage.STORING) {
+                continue;
             }
+            run.forgetStop();
+            if (!reported.contains(run.id)) {
+                runMissingAfterRestart(run, sentMs, nowMs);
+            }
+        }
+    }
+
+    /**
+     * Releases a run that the new incarnation neither runs nor has ended, once it cannot start there any more. The new
+     * incarnation accepts orders before its restart is known, so a run may be confirmed by it, and an order that the
+     * earlier incarnation did not answer may still reach it.
+     */
+    private void runMissingAfterRestart(ActiveRun run, long sentMs, long nowMs) {
+        if (run.stage == ActiveRun.Stage.ORDERED || run.startUnanswered) {
+            run.startUnanswered = true;
+            runTracker.stop(run, "worker-restarted", nowMs);
+        } else if (run.confirmedMs < sentMs) {
+            runTracker.release(run, "worker-restarted", nowMs);
         }
     }
 
+    private static Set<TaskRun> reportedRuns(WorkerReport report) {
+        Set<TaskRun> runs = new HashSet<>();
+        report.running().forEach(task -> runs.add(task.run()));
+        report.ended().forEach(end -> runs.add(end.run()));
+        return runs;
+    }
+
     private void reconcile(WorkerState worker, long sentMs, WorkerReport report, long nowMs) {
         Map<TaskRun, WorkerReport.RunningTask> running = new HashMap<>();
         report.running().forEach(task -> running.put(task.run(), task));
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/GivenUpRunTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/GivenUpRunTest.java
@@ -50,4 +50,16 @@
         assertEquals(harness.phase("job"), Optional.of(JobPhase.COMPLETED));
         assertEquals(harness.startCount(), 1);
     }
+
+    /** Guards against a second run of a task that a restarted worker has started before it reported its restart. */
+    @Test
+    public void keepsRunsStartedByARestartedWorkerBeforeItsFirstReport() {
+        OwnerHarness harness = new OwnerHarness().workers(2).takeOver();
+        harness.run(500);
+        harness.workers.values().forEach(FakeWorker::restart);
+        harness.submit("job", 1, OwnerHarness.tasks(1, 8, 4000));
+        runAndCheck(harness, 8000);
+        assertEquals(harness.phase("job"), Optional.of(JobPhase.COMPLETED));
+        assertEquals(harness.startCount(), 1);
+    }
 }
