--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
@@ -31,13 +31,35 @@
     /** Interval in ms between records of learned run times; bounds the observations that a takeover loses. */
     private static final long LEARNED_RECORD_MS = 2500;
 
+    /** Minimum interval in ms between scheduling passes; other inputs than new records share the next pass. */
+    private static final long MIN_PASS_INTERVAL_MS = 20;
+
+    /** Share of the listed workers whose answers a new owner awaits before it schedules. */
+    private static final double MIN_ANSWERED_SHARE = 0.8;
+
+    /** Maximum time in ms that a new owner awaits them. */
+    private static final long MAX_FLEET_WAIT_MS = 1000;
+
     private final CellState state;
     private final RunTracker runTracker;
     private final LeaseRenewer leaseRenewer;
     private final Scheduler scheduler;
     private final StallDetector stallDetector;
     private final long epoch;
+    private final long ownedSinceMs;
     private boolean appendPending;
+
+    /** Whether an input since the last scheduling pass may allow a start. */
+    private boolean passPending;
+
+    /** Whether new records wait for a scheduling pass; a new job is scheduled at once. */
+    private boolean recordsPending;
+
+    private long lastPassMs;
+
+    /** Whether enough workers have answered to schedule; stays true. */
+    private boolean fleetKnown;
+
     private long lastAppendMs;
     private long lastRetentionCheckMs;
     private long lastLearnedRecordMs;
@@ -64,6 +86,7 @@
         this.leaseRenewer = new LeaseRenewer(state, runTracker, nowMs);
         this.scheduler = new Scheduler(state, runTracker);
         this.stallDetector = new StallDetector(state, runTracker);
+        this.ownedSinceMs = nowMs;
         this.lastAppendMs = nowMs;
         this.lastLearnedRecordMs = nowMs;
     }
@@ -103,7 +126,8 @@
      * @return effects to carry out, in order
      */
     public List<OwnerEffect> handle(OwnerInput input, long nowMs) {
-        boolean mayAllowStart = mayAllowStart(input, nowMs);
+        passPending |= mayAllowStart(input, nowMs);
+        recordsPending |= input instanceof OwnerInput.RecordsRead;
         if (input instanceof OwnerInput.RecordsRead read) {
             read.records().forEach(record -> recordRead(record, nowMs));
         } else if (input instanceof OwnerInput.Appended) {
@@ -116,7 +140,11 @@
             workerInput(input, nowMs);
         }
         if (!appendPending) {
-            if (mayAllowStart) {
+            boolean passDue = recordsPending || nowMs - lastPassMs >= MIN_PASS_INTERVAL_MS;
+            if (passPending && passDue && fleetKnown(nowMs)) {
+                passPending = false;
+                recordsPending = false;
+                lastPassMs = nowMs;
                 scheduler.schedule(nowMs);
             }
             append(nowMs);
@@ -147,10 +175,33 @@
         return state.openJobs.size();
     }
 
-    /** Returns whether an input may allow a start. Most renewals only report progress, and ticks schedule anyway. */
+    /**
+     * Returns whether the workers that have answered suffice to schedule. A new owner that placed work on the first few
+     * would preempt runs although other workers are idle, and would repeat the pass for each further answer.
+     */
+    private boolean fleetKnown(long nowMs) {
+        if (!fleetKnown) {
+            long listed = state.workers.values().stream()
+                    .filter(worker -> worker.listed)
+                    .count();
+            long answered = state.workers.values().stream()
+                    .filter(worker -> worker.listed && worker.contacted)
+                    .count();
+            fleetKnown = listed > 0
+                    && (answered >= MIN_ANSWERED_SHARE * listed || nowMs - ownedSinceMs >= MAX_FLEET_WAIT_MS);
+        }
+        return fleetKnown;
+    }
+
+    /**
+     * Returns whether an input may allow a start. Most renewals only report progress, a listed worker gets no work
+     * before it has answered, and ticks schedule anyway.
+     */
     private boolean mayAllowStart(OwnerInput input, long nowMs) {
         if (!(input instanceof OwnerInput.Renewed renewed)) {
-            return !(input instanceof OwnerInput.RenewalFailed);
+            return !(input instanceof OwnerInput.RenewalFailed
+                    || input instanceof OwnerInput.WorkerListed
+                    || input instanceof OwnerInput.WorkerUnlisted);
         }
         WorkerState worker = state.workers.get(renewed.worker());
         return worker != null
