--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
@@ -69,8 +69,11 @@
     /** Runs whose assignments are part of the append in flight. */
     private List<ActiveRun> startsBeingStored = List.of();
 
-    /** Highest sequence number of an ended run by worker, of those stored with the append in flight. */
-    private Map<WorkerId, Long> endsBeingStored = Map.of();
+    /** Newest ended run by worker, of those stored with the append in flight. */
+    private Map<WorkerId, NewestEnd> endsBeingStored = Map.of();
+
+    /** Sequence number of an ended run within an incarnation of its worker. */
+    private record NewestEnd(long incarnation, long sequence) {}
 
     /**
      * Creates the owner.
@@ -376,9 +379,9 @@
     private void appendStored(long nowMs) {
         appendPending = false;
         lastAppendMs = nowMs;
-        endsBeingStored.forEach((id, sequence) -> findWorker(id).ifPresent(worker -> {
-            if (sequence <= worker.seenSequence && sequence > worker.acknowledgedSequence) {
-                worker.acknowledgedSequence = sequence;
+        endsBeingStored.forEach((id, end) -> findWorker(id).ifPresent(worker -> {
+            if (end.incarnation() == worker.incarnation && end.sequence() > worker.acknowledgedSequence) {
+                worker.acknowledgedSequence = end.sequence();
                 worker.nextRenewalMs = nowMs;
             }
         }));
@@ -406,7 +409,7 @@
         boolean unstoredEnds = false;
         for (WorkerState worker : state.workers.values()) {
             if (worker.seenSequence > worker.acknowledgedSequence) {
-                endsBeingStored.put(worker.id, worker.seenSequence);
+                endsBeingStored.put(worker.id, new NewestEnd(worker.incarnation, worker.seenSequence));
                 unstoredEnds = true;
             }
         }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
@@ -61,8 +61,18 @@
         boolean settled = worker.contacted
                 && worker.seenSequence == worker.acknowledgedSequence
                 && worker.runs.values().stream().noneMatch(run -> run.stopping);
+        worker.sentAcknowledgement = acknowledgement(worker);
         state.effects.add(new OwnerEffect.Renew(
-                worker.id, leaseEndMs, worker.acknowledgedSequence, settled ? waitMs : unsettledWaitMs(worker)));
+                worker.id, leaseEndMs, worker.sentAcknowledgement, settled ? waitMs : unsettledWaitMs(worker)));
+    }
+
+    /**
+     * Returns the sequence number that a renewal acknowledges; 0 if the worker has confirmed it or may have restarted.
+     * A new incarnation numbers its ends anew and would forget those up to this number, which were never reported.
+     */
+    private static long acknowledgement(WorkerState worker) {
+        boolean confirmed = worker.acknowledgedSequence <= worker.confirmedAcknowledgement;
+        return confirmed || worker.renewalFailing ? 0 : worker.acknowledgedSequence;
     }
 
     /**
@@ -99,6 +109,7 @@
         if (!worker.contacted || report.incarnation() != worker.incarnation) {
             incarnationChanged(worker, sentMs, report, nowMs);
         }
+        worker.acknowledgementConfirmed();
         worker.readClock(report.clockMs(), nowMs);
         worker.renewalFailing = false;
         worker.nextRenewalMs = nowMs;
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerState.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerState.java
@@ -53,6 +53,12 @@
     /** Highest sequence number of an ended run that is stored and may be acknowledged. */
     long acknowledgedSequence;
 
+    /** Sequence number that the renewal in flight acknowledges; 0 for none. */
+    long sentAcknowledgement;
+
+    /** Highest acknowledged sequence number that the present incarnation has received. */
+    long confirmedAcknowledgement;
+
     Resources used = Resources.NONE;
 
     WorkerState(WorkerId id, long nowMs) {
@@ -129,6 +135,11 @@
         lastContactMs = nowMs;
     }
 
+    /** Records that the present incarnation has answered the renewal in flight. */
+    void acknowledgementConfirmed() {
+        confirmedAcknowledgement = Math.max(confirmedAcknowledgement, sentAcknowledgement);
+    }
+
     /** Clears the state that belongs to an earlier process of the worker. */
     void startIncarnation(long newIncarnation) {
         contacted = true;
@@ -136,6 +147,8 @@
         leaseEndMs = 0;
         seenSequence = 0;
         acknowledgedSequence = 0;
+        sentAcknowledgement = 0;
+        confirmedAcknowledgement = 0;
         health.reset();
     }
 }
