--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellState.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellState.java
@@ -39,6 +39,7 @@
 
     final JobUtility utility = new JobUtility();
     final RunTimePredictor predictor = new RunTimePredictor();
+    final DuplicateRuns duplicateRuns = new DuplicateRuns(this);
     Guarantees guarantees = Guarantees.NONE;
     List<OwnerEffect> effects = new ArrayList<>();
 
@@ -75,6 +76,10 @@
                 "job-ended",
                 "request",
                 job.submission().id(),
+                "workspace",
+                job.submission().workspace().value(),
+                "queue",
+                job.submission().queue(),
                 "outcome",
                 phase,
                 "ageMs",
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
@@ -1,9 +1,11 @@
 package org.fuchsiawinch.workflow.owner;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 
 import org.fuchsiawinch.workflow.job.JobState;
 import org.fuchsiawinch.workflow.job.TaskRun;
@@ -50,7 +52,8 @@
         boolean busy = !worker.runs.isEmpty();
         OptionalLong leaseEndMs = OptionalLong.empty();
         if (worker.contacted && busy && !worker.renewalFailing) {
-            long endMs = worker.newLeaseEndMs(state.settings.leaseMs(), nowMs);
+            long leaseMs = worker.registration.leaving() ? state.settings.leavingLeaseMs() : state.settings.leaseMs();
+            long endMs = worker.newLeaseEndMs(leaseMs, nowMs);
             worker.extendLease(endMs);
             leaseEndMs = OptionalLong.of(endMs);
         }
@@ -58,8 +61,18 @@
         boolean settled = worker.contacted
                 && worker.seenSequence == worker.acknowledgedSequence
                 && worker.runs.values().stream().noneMatch(run -> run.stopping);
+        worker.sentAcknowledgement = acknowledgement(worker);
         state.effects.add(new OwnerEffect.Renew(
-                worker.id, leaseEndMs, worker.acknowledgedSequence, settled ? waitMs : unsettledWaitMs(worker)));
+                worker.id, leaseEndMs, worker.sentAcknowledgement, settled ? waitMs : unsettledWaitMs(worker)));
+    }
+
+    /**
+     * Returns the sequence number that a renewal acknowledges; 0 if the worker has confirmed it or may have restarted.
+     * A new incarnation numbers its ends anew and would forget those up to this number, which were never reported.
+     */
+    private static long acknowledgement(WorkerState worker) {
+        boolean confirmed = worker.acknowledgedSequence <= worker.confirmedAcknowledgement;
+        return confirmed || worker.renewalFailing ? 0 : worker.acknowledgedSequence;
     }
 
     /**
@@ -82,7 +95,7 @@
                 "problem",
                 problem,
                 "silentMs",
-                nowMs - worker.lastContactMs,
+                worker.silentMs(nowMs),
                 "runs",
                 worker.runs.size());
     }
@@ -94,8 +107,9 @@
             return;
         }
         if (!worker.contacted || report.incarnation() != worker.incarnation) {
-            incarnationChanged(worker, report, nowMs);
+            incarnationChanged(worker, sentMs, report, nowMs);
         }
+        worker.acknowledgementConfirmed();
         worker.readClock(report.clockMs(), nowMs);
         worker.renewalFailing = false;
         worker.nextRenewalMs = nowMs;
@@ -111,36 +125,68 @@
         }
     }
 
-    private void incarnationChanged(WorkerState worker, WorkerReport report, long nowMs) {
+    private void incarnationChanged(WorkerState worker, long sentMs, WorkerReport report, long nowMs) {
         boolean firstContact = !worker.contacted;
+        long previousIncarnation = worker.incarnation;
         worker.startIncarnation(report.incarnation());
         if (firstContact) {
             // An earlier owner may have granted a lease of this length just before.
             worker.extendLease(report.clockMs() + state.settings.leaseMs());
             return;
         }
+        state.log.count("workers.restarted");
         state.log.line(
                 "worker-restarted",
                 "worker",
                 worker.id,
                 "incarnation",
                 report.incarnation(),
+                "before",
+                previousIncarnation,
                 "lostRuns",
-                worker.runs.size());
+                worker.runs.size(),
+                "confirmed",
+                worker.runCount(ActiveRun.Stage.RUNNING),
+                "unconfirmed",
+                worker.runCount(ActiveRun.Stage.ORDERED));
+        Set<TaskRun> reported = reportedRuns(report);
         for (ActiveRun run : List.copyOf(worker.runs.values())) {
-            if (run.stage == ActiveRun.Stage.RUNNING) {
-                runTracker.release(run, "worker-restarted", nowMs);
-            } else if (run.stage == ActiveRun.Stage.ORDERED) {
-                run.startUnanswered = true;
-                runTracker.stop(run, "worker-restarted", nowMs);
+            if (run.stage == ActiveRun.Stage.STORING) {
+                continue;
+            }
+            run.forgetStop();
+            if (!reported.contains(run.id)) {
+                runMissingAfterRestart(run, sentMs, nowMs);
             }
         }
     }
 
+    /**
+     * Releases a run that the new incarnation neither runs nor has ended, once it cannot start there any more. The new
+     * incarnation accepts orders before its restart is known, so a run may be confirmed by it, and an order that the
+     * earlier incarnation did not answer may still reach it.
+     */
+    private void runMissingAfterRestart(ActiveRun run, long sentMs, long nowMs) {
+        if (run.stage == ActiveRun.Stage.ORDERED || run.startUnanswered) {
+            run.startUnanswered = true;
+            runTracker.stop(run, "worker-restarted", nowMs);
+        } else if (run.confirmedMs < sentMs) {
+            runTracker.release(run, "worker-restarted", nowMs);
+        }
+    }
+
+    private static Set<TaskRun> reportedRuns(WorkerReport report) {
+        Set<TaskRun> runs = new HashSet<>();
+        report.running().forEach(task -> runs.add(task.run()));
+        report.ended().forEach(end -> runs.add(end.run()));
+        return runs;
+    }
+
     private void reconcile(WorkerState worker, long sentMs, WorkerReport report, long nowMs) {
         Map<TaskRun, WorkerReport.RunningTask> running = new HashMap<>();
         report.running().forEach(task -> running.put(task.run(), task));
         for (WorkerReport.RunningTask task : report.running()) {
+            state.duplicateRuns.check(worker, task.run(), "RUNNING");
             ActiveRun run = worker.runs.get(task.run());
             if (run == null) {
                 unexpectedRun(worker, task.run(), nowMs);
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerState.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerState.java
@@ -53,6 +53,12 @@
     /** Highest sequence number of an ended run that is stored and may be acknowledged. */
     long acknowledgedSequence;
 
+    /** Sequence number that the renewal in flight acknowledges; 0 for none. */
+    long sentAcknowledgement;
+
+    /** Highest acknowledged sequence number that the present incarnation has received. */
+    long confirmedAcknowledgement;
+
     Resources used = Resources.NONE;
 
     WorkerState(WorkerId id, long nowMs) {
@@ -71,10 +77,19 @@
         }
     }
 
+    long runCount(ActiveRun.Stage stage) {
+        return runs.values().stream().filter(run -> run.stage == stage).count();
+    }
+
     Resources free() {
         return registration.capacity().minus(used);
     }
 
+    /** Returns whether the worker has not answered yet, or has been silent for too long to get new work. */
+    boolean silent(long nowMs) {
+        return !contacted || silentMs(nowMs) > MAX_SILENCE_MS;
+    }
+
     /** Returns whether the worker may get new work. */
     boolean usable(long nowMs) {
         return listed
@@ -97,6 +112,19 @@
         return contacted && clockMs + (nowMs - clockReadMs) * (1 - OwnerSettings.CLOCK_DRIFT) > leaseEndMs;
     }
 
+    /** Returns the time in ms since the worker's last answer, or since the owner learned of it if it gave none. */
+    long silentMs(long nowMs) {
+        return nowMs - lastContactMs;
+    }
+
+    /**
+     * Returns the estimated rest of the lease in ms on the worker's clock for the log; negative once it is over, and
+     * {@code none} if this owner has granted no lease to the present process of the worker.
+     */
+    String leaseLeftText(long nowMs) {
+        return leaseEndMs == 0 ? "none" : Long.toString(leaseEndMs - newLeaseEndMs(0, nowMs));
+    }
+
     void extendLease(long endMs) {
         leaseEndMs = Math.max(leaseEndMs, endMs);
     }
@@ -107,6 +135,11 @@
         lastContactMs = nowMs;
     }
 
+    /** Records that the present incarnation has answered the renewal in flight. */
+    void acknowledgementConfirmed() {
+        confirmedAcknowledgement = Math.max(confirmedAcknowledgement, sentAcknowledgement);
+    }
+
     /** Clears the state that belongs to an earlier process of the worker. */
     void startIncarnation(long newIncarnation) {
         contacted = true;
@@ -114,6 +147,8 @@
         leaseEndMs = 0;
         seenSequence = 0;
         acknowledgedSequence = 0;
+        sentAcknowledgement = 0;
+        confirmedAcknowledgement = 0;
         health.reset();
     }
 }
