--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
@@ -129,9 +129,9 @@
         boolean firstContact = !worker.contacted;
         long previousIncarnation = worker.incarnation;
         worker.startIncarnation(report.incarnation());
+        // A lease may have been granted on the clock of the earlier process; the worker cuts it to this length.
+        worker.extendLease(report.clockMs() + state.settings.longestLeaseMs());
         if (firstContact) {
-            // An earlier owner may have granted a lease of this length just before.
-            worker.extendLease(report.clockMs() + state.settings.leaseMs());
             return;
         }
         state.log.count("workers.restarted");
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/OwnerSettings.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/OwnerSettings.java
@@ -5,6 +5,7 @@
  *
  * @param node name of the node
  * @param leaseMs duration of a worker's lease in ms; at most the platform's longest lease
+ * @param longestLeaseMs the platform's longest lease in ms, to which a worker cuts a longer one
  * @param leavingLeaseMs duration of a draining worker's lease in ms; bounds the wait after its exit
  * @param busyWorkerWaitMs maximum time in ms that a renewal waits at a worker with runs
  * @param idleWorkerWaitMs maximum time in ms that a renewal waits at an idle worker
@@ -16,6 +17,7 @@
 public record OwnerSettings(
         String node,
         long leaseMs,
+        long longestLeaseMs,
         long leavingLeaseMs,
         long busyWorkerWaitMs,
         long idleWorkerWaitMs,
@@ -61,6 +63,7 @@
         return new OwnerSettings(
                 node,
                 Math.min(LEASE_MS, longestLeaseMs),
+                longestLeaseMs,
                 Math.min(LEAVING_LEASE_MS, longestLeaseMs),
                 BUSY_WORKER_WAIT_MS,
                 IDLE_WORKER_WAIT_MS,
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/GivenUpRunTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/GivenUpRunTest.java
@@ -62,4 +62,21 @@
         assertEquals(harness.phase("job"), Optional.of(JobPhase.COMPLETED));
         assertEquals(harness.startCount(), 1);
     }
+
+    /** Guards against a second run of a task on a restarted worker that reports another run's end with its restart. */
+    @Test
+    public void keepsRunsOfARestartedWorkerWhileAnEndIsBeingStored() {
+        OwnerHarness harness = new OwnerHarness().workers(2).takeOver();
+        harness.run(500);
+        harness.workers.values().forEach(FakeWorker::restart);
+        harness.submit("short", 1, OwnerHarness.tasks(1, 4, 300));
+        harness.submit("long", 1, OwnerHarness.tasks(1, 4, 6000)).run(200);
+        harness.storeDown = true;
+        harness.run(450);
+        harness.storeDown = false;
+        runAndCheck(harness, 9000);
+        assertEquals(harness.phase("short"), Optional.of(JobPhase.COMPLETED));
+        assertEquals(harness.phase("long"), Optional.of(JobPhase.COMPLETED));
+        assertEquals(harness.startCount(), 2);
+    }
 }
