--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
@@ -93,6 +93,7 @@
         this.load = new OwnerLoad(state, nowMs);
         this.ownedSinceMs = nowMs;
         this.lastAppendMs = nowMs;
+        this.state.lastStoredMs = nowMs;
         this.lastLearnedRecordMs = nowMs;
     }
 
@@ -379,6 +380,7 @@
     private void appendStored(long nowMs) {
         appendPending = false;
         lastAppendMs = nowMs;
+        state.lastStoredMs = nowMs;
         endsBeingStored.forEach((id, end) -> findWorker(id).ifPresent(worker -> {
             if (end.incarnation() == worker.incarnation && end.sequence() > worker.acknowledgedSequence) {
                 worker.acknowledgedSequence = end.sequence();
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellState.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellState.java
@@ -41,6 +41,10 @@
     final RunTimePredictor predictor = new RunTimePredictor();
     final DuplicateRuns duplicateRuns = new DuplicateRuns(this);
     Guarantees guarantees = Guarantees.NONE;
+
+    /** Time in ms at which the store last confirmed an append of this owner, or at which the cell was loaded. */
+    long lastStoredMs;
+
     List<OwnerEffect> effects = new ArrayList<>();
 
     CellState(OwnerSettings settings, DecisionLog log) {
@@ -52,6 +56,14 @@
         return workers.computeIfAbsent(id, added -> new WorkerState(added, nowMs));
     }
 
+    /**
+     * Returns whether this owner may grant leases. Another owner may have taken over if the store is silent for longer,
+     * and one that does not reach a worker waits only for leases granted before.
+     */
+    boolean mayGrantLeases(long nowMs) {
+        return nowMs - lastStoredMs <= OwnerSettings.MAX_STORE_SILENCE_MS;
+    }
+
     /** Returns the accelerator count of the largest worker; 0 if there is none. */
     int largestWorkerAccelerators() {
         return workers.values().stream()
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
@@ -19,8 +19,11 @@
     /** Delay in ms between renewals while ended runs are not yet stored; a worker reports those without waiting. */
     private static final long UNSTORED_DELAY_MS = 500;
 
-    /** Extra time in ms before an owner releases the runs of a worker that it never reached. */
-    private static final long UNREACHED_SLACK_MS = 3000;
+    /**
+     * Extra time in ms before an owner releases the runs of a worker that it never reached: an earlier owner that has
+     * lost the store grants leases for a while, counted from an answer of the store that may have taken over a second.
+     */
+    private static final long UNREACHED_SLACK_MS = OwnerSettings.MAX_STORE_SILENCE_MS + 2000;
 
     /** Minimum time in ms between two observations of a run's speed. */
     private static final long MIN_SPEED_INTERVAL_MS = 700;
@@ -51,7 +54,7 @@
         worker.renewing = true;
         boolean busy = !worker.runs.isEmpty();
         OptionalLong leaseEndMs = OptionalLong.empty();
-        if (worker.contacted && busy && !worker.renewalFailing) {
+        if (worker.contacted && busy && !worker.renewalFailing && state.mayGrantLeases(nowMs)) {
             long leaseMs = worker.registration.leaving() ? state.settings.leavingLeaseMs() : state.settings.leaseMs();
             long endMs = worker.newLeaseEndMs(leaseMs, nowMs);
             worker.extendLease(endMs);
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/OwnerSettings.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/OwnerSettings.java
@@ -29,6 +29,12 @@
     /** Maximum share by which a worker's clock may run slow, as the platform states. */
     public static final double CLOCK_DRIFT = 0.02;
 
+    /**
+     * Time in ms since the last confirmed append for which an owner grants leases. Runs survive an outage of the store
+     * of this length and one lease.
+     */
+    static final long MAX_STORE_SILENCE_MS = 4000;
+
     /** Wait of a renewal in ms at a worker with runs; short, so that most of the lease remains at the answer. */
     private static final long BUSY_WORKER_WAIT_MS = 1000;
 
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTracker.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTracker.java
@@ -85,7 +85,8 @@
     private void startUnanswered(ActiveRun run, long nowMs) {
         run.startUnanswered = true;
         run.startUnansweredMs = nowMs;
-        if (run.stage != ActiveRun.Stage.RUNNING && run.startOrders < MAX_START_ORDERS && !run.stopping) {
+        boolean mayRepeat = run.startOrders < MAX_START_ORDERS && state.mayGrantLeases(nowMs);
+        if (run.stage != ActiveRun.Stage.RUNNING && mayRepeat && !run.stopping) {
             sendStart(run, nowMs);
         }
     }
