--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
@@ -42,7 +42,7 @@
 
     void sendDueRenewals(long nowMs) {
         for (WorkerState worker : state.workers.values()) {
-            boolean needed = worker.listed || !worker.runs.isEmpty();
+            boolean needed = worker.listed || !worker.runs.isEmpty() || worker.hasUnacknowledgedEnds();
             if (needed && worker.registration != null && !worker.renewing && nowMs >= worker.nextRenewalMs) {
                 send(worker, nowMs);
             }
@@ -158,7 +158,7 @@
                 continue;
             }
             run.forgetStop();
-            if (!reported.contains(run.id)) {
+            if (report.complete() && !reported.contains(run.id)) {
                 runMissingAfterRestart(run, sentMs, nowMs);
             }
         }
@@ -292,7 +292,8 @@
             if (expired && !worker.runs.isEmpty()) {
                 workerLost(worker, "lease-expired", nowMs);
             }
-            if (!worker.listed && worker.runs.isEmpty() && !worker.renewing) {
+            boolean settled = worker.runs.isEmpty() && (expired || !worker.hasUnacknowledgedEnds());
+            if (!worker.listed && settled && !worker.renewing) {
                 state.workers.remove(worker.id);
             }
         }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerState.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerState.java
@@ -135,6 +135,11 @@
         lastContactMs = nowMs;
     }
 
+    /** Returns whether the worker has reported ends whose acknowledgement it has not confirmed. */
+    boolean hasUnacknowledgedEnds() {
+        return seenSequence > confirmedAcknowledgement;
+    }
+
     /** Records that the present incarnation has answered the renewal in flight. */
     void acknowledgementConfirmed() {
         confirmedAcknowledgement = Math.max(confirmedAcknowledgement, sentAcknowledgement);
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/FakeWorker.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/FakeWorker.java
@@ -91,6 +91,11 @@
         this.startedMs = harness.nowMs - 5000;
     }
 
+    /** Returns the number of ends that the owner has not acknowledged. */
+    int unacknowledgedEnds() {
+        return ended.size();
+    }
+
     long clockMs() {
         return harness.nowMs - startedMs;
     }
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/GivenUpRunTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/GivenUpRunTest.java
@@ -79,4 +79,18 @@
         assertEquals(harness.phase("long"), Optional.of(JobPhase.COMPLETED));
         assertEquals(harness.startCount(), 2);
     }
+
+    /** Guards against ends that are never acknowledged since their worker's entry expired before. */
+    @Test
+    public void acknowledgesTheLastEndOfAWorkerWhoseEntryExpired() {
+        OwnerHarness harness =
+                new OwnerHarness().workers(2).takeOver().submit("job", 1, OwnerHarness.tasks(1, 8, 3000));
+        harness.run(1500);
+        FakeWorker holder = holder(harness);
+        harness.list(holder, true);
+        harness.input(new OwnerInput.WorkerUnlisted(holder.id));
+        harness.run(4000);
+        assertEquals(harness.phase("job"), Optional.of(JobPhase.COMPLETED));
+        assertEquals(holder.unacknowledgedEnds(), 0);
+    }
 }
