--- a/server/src/main/java/org/fuchsiawinch/server/Node.java
+++ b/server/src/main/java/org/fuchsiawinch/server/Node.java
@@ -224,12 +224,19 @@
             minClaimOffset = missed.end();
             movedClaims++;
         }
-        cellFollower.catchUp().subscribe(caughtUp -> {
-            claimInFlight = false;
-            if (moved && caughtUp) {
-                tick();
-            }
-        });
+        cellFollower
+                .catchUp()
+                .subscribe(
+                        caughtUp -> {
+                            claimInFlight = false;
+                            if (moved && caughtUp) {
+                                tick();
+                            }
+                        },
+                        problem -> {
+                            claimInFlight = false;
+                            log.line("claim-failed", "problem", problem);
+                        });
     }
 
     private void startOwnership(long epoch) {
