--- a/server/src/main/java/org/fuchsiawinch/server/Node.java
+++ b/server/src/main/java/org/fuchsiawinch/server/Node.java
@@ -101,7 +101,7 @@
         this.log = new CountingLog(log, metrics);
         this.metrics = metrics;
         this.reader = new RecordReader(this.log);
-        this.election = new Election(settings.name(), settings.seed(), clock.getAsLong());
+        this.election = new Election(settings.name(), settings.seed(), settings.small(), clock.getAsLong());
         this.cellFollower = createFollower(Stream.CELL, FOLLOWER_POLL, new CellListener());
         this.operatorFollower = createFollower(Stream.OPERATOR, OPERATOR_POLL, new OperatorListener());
         this.requestAppender = new BatchingAppender(ports.store(), scheduler, clock, this.log);
--- a/server/src/test/java/org/fuchsiawinch/server/ClaimTest.java
+++ b/server/src/test/java/org/fuchsiawinch/server/ClaimTest.java
@@ -59,7 +59,7 @@
 
     private void startNode(String name, long seed) {
         Node node = new Node(
-                new NodeSettings(name, seed, OwnerSettings.of(name, 6000, 3, 120_000)),
+                new NodeSettings(name, seed, 1, OwnerSettings.of(name, 6000, 3, 120_000)),
                 new OwnerSession.Ports(store, new UnresponsiveWorkers(), new SingleDocumentDecoder()),
                 time,
                 () -> time.now(TimeUnit.MILLISECONDS),
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/cell/Election.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/cell/Election.java
@@ -24,6 +24,12 @@
     /** Range in ms over which the nodes spread their claims of a vacant cell: released, or never owned. */
     private static final long VACANT_SPREAD_MS = 80;
 
+    /**
+     * Extra time in ms that a small node waits before it claims; longer than the spread and the delay until a node has
+     * read the claim of a larger one.
+     */
+    private static final long SMALL_NODE_DELAY_MS = 1200;
+
     /** Number of low bits of an epoch that differ by node, so that concurrent claims of a round are distinct. */
     private static final int NODE_BITS = 16;
 
@@ -34,6 +40,7 @@
     /** Low bits of this node's epochs. */
     private final int nodeSuffix;
 
+    private final long extraDelayMs;
     private long epoch;
     private String owner = "";
     private boolean vacant = true;
@@ -45,10 +52,12 @@
      *
      * @param node name of this node
      * @param seed determines this node's claim delay and the low bits of its epochs; must differ between nodes
+     * @param small whether the node is too small to own a large cell unless no larger node claims it
      * @param nowMs present time in ms
      */
-    public Election(String node, long seed, long nowMs) {
+    public Election(String node, long seed, boolean small, long nowMs) {
         this.node = node;
+        this.extraDelayMs = small ? SMALL_NODE_DELAY_MS : 0;
         this.delayPerMille = Math.floorMod(seed, 1000L);
         this.nodeSuffix = (int) Math.floorMod(seed, 1L << NODE_BITS);
         this.lastHeartbeatMs = nowMs;
@@ -97,7 +106,7 @@
         long waitMs = vacant
                 ? delayPerMille * VACANT_SPREAD_MS / 1000
                 : OWNER_TIMEOUT_MS + delayPerMille * TIMEOUT_SPREAD_MS / 1000;
-        if (lastReadMs - lastHeartbeatMs < waitMs || nowMs - lastReadMs > MAX_READ_GAP_MS) {
+        if (lastReadMs - lastHeartbeatMs < waitMs + extraDelayMs || nowMs - lastReadMs > MAX_READ_GAP_MS) {
             return OptionalLong.empty();
         }
         long round = (epoch >> NODE_BITS) + 1;
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/ElectionTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/ElectionTest.java
@@ -1,5 +1,7 @@
 package org.fuchsiawinch.workflow;
 
+import java.util.List;
+
 import org.fuchsiawinch.workflow.cell.Election;
 import org.fuchsiawinch.workflow.record.CellRecord;
 import org.testng.annotations.Test;
@@ -15,7 +17,7 @@
     private static final long TAKEOVER_MS = 2000;
 
     private static Election electionOwnedBy(String owner) {
-        Election election = new Election("me", 500, 0);
+        Election election = new Election("me", 500, false, 0);
         election.apply(new CellRecord.Owner(owner, 70_000, false), 0);
         election.streamEndReached(0);
         return election;
@@ -39,7 +41,7 @@
     @Test
     public void claimsHigherEpochsDistinctPerNode() {
         Election first = electionOwnedBy("other");
-        Election second = new Election("you", 501, 0);
+        Election second = new Election("you", 501, false, 0);
         second.apply(new CellRecord.Owner("other", 70_000, false), 0);
         readEvery(first, 500, 0, TAKEOVER_MS);
         readEvery(second, 500, 0, TAKEOVER_MS);
@@ -83,4 +85,19 @@
         assertFalse(election.epochToClaim(200).isPresent());
         assertEquals(election.owner(), "other");
     }
+
+    /** Guards against a cell whose owner is too small to contact its workers in time although larger nodes are there. */
+    @Test
+    public void smallNodeLeavesTheCellToLargerOnes() {
+        Election small = new Election("me", 0, true, 0);
+        Election large = new Election("you", 999, false, 0);
+        for (Election election : List.of(small, large)) {
+            election.apply(new CellRecord.Owner("other", 70_000, false), 0);
+            readEvery(election, 100, 0, 2300);
+        }
+        assertTrue(large.epochToClaim(2300).isPresent());
+        assertTrue(small.epochToClaim(2300).isEmpty());
+        readEvery(small, 100, 2300, 2900);
+        assertTrue(small.epochToClaim(2900).isPresent());
+    }
 }
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/SimulatedNode.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/SimulatedNode.java
@@ -42,7 +42,7 @@
     }
 
     void start() {
-        election = new Election(name, seed, simulation.nowMs);
+        election = new Election(name, seed, false, simulation.nowMs);
         readOffset = 0;
         loaded = false;
         poll();
