Start a task again only after its last known run has ended

What callers see: a task runs twice at once. A worker reports a late run of a task that has been released; the owner orders its stop and, in the same pass, assigns the task to another worker, while the late run goes on for up to the time that a stop takes. Cause: a task was ready as soon as its stored state was WAITING, whatever runs of it the owner knew. Change: RunIndex keeps the runs by job; a unit waits while any run of its tasks holds capacity. The runs of a job are no longer collected from all workers.

--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellState.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellState.java
@@ -30,6 +30,7 @@
     final Set<String> cancelled = new HashSet<>();
 
     final Map<WorkerId, WorkerState> workers = new TreeMap<>();
+    final RunIndex runIndex = new RunIndex();
 
     /** Jobs whose progress is to be stored with the next append. */
     final Set<JobState> changedJobs = new LinkedHashSet<>();
@@ -53,7 +54,7 @@
     }
 
     WorkerState worker(WorkerId id, long nowMs) {
-        return workers.computeIfAbsent(id, added -> new WorkerState(added, nowMs));
+        return workers.computeIfAbsent(id, added -> new WorkerState(added, runIndex, nowMs));
     }
 
     /**
--- /dev/null
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunIndex.java
@@ -0,0 +1,38 @@
+package org.fuchsiawinch.workflow.owner;
+
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.fuchsiawinch.workflow.job.JobState;
+import org.fuchsiawinch.workflow.job.TaskRef;
+
+/** The runs that hold capacity of any worker, by job. Not thread-safe. */
+final class RunIndex {
+
+    private final Map<JobState, Set<ActiveRun>> runsByJob = new HashMap<>();
+
+    void add(ActiveRun run) {
+        runsByJob.computeIfAbsent(run.job, job -> new LinkedHashSet<>()).add(run);
+    }
+
+    void remove(ActiveRun run) {
+        runsByJob.computeIfPresent(run.job, (job, runs) -> {
+            runs.remove(run);
+            return runs.isEmpty() ? null : runs;
+        });
+    }
+
+    /** Returns a copy of the runs of a job, in the order in which they were added. */
+    List<ActiveRun> runsOf(JobState job) {
+        return List.copyOf(runsByJob.getOrDefault(job, Set.of()));
+    }
+
+    /** Returns whether any run of a task holds capacity, also one from which the task has been released. */
+    boolean holds(JobState job, TaskRef task) {
+        return runsByJob.getOrDefault(job, Set.of()).stream()
+                .anyMatch(run -> run.id.task().equals(task));
+    }
+}
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTracker.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTracker.java
@@ -1,6 +1,5 @@
 package org.fuchsiawinch.workflow.owner;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 
@@ -157,15 +156,7 @@
     }
 
     List<ActiveRun> runsOf(JobState job) {
-        List<ActiveRun> found = new ArrayList<>();
-        for (WorkerState worker : state.workers.values()) {
-            for (ActiveRun run : worker.runs.values()) {
-                if (run.job == job) {
-                    found.add(run);
-                }
-            }
-        }
-        return found;
+        return state.runIndex.runsOf(job);
     }
 
     /** Processes the end of a run reported by a worker. */
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Scheduler.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Scheduler.java
@@ -179,19 +179,25 @@
                 / coreSeconds;
         if (spec.gang()) {
             SchedulingUnit unit = SchedulingUnit.gang(job, step);
-            if (unit.ready()) {
+            if (ready(unit)) {
                 found.add(new Candidate(unit, guaranteed, standing, density, ageMs));
             }
             return;
         }
         for (int index = 0; index < spec.count(); index++) {
             SchedulingUnit unit = SchedulingUnit.task(job, step, index);
-            if (unit.ready()) {
+            if (ready(unit)) {
                 found.add(new Candidate(unit, guaranteed, standing, density, ageMs));
             }
         }
     }
 
+    /** Returns whether all tasks of a unit are waiting and none has a run that is still being stopped. */
+    private boolean ready(SchedulingUnit unit) {
+        return unit.ready()
+                && unit.indexes().stream().noneMatch(index -> state.runIndex.holds(unit.job(), unit.ref(index)));
+    }
+
     private void assign(SchedulingUnit unit, List<WorkerState> workers, Candidate candidate, long nowMs) {
         int number = unit.nextRun();
         long racks = workers.stream()
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerState.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerState.java
@@ -61,7 +61,9 @@
 
     Resources used = Resources.NONE;
 
-    WorkerState(WorkerId id, long nowMs) {
+    private final RunIndex runIndex;
+
+    WorkerState(WorkerId id, RunIndex runIndex, long nowMs) {
         this.id = id;
         this.lastContactMs = nowMs;
     }
@@ -69,16 +71,19 @@
     void add(ActiveRun run) {
         runs.put(run.id, run);
         used = used.plus(run.need);
+        this.runIndex = runIndex;
     }
 
     void remove(ActiveRun run) {
         if (runs.remove(run.id) != null) {
             used = used.minus(run.need);
+        runIndex.add(run);
         }
     }
 
     long runCount(ActiveRun.Stage stage) {
         return runs.values().stream().filter(run -> run.stage == stage).count();
+            runIndex.remove(run);
     }
 
     Resources free() {
