Wait for the longest lease of runs that a worker has not listed

What callers see: a task runs twice at once. A worker restarts; before the owner hears of it, a start order reaches the new process with the end of a lease on the clock of the old one, and is cut to the platform's longest lease. If the worker is then cut off, the owner gives the run up at the end that it reckons on the old clock, up to 4 s too early. Change: a run that no report of the known incarnation has listed is given up only once the longest lease since the last order with a lease is over. Runs that have been listed keep the shorter wait.

--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/ActiveRun.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/ActiveRun.java
@@ -36,6 +36,9 @@
     boolean stopAccepted;
     long stopSentMs;
     long confirmedMs = NEVER;
+    /** Whether a report of the present incarnation has listed the run, so that its lease is on the known clock. */
+    boolean listed;
+
     /** Time in ms; if the report of a renewal that was sent later does not hold the run, it is not running. */
     long absenceConclusiveAfterMs = NEVER;
 
@@ -73,8 +76,12 @@
                 && task.worker().filter(worker.id::equals).isPresent();
     }
 
-    /** Discards what the worker accepted before it restarted: it no longer refuses the run, so a stop is sent again. */
-    void forgetStop() {
+    /**
+     * Discards what the worker said before it restarted: it no longer refuses the run, so a stop is sent again, and its
+     * lease counts from its new start.
+     */
+    void forgetIncarnation() {
+        listed = false;
         stopAccepted = false;
         absenceConclusiveAfterMs = NEVER;
     }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
@@ -57,7 +57,7 @@
         if (worker.contacted && busy && !worker.renewalFailing && state.mayGrantLeases(nowMs)) {
             long leaseMs = worker.registration.leaving() ? state.settings.leavingLeaseMs() : state.settings.leaseMs();
             long endMs = worker.newLeaseEndMs(leaseMs, nowMs);
-            worker.extendLease(endMs);
+            worker.leaseSent(endMs, nowMs);
             leaseEndMs = OptionalLong.of(endMs);
         }
         long waitMs = busy ? state.settings.busyWorkerWaitMs() : state.settings.idleWorkerWaitMs();
@@ -157,7 +157,7 @@
             if (run.stage == ActiveRun.Stage.STORING) {
                 continue;
             }
-            run.forgetStop();
+            run.forgetIncarnation();
             if (report.complete() && !reported.contains(run.id)) {
                 runMissingAfterRestart(run, sentMs, nowMs);
             }
@@ -230,6 +230,7 @@
         ActiveRun run = new ActiveRun(id, job, worker, ActiveRun.Stage.RUNNING);
         worker.add(run);
         run.confirm(nowMs);
+        run.listed = true;
         runTracker.stop(run, "late-start", nowMs);
     }
 
@@ -238,6 +239,7 @@
             return;
         }
         run.confirm(nowMs);
+        run.listed = true;
         if (run.current()) {
             saveCheckpoint(run, task.checkpoint());
         }
@@ -290,7 +292,7 @@
                     : nowMs - ownedSinceMs
                             > state.settings.leaseMs() * (1 + 2 * OwnerSettings.CLOCK_DRIFT) + UNREACHED_SLACK_MS;
             if (expired && !worker.runs.isEmpty()) {
-                workerLost(worker, "lease-expired", nowMs);
+                releaseExpired(worker, nowMs);
             }
             boolean settled = worker.runs.isEmpty() && (expired || !worker.hasUnacknowledgedEnds());
             if (!worker.listed && settled && !worker.renewing) {
@@ -299,11 +301,13 @@
         }
     }
 
-    /** Releases all ordered runs of a worker that is certain to run none of them. */
-    void workerLost(WorkerState worker, String cause, long nowMs) {
+    /** Releases the ordered runs of a worker whose lease has expired, those that it never listed after the longest one. */
+    private void releaseExpired(WorkerState worker, long nowMs) {
+        boolean longestExpired =
+                !worker.contacted || worker.longestLeaseExpired(state.settings.longestLeaseMs(), nowMs);
         for (ActiveRun run : List.copyOf(worker.runs.values())) {
-            if (run.stage != ActiveRun.Stage.STORING) {
-                runTracker.release(run, cause, nowMs);
+            if (run.stage != ActiveRun.Stage.STORING && (run.listed || longestExpired)) {
+                runTracker.release(run, "lease-expired", nowMs);
             }
         }
     }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTracker.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTracker.java
@@ -44,7 +44,8 @@
     private void sendStart(ActiveRun run, long nowMs) {
         run.startOrders++;
         long leaseEndMs = run.worker.newLeaseEndMs(state.settings.leaseMs(), nowMs);
-        run.worker.extendLease(leaseEndMs);
+        run.worker.leaseSent(leaseEndMs, nowMs);
+        run.worker.unansweredStarts.sent(run.id, run.worker.incarnation, nowMs);
         state.effects.add(new OwnerEffect.Start(
                 run.worker.id,
                 run.id,
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerState.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerState.java
@@ -45,6 +45,9 @@
     /** Latest end in ms of a lease granted to the worker, on the worker's clock. */
     long leaseEndMs;
 
+    /** Time in ms at which an order that carries a lease was last sent. */
+    long lastLeaseSentMs;
+
     long lastContactMs;
 
     /** Highest sequence number of an ended run that was processed. */
@@ -137,6 +140,20 @@
     void readClock(long reportedMs, long nowMs) {
         clockMs = reportedMs;
         clockReadMs = nowMs;
+    /** Records that an order with a lease up to a time in ms on the worker's clock is being sent. */
+    void leaseSent(long endMs, long nowMs) {
+        extendLease(endMs);
+        lastLeaseSentMs = nowMs;
+    }
+
+    /**
+     * Returns whether every lease has certainly expired even if the worker has restarted unnoticed. On the clock of its
+     * next incarnation the end of a lease means another time; the worker then limits the lease to the longest one.
+     */
+    boolean longestLeaseExpired(long longestLeaseMs, long nowMs) {
+        return (nowMs - lastLeaseSentMs) * (1 - OwnerSettings.CLOCK_DRIFT) > longestLeaseMs;
+    }
+
         lastContactMs = nowMs;
     }
 
