Bar late start orders on restarted workers, also of ended runs

What callers see: a task runs again after it was reported as done. A start order was not answered, its repetition was; the run ended; the worker restarted and forgot it; then the first order was carried out. Cause: the doubt about an order was kept with its run, and gone with it. A new incarnation of the worker gets a stop for each, which bars it there, repeated until accepted.

--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
@@ -373,6 +373,9 @@
         stallDetector.check(nowMs);
         for (WorkerState worker : state.workers.values()) {
             runTracker.retryStops(worker, nowMs);
+            if (worker.contacted) {
+                runTracker.barUnansweredStarts(worker, nowMs);
+            }
         }
         load.tick(nowMs);
     }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
@@ -162,6 +162,7 @@
                 runMissingAfterRestart(run, sentMs, nowMs);
             }
         }
+        runTracker.barUnansweredStarts(worker, nowMs);
     }
 
     /**
@@ -229,8 +230,8 @@
         }
         ActiveRun run = new ActiveRun(id, job, worker, ActiveRun.Stage.RUNNING);
         worker.add(run);
-        run.confirm(nowMs);
         run.listed = true;
+        run.confirm(nowMs);
         runTracker.stop(run, "late-start", nowMs);
     }
 
@@ -238,8 +239,8 @@
         if (run.stage == ActiveRun.Stage.STORING) {
             return;
         }
-        run.confirm(nowMs);
         run.listed = true;
+        run.confirm(nowMs);
         if (run.current()) {
             saveCheckpoint(run, task.checkpoint());
         }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTracker.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTracker.java
@@ -55,6 +55,9 @@
     }
 
     void startAnswered(WorkerState worker, TaskRun id, StartOutcome outcome, long nowMs) {
+        if (outcome != StartOutcome.UNANSWERED) {
+            worker.unansweredStarts.answered(id);
+        }
         ActiveRun run = worker.runs.get(id);
         if (run == null || run.stage == ActiveRun.Stage.STORING) {
             return;
@@ -134,6 +137,9 @@
 
     void stopAnswered(WorkerState worker, TaskRun id, boolean accepted, long nowMs) {
         ActiveRun run = worker.runs.get(id);
+        if (accepted) {
+            worker.unansweredStarts.stopAccepted(id, worker.incarnation);
+        }
         if (run != null && accepted) {
             run.stopAccepted = true;
             run.absenceConclusiveAfterMs = Math.min(run.absenceConclusiveAfterMs, nowMs);
@@ -150,6 +156,28 @@
         }
     }
 
+    /**
+     * Bars start orders that an earlier incarnation of the worker has not answered. Runs that still hold capacity are
+     * stopped by their own doubt.
+     */
+    void barUnansweredStarts(WorkerState worker, long nowMs) {
+        for (TaskRun run : worker.unansweredStarts.stopsDue(worker.incarnation, nowMs)) {
+            if (!worker.runs.containsKey(run)) {
+                state.log.line(
+                        "late-start-barred",
+                        "request",
+                        run.task().job(),
+                        "run",
+                        run,
+                        "worker",
+                        worker.id,
+                        "incarnation",
+                        worker.incarnation);
+                state.effects.add(new OwnerEffect.Stop(worker.id, run));
+            }
+        }
+    }
+
     void stopAll(JobState job, String cause, long nowMs) {
         for (ActiveRun run : runsOf(job)) {
             stop(run, cause, nowMs);
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerState.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerState.java
@@ -62,31 +62,34 @@
     /** Highest acknowledged sequence number that the present incarnation has received. */
     long confirmedAcknowledgement;
 
+    /** Start orders without an answer, also of runs that have ended. */
+    final UnansweredStarts unansweredStarts = new UnansweredStarts();
+
     Resources used = Resources.NONE;
 
     private final RunIndex runIndex;
 
     WorkerState(WorkerId id, RunIndex runIndex, long nowMs) {
         this.id = id;
+        this.runIndex = runIndex;
         this.lastContactMs = nowMs;
     }
 
     void add(ActiveRun run) {
         runs.put(run.id, run);
+        runIndex.add(run);
         used = used.plus(run.need);
-        this.runIndex = runIndex;
     }
 
     void remove(ActiveRun run) {
         if (runs.remove(run.id) != null) {
+            runIndex.remove(run);
             used = used.minus(run.need);
-        runIndex.add(run);
         }
     }
 
     long runCount(ActiveRun.Stage stage) {
         return runs.values().stream().filter(run -> run.stage == stage).count();
-            runIndex.remove(run);
     }
 
     Resources free() {
@@ -137,9 +140,6 @@
         leaseEndMs = Math.max(leaseEndMs, endMs);
     }
 
-    void readClock(long reportedMs, long nowMs) {
-        clockMs = reportedMs;
-        clockReadMs = nowMs;
     /** Records that an order with a lease up to a time in ms on the worker's clock is being sent. */
     void leaseSent(long endMs, long nowMs) {
         extendLease(endMs);
@@ -154,6 +154,9 @@
         return (nowMs - lastLeaseSentMs) * (1 - OwnerSettings.CLOCK_DRIFT) > longestLeaseMs;
     }
 
+    void readClock(long reportedMs, long nowMs) {
+        clockMs = reportedMs;
+        clockReadMs = nowMs;
         lastContactMs = nowMs;
     }
 
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/OwnerFaultScheduleTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/OwnerFaultScheduleTest.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertTrue;
@@ -19,6 +20,23 @@
     private static final long FIRST_SEED = Long.getLong("firstSeed", 1L);
     private static final boolean TRACE = Boolean.getBoolean("trace");
 
+    /** Seeds that failed once, each with the fault that it found. */
+    @DataProvider
+    public static Object[][] failedSeeds() {
+        return new Object[][] {
+            {441L, "a start order that was not answered ran on a restarted worker after its task was done"},
+            {473L, "the same, the task done by another worker"},
+            {922L, "a run was given up while a restart that the owner had not noticed had renewed its lease"},
+            {3488L, "a task was started again beside a late run that was still being stopped"},
+            {7186L, "the same after a change of owner"},
+        };
+    }
+
+    @Test(dataProvider = "failedSeeds")
+    public void keepsTheRulesOnSeedsThatFailed(long seed, String fault) {
+        new FaultSchedule(seed).play();
+    }
+
     @Test
     public void keepsTheRulesUnderFaults() {
         Map<String, List<Long>> failing = new TreeMap<>();
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/RestartSafetyTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/RestartSafetyTest.java
@@ -90,4 +90,15 @@
         simulation.run(25_000);
         simulation.rules.checkAllEnded();
     }
+
+    // Guards against an unanswered start that a restarted worker carries out before the owner has heard of the restart.
+    @Test
+    public void barsALateStartBeforeTheRestartIsNoticed() {
+        FaultSimulation simulation = settled(1);
+        simulation.links.nextStartDelays.add(5000L);
+        simulation.submit("job", task(500)).run(4990);
+        restartAll(simulation);
+        simulation.run(15_000);
+        simulation.rules.checkAllEnded();
+    }
 }
