Reject records and jobs that no owner can schedule

What operators see: one odd record among the cell's ends a node's process by its memory, stops its reading of the stream, or makes each owner fail in each pass. One job of a caller with 60 steps that depend on each other stops every owner for hours. Causes, all by reading: lengths of arrays are trusted (2^31 elements, 8 GB); invalid ids and numbers escape as other exceptions than the one that readers handle; steps may depend on steps that do not exist; amounts and counts whose products exceed 32 bits turn negative and fit everywhere; an epoch near 2^63 leaves no higher one; the critical path was computed by a recursion that doubles with each step. Change: the codec bounds lengths by the bytes of the value, checks jobs with Submission.problem(), epochs (0 to 2^48) and numbers, and reports every defect as RecordFormatException, which readers skip. JobState keeps the critical paths, found in one pass over the steps. RecordCodecTest's round trip used a job whose first step depends on itself; its steps now depend on earlier ones, everything else is compared as before. A seeded test damages 10,000 records.

--- a/workflow/src/main/java/org/fuchsiawinch/workflow/job/JobState.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/job/JobState.java
@@ -8,6 +8,8 @@
 
     private final Submission submission;
     private final List<List<TaskState>> steps = new ArrayList<>();
+    private final long[] criticalPathsAfterMs;
+    private final long criticalPathMs;
     private JobPhase phase = JobPhase.QUEUED;
     private long endedAtMs;
 
@@ -18,6 +20,8 @@
      */
     public JobState(Submission submission) {
         this.submission = submission;
+        this.criticalPathsAfterMs = submission.criticalPathsAfterMs();
+        this.criticalPathMs = submission.criticalPathMs();
         for (StepSpec step : submission.steps()) {
             List<TaskState> tasks = new ArrayList<>(step.count());
             for (int i = 0; i < step.count(); i++) {
@@ -36,6 +40,25 @@
         return submission;
     }
 
+    /**
+     * Returns the critical path of the job: the longest chain of estimated run times through its steps.
+     *
+     * @return time in ms
+     */
+    public long criticalPathMs() {
+        return criticalPathMs;
+    }
+
+    /**
+     * Returns the critical path from the end of a step to the end of the job.
+     *
+     * @param step index of the step
+     * @return time in ms; 0 if no step depends on this one
+     */
+    public long criticalPathAfterMs(int step) {
+        return criticalPathsAfterMs[step];
+    }
+
     /**
      * Returns the phase.
      *
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/job/Submission.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/job/Submission.java
@@ -1,7 +1,9 @@
 package org.fuchsiawinch.workflow.job;
 
 import java.util.List;
+import java.util.Optional;
 
+import org.fuchsiawinch.model.Resources;
 import org.fuchsiawinch.model.WorkspaceId;
 
 /**
@@ -45,58 +47,117 @@
      */
     public record QueueRules(int priority, int maxAttempts, double slackFactor, long targetMs) {}
 
+    /** Largest number of tasks of a job: the progress of all of them has to fit into one record of the store. */
+    public static final int MAX_TASKS = 5000;
+
+    /** Largest amount of a resource that a task may need; the sum of two amounts still fits into 32 bits. */
+    public static final int MAX_AMOUNT = 1_000_000_000;
+
+    /** Longest estimate of a run time in ms: a hundred days. */
+    public static final long MAX_ESTIMATE_MS = 100L * 24 * 3600 * 1000;
+
     /**
-     * Returns the largest number of accelerators that one step of the job uses concurrently.
+     * Checks that the job can be scheduled at all.
      *
-     * @return number of accelerators
+     * @return what is wrong with the first invalid step or rule; empty if nothing is
      */
-    public int peakAccelerators() {
-        return steps.stream()
-                .mapToInt(step -> step.count() * step.perTask().accelerators())
-                .max()
-                .orElse(0);
+    public Optional<String> problem() {
+        if (!Double.isFinite(rules.slackFactor()) || rules.slackFactor() < 0) {
+            return Optional.of("slack factor: " + rules.slackFactor());
+        }
+        if (rules.priority() < 0 || rules.targetMs() < 0) {
+            return Optional.of("priority or target: negative");
+        }
+        return stepsProblem(steps);
     }
 
     /**
-     * Returns the critical path of the job: the longest chain of estimated run times through its steps.
+     * Checks the steps of a job.
      *
-     * @return time in ms
+     * @param steps the steps
+     * @return what is wrong with the first invalid step; empty if nothing is
      */
-    public long criticalPathMs() {
-        long longest = 0;
+    public static Optional<String> stepsProblem(List<StepSpec> steps) {
+        if (steps.isEmpty()) {
+            return Optional.of("steps: none");
+        }
+        long tasks = 0;
         for (int step = 0; step < steps.size(); step++) {
-            longest = Math.max(longest, criticalPathToMs(step));
+            Optional<String> problem = problem(steps.get(step), step);
+            if (problem.isPresent()) {
+                return Optional.of("steps[" + step + "]." + problem.get());
+            }
+            tasks += steps.get(step).count();
+        }
+        return tasks > MAX_TASKS ? Optional.of("steps: more than " + MAX_TASKS + " tasks") : Optional.empty();
+    }
+
+    private static Optional<String> problem(StepSpec spec, int step) {
+        if (spec.count() < 1 || spec.count() > MAX_TASKS) {
+            return Optional.of("count: not from 1 to " + MAX_TASKS + ": " + spec.count());
+        }
+        if (spec.estimatedMs() < 0 || spec.estimatedMs() > MAX_ESTIMATE_MS) {
+            return Optional.of("estimate: not from 0 to " + MAX_ESTIMATE_MS + " ms: " + spec.estimatedMs());
         }
-        return longest;
+        if (!validAmounts(spec.perTask())) {
+            return Optional.of("resources: not from 0 to " + MAX_AMOUNT + ": " + spec.perTask());
+        }
+        return spec.after().stream()
+                .filter(dependency -> dependency < 0 || dependency >= step)
+                .findFirst()
+                .map(dependency -> "after: no earlier step: " + dependency);
     }
 
     /**
-     * Returns the critical path up to and including a step.
+     * Returns whether no amount is negative or above {@link #MAX_AMOUNT}.
+     *
+     * @param amounts the amounts of each resource
+     * @return true if they can be added up
+     */
+    public static boolean validAmounts(Resources amounts) {
+        return Resources.NONE.fitsIn(amounts)
+                && amounts.fitsIn(new Resources(MAX_AMOUNT, MAX_AMOUNT, MAX_AMOUNT, MAX_AMOUNT, MAX_AMOUNT));
+    }
+
+    /**
+     * Returns the largest number of accelerators that one step of the job uses concurrently.
+     *
+     * @return number of accelerators
+     */
+    public long peakAccelerators() {
+        return steps.stream()
+                .mapToLong(step -> (long) step.count() * step.perTask().accelerators())
+                .max()
+                .orElse(0);
+    }
+
+    /**
+     * Returns the critical path of the job: the longest chain of estimated run times through its steps.
      *
-     * @param step index of the step
      * @return time in ms
      */
-    public long criticalPathToMs(int step) {
+    public long criticalPathMs() {
         long longestMs = 0;
-        for (int dependency : steps.get(step).after()) {
-            longestMs = Math.max(longestMs, criticalPathToMs(dependency));
+        long[] afterMs = criticalPathsAfterMs();
+        for (int step = 0; step < steps.size(); step++) {
+            longestMs = Math.max(longestMs, steps.get(step).estimatedMs() + afterMs[step]);
         }
-        return longestMs + steps.get(step).estimatedMs();
+        return longestMs;
     }
 
     /**
-     * Returns the critical path from the end of a step to the end of the job.
+     * Returns the critical path from the end of each step to the end of the job.
      *
-     * @param step index of the step
-     * @return time in ms; 0 if no step depends on this one
+     * @return time in ms by step; 0 if no step depends on it
      */
-    public long criticalPathAfterMs(int step) {
-        long longestMs = 0;
-        for (int next = step + 1; next < steps.size(); next++) {
-            if (steps.get(next).after().contains(step)) {
-                longestMs = Math.max(longestMs, steps.get(next).estimatedMs() + criticalPathAfterMs(next));
+    public long[] criticalPathsAfterMs() {
+        long[] afterMs = new long[steps.size()];
+        for (int step = steps.size() - 1; step >= 0; step--) {
+            long fromStartMs = steps.get(step).estimatedMs() + afterMs[step];
+            for (int dependency : steps.get(step).after()) {
+                afterMs[dependency] = Math.max(afterMs[dependency], fromStartMs);
             }
         }
-        return longestMs;
+        return afterMs;
     }
 }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellState.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellState.java
@@ -98,7 +98,7 @@
                 "ageMs",
                 nowMs - job.submission().acceptedAtMs(),
                 "objectiveMs",
-                JobUtility.objectiveMs(job.submission()));
+                JobUtility.objectiveMs(job));
     }
 
     /** Removes a job from the open jobs once it has ended and none of its tasks is assigned. */
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/JobUtility.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/JobUtility.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 
 import org.fuchsiawinch.model.Resources;
+import org.fuchsiawinch.workflow.job.JobState;
 import org.fuchsiawinch.workflow.job.StepSpec;
 import org.fuchsiawinch.workflow.job.Submission;
 
@@ -129,9 +130,9 @@
     }
 
     /** Returns the completion objective of a job in ms from its acceptance. */
-    static long objectiveMs(Submission job) {
-        return Math.round(job.rules().slackFactor() * job.criticalPathMs())
-                + job.rules().targetMs();
+    static long objectiveMs(JobState job) {
+        Submission.QueueRules rules = job.submission().rules();
+        return Math.round(rules.slackFactor() * job.criticalPathMs()) + rules.targetMs();
     }
 
     /** Returns the most likely standing of a job. */
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTimePredictor.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTimePredictor.java
@@ -6,7 +6,6 @@
 
 import org.fuchsiawinch.workflow.job.JobState;
 import org.fuchsiawinch.workflow.job.StepSpec;
-import org.fuchsiawinch.workflow.job.Submission;
 
 /**
  * Predicts run times from the callers' estimates. Attributes observed progress to the worker's speed and to the error
@@ -108,12 +107,11 @@
 
     /** Returns the completion forecast of a job if a unit of the step starts at the given job age and run time. */
     JobUtility.CompletionForecast completionForecast(JobState job, int step, double startAgeMs, double runMs) {
-        Submission submission = job.submission();
         double factor = correctionFactor(job);
         return new JobUtility.CompletionForecast(
                 startAgeMs,
-                runMs + submission.criticalPathAfterMs(step) * factor,
-                submission.criticalPathMs() * factor,
+                runMs + job.criticalPathAfterMs(step) * factor,
+                job.criticalPathMs() * factor,
                 LOG_RUN_TIME_DEVIATION);
     }
 
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Scheduler.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Scheduler.java
@@ -55,8 +55,7 @@
         /** Returns whether this is a large unit that has waited too long for less urgent work to go first. */
         boolean starved(int largestWorkerAccelerators) {
             return unit.large(largestWorkerAccelerators)
-                    && ageMs
-                            >= STARVED_SHARE * JobUtility.objectiveMs(unit.job().submission())
+                    && ageMs >= STARVED_SHARE * JobUtility.objectiveMs(unit.job())
                     && standing != JobUtility.Standing.HOPELESS;
         }
 
@@ -107,13 +106,13 @@
     /** Returns the jobs of priority 0 that fit into their workspace's guarantee, filled in order of acceptance. */
     private Set<JobState> guaranteedJobs() {
         Set<JobState> chosen = new HashSet<>();
-        Map<WorkspaceId, Integer> used = new HashMap<>();
+        Map<WorkspaceId, Long> used = new HashMap<>();
         for (JobState job : state.openJobs.values()) {
             if (job.submission().rules().priority() != 0 || job.phase().ended()) {
                 continue;
             }
             WorkspaceId workspace = job.submission().workspace();
-            int after = used.getOrDefault(workspace, 0) + job.submission().peakAccelerators();
+            long after = used.getOrDefault(workspace, 0L) + job.submission().peakAccelerators();
             if (after <= state.guarantees.of(workspace)) {
                 used.put(workspace, after);
                 chosen.add(job);
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/record/RecordCodec.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/record/RecordCodec.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.fuchsiawinch.model.IllegalIdException;
 import org.fuchsiawinch.model.Resources;
 import org.fuchsiawinch.model.WorkerId;
 import org.fuchsiawinch.model.WorkspaceId;
@@ -29,6 +30,10 @@
 public final class RecordCodec {
 
     private static final int VERSION = 1;
+
+    /** Largest valid epoch; leaves room for 2^32 rounds of claims, and for higher epochs after it. */
+    private static final long MAX_EPOCH = 1L << 48;
+
     private static final int GANG_BIT = 1;
     private static final int SAME_RACK_BIT = 2;
     private static final int CHECKPOINTS_BIT = 4;
@@ -81,32 +86,63 @@
                 throw new RecordFormatException(
                         key, "unsupported format version " + version + ", expected " + VERSION, null);
             }
-            return decodeBody(key, unpacker);
+            return decodeBody(key, unpacker, value.length);
         } catch (IOException | MessagePackException | IndexOutOfBoundsException e) {
             throw new RecordFormatException(key, "malformed or truncated value of " + value.length + " bytes", e);
+        } catch (IllegalArgumentException | IllegalIdException e) {
+            throw new RecordFormatException(key, "invalid value: " + e.getMessage(), e);
         }
     }
 
-    private static CellRecord decodeBody(String key, MessageUnpacker unpacker) throws IOException {
+    private static CellRecord decodeBody(String key, MessageUnpacker unpacker, int length) throws IOException {
         if (key.equals(CellRecord.OWNER_KEY)) {
-            return new CellRecord.Owner(unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackBoolean());
+            return unpackOwner(unpacker);
         }
         if (key.equals(CellRecord.LearnedRunTimes.KEY)) {
             return unpackLearned(unpacker);
         }
         if (key.startsWith(CellRecord.Accepted.PREFIX)) {
-            return new CellRecord.Accepted(
-                    unpackSubmission(key.substring(CellRecord.Accepted.PREFIX.length()), unpacker));
+            Submission job = unpackSubmission(key.substring(CellRecord.Accepted.PREFIX.length()), unpacker, length);
+            job.problem().ifPresent(problem -> {
+                throw new IllegalArgumentException(problem);
+            });
+            return new CellRecord.Accepted(job);
         }
         if (key.startsWith(CellRecord.CancelRequested.PREFIX)) {
             return new CellRecord.CancelRequested(key.substring(CellRecord.CancelRequested.PREFIX.length()));
         }
         if (key.startsWith(CellRecord.Progress.PREFIX)) {
-            return unpackProgress(key.substring(CellRecord.Progress.PREFIX.length()), unpacker);
+            return unpackProgress(key.substring(CellRecord.Progress.PREFIX.length()), unpacker, length);
         }
         throw new RecordFormatException(key, "unknown key prefix", null);
     }
 
+    private static CellRecord.Owner unpackOwner(MessageUnpacker unpacker) throws IOException {
+        String node = unpacker.unpackString();
+        long epoch = unpacker.unpackLong();
+        if (epoch < 0 || epoch > MAX_EPOCH) {
+            throw new IllegalArgumentException("epoch: not from 0 to " + MAX_EPOCH + ": " + epoch);
+        }
+        return new CellRecord.Owner(node, epoch, unpacker.unpackBoolean());
+    }
+
+    /** Reads the length of an array, whose elements take at least a byte each of a value of the given length. */
+    private static int unpackCount(MessageUnpacker unpacker, int length) throws IOException {
+        int count = unpacker.unpackArrayHeader();
+        if (count > length) {
+            throw new IllegalArgumentException("array of " + count + " elements in " + length + " bytes");
+        }
+        return count;
+    }
+
+    private static double unpackFinite(MessageUnpacker unpacker) throws IOException {
+        double number = unpacker.unpackFloat();
+        if (!Double.isFinite(number)) {
+            throw new IllegalArgumentException("not a finite number: " + number);
+        }
+        return number;
+    }
+
     private static void packSubmission(MessageBufferPacker packer, Submission job) throws IOException {
         packer.packString(job.queue()).packString(job.service());
         packer.packString(job.workspace().value());
@@ -136,7 +172,7 @@
                 .packString(step.dataRack().orElse(""));
     }
 
-    private static Submission unpackSubmission(String id, MessageUnpacker unpacker) throws IOException {
+    private static Submission unpackSubmission(String id, MessageUnpacker unpacker, int length) throws IOException {
         String queue = unpacker.unpackString();
         String service = unpacker.unpackString();
         WorkspaceId workspace = new WorkspaceId(unpacker.unpackString());
@@ -144,19 +180,19 @@
                 unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackDouble(), unpacker.unpackLong());
         long acceptedAtMs = unpacker.unpackLong();
         String payload = unpacker.unpackString();
-        int count = unpacker.unpackArrayHeader();
+        int count = unpackCount(unpacker, length);
         List<StepSpec> steps = new ArrayList<>(count);
         for (int i = 0; i < count; i++) {
-            steps.add(unpackStep(unpacker));
+            steps.add(unpackStep(unpacker, length));
         }
         return new Submission(id, queue, service, workspace, rules, acceptedAtMs, payload, steps);
     }
 
-    private static StepSpec unpackStep(MessageUnpacker unpacker) throws IOException {
+    private static StepSpec unpackStep(MessageUnpacker unpacker, int length) throws IOException {
         int count = unpacker.unpackInt();
         Resources perTask = new Resources(unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackInt(), 0, 0);
         long estimatedMs = unpacker.unpackLong();
-        int dependencies = unpacker.unpackArrayHeader();
+        int dependencies = unpackCount(unpacker, length);
         List<Integer> after = new ArrayList<>(dependencies);
         for (int i = 0; i < dependencies; i++) {
             after.add(unpacker.unpackInt());
@@ -191,14 +227,15 @@
         }
     }
 
-    private static CellRecord.Progress unpackProgress(String job, MessageUnpacker unpacker) throws IOException {
+    private static CellRecord.Progress unpackProgress(String job, MessageUnpacker unpacker, int length)
+            throws IOException {
         String queue = unpacker.unpackString();
         JobPhase phase = JOB_PHASES[unpacker.unpackInt()];
         long endedAtMs = unpacker.unpackLong();
-        int count = unpacker.unpackArrayHeader();
+        int count = unpackCount(unpacker, length);
         List<List<CellRecord.TaskProgress>> steps = new ArrayList<>(count);
         for (int i = 0; i < count; i++) {
-            int taskCount = unpacker.unpackArrayHeader();
+            int taskCount = unpackCount(unpacker, length);
             List<CellRecord.TaskProgress> tasks = new ArrayList<>(taskCount);
             for (int k = 0; k < taskCount; k++) {
                 tasks.add(new CellRecord.TaskProgress(
@@ -228,11 +265,11 @@
     private static CellRecord.LearnedRunTimes unpackLearned(MessageUnpacker unpacker) throws IOException {
         Map<WorkerId, Double> speeds = new HashMap<>();
         for (int left = unpacker.unpackMapHeader(); left > 0; left--) {
-            speeds.put(new WorkerId(unpacker.unpackString()), (double) unpacker.unpackFloat());
+            speeds.put(new WorkerId(unpacker.unpackString()), unpackFinite(unpacker));
         }
         Map<String, Double> errors = new HashMap<>();
         for (int left = unpacker.unpackMapHeader(); left > 0; left--) {
-            errors.put(unpacker.unpackString(), (double) unpacker.unpackFloat());
+            errors.put(unpacker.unpackString(), unpackFinite(unpacker));
         }
         return new CellRecord.LearnedRunTimes(speeds, errors);
     }
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/RecordCodecTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/RecordCodecTest.java
@@ -4,11 +4,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
+import java.util.stream.IntStream;
 
 import org.fuchsiawinch.model.Resources;
 import org.fuchsiawinch.model.WorkerId;
 import org.fuchsiawinch.model.WorkspaceId;
 import org.fuchsiawinch.workflow.job.JobPhase;
+import org.fuchsiawinch.workflow.job.JobState;
 import org.fuchsiawinch.workflow.job.StepSpec;
 import org.fuchsiawinch.workflow.job.Submission;
 import org.fuchsiawinch.workflow.job.TaskPhase;
@@ -19,6 +22,7 @@
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
 import static org.testng.Assert.assertThrows;
 
 /** Guards against records that change in an encoding round trip, and against decoding truncated or foreign values. */
@@ -28,6 +32,17 @@
 
     @DataProvider
     public Object[][] records() {
+        StepSpec first = new StepSpec(
+                1,
+                new Resources(500, 256, 0, 0, 0),
+                900,
+                List.of(),
+                false,
+                true,
+                false,
+                0,
+                Optional.empty(),
+                Optional.empty());
         StepSpec step = new StepSpec(
                 3,
                 new Resources(500, 256, 2, 0, 0),
@@ -47,7 +62,7 @@
                 new Submission.QueueRules(1, 3, 1.5, 250),
                 1_700_000_000_000L,
                 "a text with \u00fc",
-                List.of(step, step));
+                List.of(first, first, step, step));
         CellRecord.TaskProgress task =
                 new CellRecord.TaskProgress(TaskPhase.ASSIGNED, 4, 1, 3, Optional.of(new WorkerId("i-1")), "0b");
         return new Object[][] {
@@ -81,4 +96,106 @@
         value[0] = 2;
         assertThrows(RecordFormatException.class, () -> codec.decode("owner", value));
     }
+
+    private static Submission job(StepSpec... steps) {
+        return new Submission(
+                "0123456789abcdef",
+                "plans",
+                "desk",
+                new WorkspaceId("ws"),
+                new Submission.QueueRules(1, 3, 1.5, 250),
+                0,
+                "",
+                List.of(steps));
+    }
+
+    private static StepSpec step(int count, int accelerators, long estimatedMs, Integer... after) {
+        return new StepSpec(
+                count,
+                new Resources(1, 1, accelerators, 0, 0),
+                estimatedMs,
+                List.of(after),
+                false,
+                false,
+                false,
+                0,
+                Optional.empty(),
+                Optional.empty());
+    }
+
+    @DataProvider
+    public Object[][] jobsThatCannotBeScheduled() {
+        return new Object[][] {
+            {job()},
+            {job(step(0, 1, 10))},
+            {job(step(Integer.MAX_VALUE, 1, 10))},
+            {job(step(3000, 1, 10), step(3000, 1, 10))},
+            {job(step(1, -1, 10))},
+            {job(step(1, Integer.MAX_VALUE, 10))},
+            {job(step(1, 1, -1))},
+            {job(step(1, 1, Long.MAX_VALUE))},
+            {job(step(1, 1, 10, 0))},
+            {job(step(1, 1, 10), step(1, 1, 10, -1))},
+            {job(step(1, 1, 10), step(1, 1, 10, 7))},
+        };
+    }
+
+    // Guards against records of other writers that every owner would fail on in each of its passes.
+    @Test(dataProvider = "jobsThatCannotBeScheduled")
+    public void rejectsJobsThatCannotBeScheduled(Submission job) {
+        CellRecord record = new CellRecord.Accepted(job);
+        assertThrows(RecordFormatException.class, () -> codec.decode(record.key(), codec.encode(record)));
+    }
+
+    @DataProvider
+    public Object[][] oddValues() {
+        byte arrayHeader = (byte) 0xdd;
+        return new Object[][] {
+            {"owner", codec.encode(new CellRecord.Owner("n1", Long.MAX_VALUE, false))},
+            {"owner", codec.encode(new CellRecord.Owner("n1", -1, false))},
+            {"learned", codec.encode(new CellRecord.LearnedRunTimes(Map.of(new WorkerId("i"), Double.NaN), Map.of()))},
+            {"s/0", new byte[] {1, (byte) 0xa1, 'q', 0, 0, arrayHeader, 0x7f, -1, -1, -1}},
+            {"s/0", new byte[] {1, (byte) 0xa1, 'q', 0, 0, (byte) 0x91, arrayHeader, 0x7f, -1, -1, -1}},
+            {"s/0", new byte[] {1, (byte) 0xa1, 'q', 99, 0, (byte) 0x90}},
+            {"s/0", new byte[] {1, (byte) 0xa1, 'q', 0, 0, (byte) 0x91, (byte) 0x91, 0, 0, 0, 0, (byte) 0xa1, ' ', -96}
+            },
+        };
+    }
+
+    // Guards against a record that ends the process by its memory, or its reader by an exception that nobody handles.
+    @Test(dataProvider = "oddValues")
+    public void rejectsOddValues(String key, byte[] value) {
+        assertThrows(RecordFormatException.class, () -> codec.decode(key, value));
+    }
+
+    // Guards against damaged records that do anything but decode or fail as unreadable, over 10,000 seeded cases.
+    @Test
+    public void decodesOrRejectsDamagedValues() {
+        Random random = new Random(1);
+        Object[][] records = records();
+        for (int i = 0; i < 10_000; i++) {
+            CellRecord record = (CellRecord) records[random.nextInt(records.length)][0];
+            byte[] value = codec.encode(record);
+            for (int damaged = random.nextInt(4); damaged >= 0 && value.length > 0; damaged--) {
+                value[random.nextInt(value.length)] = (byte) random.nextInt();
+            }
+            try {
+                CellRecord decoded = codec.decode(record.key(), value);
+                assertEquals(decoded.key(), record.key());
+            } catch (RecordFormatException rejected) {
+                assertNotNull(rejected.getMessage());
+            }
+        }
+    }
+
+    // Guards against a job whose critical path takes a time that doubles with each of its steps.
+    @Test(timeOut = 5000)
+    public void findsTheCriticalPathOfManyStepsThatAllDependOnEachOther() {
+        StepSpec[] steps = new StepSpec[500];
+        for (int step = 0; step < steps.length; step++) {
+            steps[step] = step(1, 1, 10, IntStream.range(0, step).boxed().toArray(Integer[]::new));
+        }
+        assertEquals(job(steps).criticalPathMs(), 5000);
+        assertEquals(new JobState(job(steps)).criticalPathAfterMs(100), 3990);
+    }
 }
