Contain unexpected failures where they occur

What callers see: nothing is started any more, or one node answers from an ever older state, while all processes run and say nothing. Cause: one exception in a listener dropped the next read of the stream; one in a periodic action ended it; one in an answer of a worker or the store left the call unanswered for good, so that the worker was never asked again or the cell never claimed again. An owner went on with the state that a failed decision left behind. Change: the ports are wrapped once (ContainedStore, ContainedGateway, ContainedDecoder): what they throw becomes a value that callers handle already; an order whose call failed counts as unanswered. FailureBarrier runs listeners and periodic actions. A follower delivers the entries of a failed call again one by one and skips those that fail; after a failed read it starts from the newest entries. A decision that fails ends the ownership with a release, and the node leaves the cell to others for 3 s. Each failure is one line (unexpected-failure, entry-skipped, owner-failed) and a count.

--- a/server/src/main/java/org/fuchsiawinch/server/Node.java
+++ b/server/src/main/java/org/fuchsiawinch/server/Node.java
@@ -8,6 +8,10 @@
 
 import com.codahale.metrics.MetricRegistry;
 import org.fuchsiawinch.server.api.CallerRequestHandler;
+import org.fuchsiawinch.server.failure.ContainedDecoder;
+import org.fuchsiawinch.server.failure.ContainedGateway;
+import org.fuchsiawinch.server.failure.ContainedStore;
+import org.fuchsiawinch.server.failure.FailureBarrier;
 import org.fuchsiawinch.server.owner.OwnerSession;
 import org.fuchsiawinch.server.port.Stream;
 import org.fuchsiawinch.server.port.StreamStore;
@@ -48,8 +52,12 @@
     /** A document has to be in force within two seconds, even if one long poll gets no answer. */
     private static final StreamFollower.PollSettings OPERATOR_POLL = new StreamFollower.PollSettings(600, 0);
 
+    /** Time in ms without a claim after an ownership that failed, so that another node takes the cell. */
+    private static final long FAILED_OWNER_PAUSE_MS = 3000;
+
     private final NodeSettings settings;
     private final OwnerSession.Ports ports;
+    private final FailureBarrier barrier;
     private final Scheduler scheduler;
     private final LongSupplier clock;
     private final DecisionLog log;
@@ -75,6 +83,9 @@
     /** Offset up to which this node must have read the cell's stream before it claims again. */
     private long minClaimOffset;
 
+    /** Time in ms before which this node does not claim the cell. */
+    private long claimPauseEndMs = Long.MIN_VALUE;
+
     private boolean draining;
 
     /**
@@ -95,16 +106,20 @@
             DecisionLog log,
             MetricRegistry metrics) {
         this.settings = settings;
-        this.ports = ports;
         this.scheduler = scheduler;
         this.clock = clock;
         this.log = new CountingLog(log, metrics);
+        this.barrier = new FailureBarrier(this.log);
+        this.ports = new OwnerSession.Ports(
+                new ContainedStore(ports.store(), barrier),
+                new ContainedGateway(ports.gateway(), barrier),
+                new ContainedDecoder(ports.entryDecoder(), barrier));
         this.metrics = metrics;
         this.reader = new RecordReader(this.log);
         this.election = new Election(settings.name(), settings.seed(), settings.small(), clock.getAsLong());
         this.cellFollower = createFollower(Stream.CELL, FOLLOWER_POLL, new CellListener());
         this.operatorFollower = createFollower(Stream.OPERATOR, OPERATOR_POLL, new OperatorListener());
-        this.requestAppender = new BatchingAppender(ports.store(), scheduler, clock, this.log);
+        this.requestAppender = new BatchingAppender(this.ports.store(), scheduler, clock, this.log);
         this.requestHandler = new CallerRequestHandler(
                 index, () -> rules, cellFollower, operatorFollower, requestAppender, codec, clock, this.log, metrics);
     }
@@ -118,7 +133,7 @@
     public void start() {
         operatorFollower.start();
         cellFollower.start();
-        scheduler.schedulePeriodically(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+        scheduler.schedulePeriodically(() -> barrier.run("tick", this::tick), TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
     }
 
     /**
@@ -173,6 +188,9 @@
 
     private void tick() {
         long nowMs = clock.getAsLong();
+        if (nowMs < claimPauseEndMs) {
+            return;
+        }
         boolean behind = cellFollower.nextOffset() < minClaimOffset;
         if (draining || claimInFlight || ownership.isPresent() || !cellFollower.loaded() || rules.isEmpty() || behind) {
             return;
@@ -258,6 +276,9 @@
     }
 
     private void endOwnership() {
+        if (ownership.filter(OwnerSession::failed).isPresent()) {
+            claimPauseEndMs = clock.getAsLong() + FAILED_OWNER_PAUSE_MS;
+        }
         ownership = Optional.empty();
         claimedEpoch = OptionalLong.empty();
         cellFollower.changePolling(FOLLOWER_POLL);
--- a/server/src/main/java/org/fuchsiawinch/server/owner/OwnerSession.java
+++ b/server/src/main/java/org/fuchsiawinch/server/owner/OwnerSession.java
@@ -11,6 +11,7 @@
 import java.util.function.LongSupplier;
 
 import org.fuchsiawinch.model.WorkerId;
+import org.fuchsiawinch.server.failure.FailureBarrier;
 import org.fuchsiawinch.server.port.EntryDecoder;
 import org.fuchsiawinch.server.port.Stream;
 import org.fuchsiawinch.server.port.StreamStore;
@@ -60,7 +61,9 @@
     private Optional<CellOwner> owner = Optional.empty();
     private Guarantees guarantees;
     private Disposable ticker = () -> {};
+    private final FailureBarrier barrier;
     private boolean releasing;
+    private boolean failed;
     private boolean ended;
 
     /**
@@ -100,6 +103,7 @@
         this.scheduler = scheduler;
         this.clock = clock;
         this.log = log;
+        this.barrier = new FailureBarrier(log);
         this.onEnd = onEnd;
         this.claimStoredMs = clock.getAsLong();
         this.workerFollower = new StreamFollower(
@@ -148,6 +152,15 @@
         appender.storeRecovered();
     }
 
+    /**
+     * Returns whether an unexpected failure has ended the ownership, or is about to.
+     *
+     * @return true if it has failed
+     */
+    public boolean failed() {
+        return failed;
+    }
+
     /**
      * Returns the owner.
      *
@@ -188,7 +201,7 @@
                                 .key()));
                 return;
             }
-            initialize(collected);
+            barrier.run("owner-load", () -> initialize(collected)).ifPresent(this::releaseAfterFailure);
         });
     }
 
@@ -220,9 +233,21 @@
         if (ended || owner.isEmpty()) {
             return;
         }
-        for (OwnerEffect effect : owner.get().handle(input, clock.getAsLong())) {
-            execute(effect);
+        CellOwner current = owner.get();
+        barrier.run("owner", () -> current.handle(input, clock.getAsLong()).forEach(this::execute))
+                .ifPresent(this::releaseAfterFailure);
+    }
+
+    /** Gives up the ownership, as the owner's state may be inconsistent. The next owner starts from the stored state. */
+    private void releaseAfterFailure(Throwable failure) {
+        if (ended || failed) {
+            return;
         }
+        failed = true;
+        owner = Optional.empty();
+        ticker.dispose();
+        log.line("owner-failed", "epoch", epoch, "problem", failure);
+        release();
     }
 
     private void execute(OwnerEffect effect) {
--- a/server/src/main/java/org/fuchsiawinch/server/stream/StreamFollower.java
+++ b/server/src/main/java/org/fuchsiawinch/server/stream/StreamFollower.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
+import org.fuchsiawinch.server.failure.FailureBarrier;
 import org.fuchsiawinch.server.port.Stream;
 import org.fuchsiawinch.server.port.StreamStore;
 import org.fuchsiawinch.workflow.owner.DecisionLog;
@@ -17,12 +18,13 @@
 
 /**
  * Follows one stream: loads a snapshot of the latest entry of each key, then reads what follows. Loads a new snapshot
- * if the store no longer retains the next entries. The listener never receives an entry of a key after a newer one. Not
+ * if the store no longer retains the next entries. The listener never receives an entry of a key after a newer one. If
+ * the listener fails on entries, they are delivered again one by one and those on which it fails are skipped. Not
  * thread-safe: all calls and callbacks run on the node's single thread.
  */
 public final class StreamFollower {
 
-    /** Receives entries in the order of their offsets. */
+    /** Receives entries in the order of their offsets; after a failure it may receive entries of a call again. */
     public interface Listener {
 
         /**
@@ -66,6 +68,7 @@
     private final LongSupplier clock;
     private final Listener listener;
     private final DecisionLog log;
+    private final FailureBarrier barrier;
     private final long jitterSeed;
 
     /**
@@ -121,6 +124,7 @@
         this.jitterSeed = jitterSeed;
         this.listener = listener;
         this.log = log;
+        this.barrier = new FailureBarrier(log);
     }
 
     /** Starts to follow the stream. */
@@ -192,25 +196,69 @@
     }
 
     private void loadSnapshot(List<StreamStore.StoredEntry> collected, Optional<String> after, long firstEnd) {
-        pending = store.readLatest(stream, after).subscribe(result -> {
-            if (closed) {
-                return;
-            }
-            if (result instanceof StreamStore.PageResult.Failed failed) {
-                retry(failed.problem(), () -> loadSnapshot(new ArrayList<>(), Optional.empty(), -1));
-                return;
-            }
-            StreamStore.PageResult.Page page = (StreamStore.PageResult.Page) result;
-            collected.addAll(page.entries());
-            long end = firstEnd < 0 ? page.end() : firstEnd;
-            if (page.more() && !page.entries().isEmpty()) {
-                String lastKey =
-                        page.entries().get(page.entries().size() - 1).entry().key();
-                loadSnapshot(collected, Optional.of(lastKey), end);
-                return;
-            }
-            applySnapshot(collected, end);
-        });
+        pending = store.readLatest(stream, after)
+                .subscribe(
+                        result -> {
+                            if (closed) {
+                                return;
+                            }
+                            if (result instanceof StreamStore.PageResult.Failed failed) {
+                                retry(failed.problem(), this::start);
+                                return;
+                            }
+                            StreamStore.PageResult.Page page = (StreamStore.PageResult.Page) result;
+                            collected.addAll(page.entries());
+                            long end = firstEnd < 0 ? page.end() : firstEnd;
+                            if (page.more() && !page.entries().isEmpty()) {
+                                String lastKey = page.entries()
+                                        .get(page.entries().size() - 1)
+                                        .entry()
+                                        .key();
+                                loadSnapshot(collected, Optional.of(lastKey), end);
+                                return;
+                            }
+                            applySnapshot(collected, end);
+                        },
+                        this::startAgain);
+    }
+
+    /** Loads a new snapshot after an unexpected failure. */
+    private void startAgain(Throwable failure) {
+        barrier.report("follow-" + stream, failure);
+        if (!closed) {
+            probing = false;
+            pending.dispose();
+            retry(failure.toString(), this::start);
+        }
+    }
+
+    /** Delivers a snapshot; if the listener fails on it, an empty one and then the entries one by one. */
+    private void deliverSnapshot(List<StreamStore.StoredEntry> entries) {
+        if (barrier.run("snapshot-" + stream, () -> listener.onSnapshot(entries))
+                .isPresent()) {
+            barrier.run("snapshot-" + stream, () -> listener.onSnapshot(new ArrayList<>()));
+            entries.forEach(this::deliverOrSkip);
+        }
+    }
+
+    private void deliver(List<StreamStore.StoredEntry> entries) {
+        if (barrier.run("entries-" + stream, () -> listener.onEntries(entries)).isPresent()) {
+            entries.forEach(this::deliverOrSkip);
+        }
+    }
+
+    private void deliverOrSkip(StreamStore.StoredEntry stored) {
+        barrier.run("entry-" + stream, () -> listener.onEntries(List.of(stored)))
+                .ifPresent(failure -> log.line(
+                        "entry-skipped",
+                        "stream",
+                        stream,
+                        "offset",
+                        stored.offset(),
+                        "key",
+                        stored.entry().key(),
+                        "bytes",
+                        stored.entry().value().length));
     }
 
     private void applySnapshot(List<StreamStore.StoredEntry> entries, long end) {
@@ -225,23 +273,26 @@
         }
         nextOffset = end;
         entries.sort((left, right) -> Long.compare(left.offset(), right.offset()));
-        listener.onSnapshot(entries);
+        deliverSnapshot(entries);
         read();
     }
 
     private void read() {
-        pending = store.read(stream, nextOffset, poll.waitMs()).subscribe(result -> {
-            if (closed) {
-                return;
-            }
-            if (result instanceof StreamStore.ReadResult.Failed failed) {
-                markUnreachable(failed.problem());
-                probing = true;
-                probe();
-                return;
-            }
-            onResult(result);
-        });
+        pending = store.read(stream, nextOffset, poll.waitMs())
+                .subscribe(
+                        result -> {
+                            if (closed) {
+                                return;
+                            }
+                            if (result instanceof StreamStore.ReadResult.Failed failed) {
+                                markUnreachable(failed.problem());
+                                probing = true;
+                                probe();
+                                return;
+                            }
+                            onResult(result);
+                        },
+                        this::startAgain);
     }
 
     /**
@@ -251,14 +302,17 @@
     private void probe() {
         schedule(PROBE_INTERVAL_MS + jitterSeed % (PROBE_INTERVAL_MS / 2), () -> {
             probe();
-            store.read(stream, nextOffset, 0).subscribe(result -> {
-                if (closed || !probing || result instanceof StreamStore.ReadResult.Failed) {
-                    return;
-                }
-                probing = false;
-                pending.dispose();
-                onResult(result);
-            });
+            store.read(stream, nextOffset, 0)
+                    .subscribe(
+                            result -> {
+                                if (closed || !probing || result instanceof StreamStore.ReadResult.Failed) {
+                                    return;
+                                }
+                                probing = false;
+                                pending.dispose();
+                                onResult(result);
+                            },
+                            this::startAgain);
         });
     }
 
@@ -288,10 +342,10 @@
             snapshotOffsets.clear();
         }
         if (!unseen.isEmpty()) {
-            listener.onEntries(unseen);
+            deliver(unseen);
         }
         if (nextOffset >= read.end()) {
-            listener.onCaughtUp();
+            barrier.run("caught-up-" + stream, listener::onCaughtUp);
         }
     }
 
@@ -306,7 +360,7 @@
         if (unreachable) {
             unreachable = false;
             log.line("dependency-regained", "stream", stream, "offset", nextOffset);
-            listener.onStoreRecovered();
+            barrier.run("recovered-" + stream, listener::onStoreRecovered);
         }
     }
 
--- a/server/src/test/java/org/fuchsiawinch/server/FakeStore.java
+++ b/server/src/test/java/org/fuchsiawinch/server/FakeStore.java
@@ -31,6 +31,9 @@
     /** Whether calls that begin now stay unanswered and end with their time-out. */
     boolean silent;
 
+    /** Error with which the next read ends; null for none. */
+    RuntimeException nextReadFailure;
+
     int appends;
     int reads;
 
@@ -85,6 +88,11 @@
     @Override
     public Mono<ReadResult> read(Stream stream, long from, long waitMs) {
         reads++;
+        if (nextReadFailure != null) {
+            RuntimeException failure = nextReadFailure;
+            nextReadFailure = null;
+            return Mono.error(failure);
+        }
         if (silent) {
             return Mono.delay(Duration.ofMillis(TIMEOUT_MS), time).map(ended -> new ReadResult.Failed("silent"));
         }
--- a/server/src/test/java/org/fuchsiawinch/server/StreamFollowerTest.java
+++ b/server/src/test/java/org/fuchsiawinch/server/StreamFollowerTest.java
@@ -19,6 +19,8 @@
 /** Tests that a follower neither misses entries nor goes back to older ones if the store expires entries or fails. */
 public class StreamFollowerTest {
 
+    private static final String BAD_KEY = "bad";
+
     private VirtualTimeScheduler time;
     private FakeStore store;
     private List<String> received;
@@ -52,6 +54,9 @@
 
         @Override
         public void onEntries(List<StreamStore.StoredEntry> entries) {
+            if (entries.stream().anyMatch(stored -> stored.entry().key().equals(BAD_KEY))) {
+                throw new IllegalStateException("entry on which the listener fails");
+            }
             entries.forEach(stored -> received.add(
                     stored.entry().key() + "=" + new String(stored.entry().value(), StandardCharsets.UTF_8)));
         }
@@ -174,4 +179,43 @@
         advance(1500);
         assertEquals(follower.stalenessMs(time.now(TimeUnit.MILLISECONDS)), 1500);
     }
+
+    // Guards against a node that stops following, and says nothing, after one entry on which its listener fails.
+    @Test
+    public void skipsAnEntryOnWhichTheListenerFailsAndGoesOn() {
+        store.put("a", "1");
+        follower.start();
+        store.put("b", "2");
+        store.put(BAD_KEY, "3");
+        store.put("c", "4");
+        advance(1000);
+        store.put("d", "5");
+        advance(1000);
+        assertEquals(received, List.of("snapshot", "a=1", "b=2", "c=4", "d=5"));
+        assertEquals(log, List.of("unexpected-failure", "unexpected-failure", "entry-skipped"));
+    }
+
+    // Guards against a node that never follows after it has met such an entry in its first snapshot.
+    @Test
+    public void skipsAnEntryOfTheSnapshotOnWhichTheListenerFails() {
+        store.put("a", "1");
+        store.put(BAD_KEY, "2");
+        follower.start();
+        store.put("b", "3");
+        advance(1000);
+        assertEquals(received, List.of("snapshot", "snapshot", "a=1", "b=3"));
+    }
+
+    // Guards against a follower that ends for good when a read fails in a way that the port does not allow.
+    @Test
+    public void loadsANewSnapshotAfterAnUnexpectedFailureOfARead() {
+        store.put("a", "1");
+        follower.start();
+        store.nextReadFailure = new IllegalStateException("unexpected");
+        advance(1000);
+        store.put("b", "2");
+        advance(2000);
+        assertEquals(received, List.of("snapshot", "a=1", "snapshot", "a=1", "b=2"));
+        assertTrue(log.contains("unexpected-failure"));
+    }
 }
