--- a/server/src/main/java/org/fuchsiawinch/server/failure/package-info.java
+++ b/server/src/main/java/org/fuchsiawinch/server/failure/package-info.java
@@ -1,2 +1,2 @@
-/** Containment of unexpected failures: each ends the action in which it occurs, not the timer or follower that runs it. */
+/** Containment of unexpected failures: each ends the action in which it occurs, not the timer or follower behind it. */
 package org.fuchsiawinch.server.failure;
--- a/server/src/main/java/org/fuchsiawinch/server/owner/OwnerSession.java
+++ b/server/src/main/java/org/fuchsiawinch/server/owner/OwnerSession.java
@@ -238,7 +238,7 @@
                 .ifPresent(this::releaseAfterFailure);
     }
 
-    /** Gives up the ownership, as the owner's state may be inconsistent. The next owner starts from the stored state. */
+    /** Gives up the ownership, since the owner's state may be inconsistent. The next owner loads the stored state. */
     private void releaseAfterFailure(Throwable failure) {
         if (ended || failed) {
             return;
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
@@ -302,7 +302,7 @@
         }
     }
 
-    /** Releases the ordered runs of a worker whose lease has expired, those that it never listed after the longest one. */
+    /** Releases the ordered runs of a worker whose lease has expired; unlisted runs wait for the longest lease. */
     private void releaseExpired(WorkerState worker, long nowMs) {
         boolean longestExpired =
                 !worker.contacted || worker.longestLeaseExpired(state.settings.longestLeaseMs(), nowMs);
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/UnansweredStarts.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/UnansweredStarts.java
@@ -8,9 +8,9 @@
 import org.fuchsiawinch.workflow.job.TaskRun;
 
 /**
- * Start orders to one worker that no answer has settled. Such an order may be carried out seconds later, also by the next
- * incarnation of the worker, which knows neither the fence nor the ended runs of the earlier one. The orders are kept
- * beyond the ends of their runs, so that they can be barred there. Not thread-safe.
+ * Start orders to one worker that no answer has settled. Such an order may be carried out seconds later, also by the
+ * next incarnation of the worker, which knows neither the fence nor the ended runs of the earlier one. The orders are
+ * kept beyond the ends of their runs, so that they can be barred there. Not thread-safe.
  */
 final class UnansweredStarts {
 
@@ -59,8 +59,8 @@
     }
 
     /**
-     * Returns the runs for which the present incarnation needs a stop now, since their orders were sent to an earlier one.
-     * Counts each as sent.
+     * Returns the runs for which the present incarnation needs a stop now, since their orders were sent to an earlier
+     * one. Counts each as sent.
      */
     List<TaskRun> stopsDue(long incarnation, long nowMs) {
         orders.values().removeIf(order -> nowMs - order.sentMs > MAX_ORDER_DELAY_MS);
