--- /dev/null
+++ b/bench/src/main/java/org/fuchsiawinch/bench/owner/package-info.java
@@ -0,0 +1,2 @@
+/** Cost of the owner of a cell under loads that need no network. */
+package org.fuchsiawinch.bench.owner;
