Bound the work of a scheduling pass and share what its units have in common

What callers see: on a busy large fleet the owner thinks longer than time passes; nothing starts, and renewals and ends wait behind a pass. Cause: each waiting unit searched victims over all workers and runs, four times over and for each task of a gang, although a unit of the same shape had just failed; each placed task computed run times, utilities and headroom anew. Change: units of a step are ranked together; a shape fails once a pass, and an attempt to preempt once in 40 ms; choices of victims are kept until a worker's capacity or runs change; run times, limits and headroom are computed once a step, the limit by bisection, since utility never rises with the run time; a pass assigns or claims at most 60 units, and the next follows as soon as its records are stored. Two new cases of SchedulingPassTest fail before. SchedulingPassTest.inputsInQuickSuccessionShareAPass counted the lines of failed reclaims, of which a pass no longer writes one each; it counts the passes themselves now (scheduling.passes), with the same bounds.

--- a/workflow/src/main/java/org/fuchsiawinch/workflow/job/JobState.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/job/JobState.java
@@ -10,6 +10,7 @@
     private final List<List<TaskState>> steps = new ArrayList<>();
     private final long[] criticalPathsAfterMs;
     private final long criticalPathMs;
+    private final long peakAccelerators;
     private JobPhase phase = JobPhase.QUEUED;
     private long endedAtMs;
 
@@ -22,6 +23,7 @@
         this.submission = submission;
         this.criticalPathsAfterMs = submission.criticalPathsAfterMs();
         this.criticalPathMs = submission.criticalPathMs();
+        this.peakAccelerators = submission.peakAccelerators();
         for (StepSpec step : submission.steps()) {
             List<TaskState> tasks = new ArrayList<>(step.count());
             for (int i = 0; i < step.count(); i++) {
@@ -40,6 +42,15 @@
         return submission;
     }
 
+    /**
+     * Returns the largest number of accelerators that one step of the job uses concurrently.
+     *
+     * @return number of accelerators
+     */
+    public long peakAccelerators() {
+        return peakAccelerators;
+    }
+
     /**
      * Returns the critical path of the job: the longest chain of estimated run times through its steps.
      *
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
@@ -56,6 +56,9 @@
     /** Whether new records wait for a scheduling pass; a new job is scheduled at once. */
     private boolean recordsPending;
 
+    /** Whether the last pass has left units for the next one, which follows once its records are stored. */
+    private boolean passIncomplete;
+
     private long lastPassMs;
 
     /** Whether enough workers have answered to schedule; stays true. */
@@ -147,12 +150,12 @@
             workerInput(input, nowMs);
         }
         if (!appendPending) {
-            boolean passDue = recordsPending || nowMs - lastPassMs >= MIN_PASS_INTERVAL_MS;
+            boolean passDue = recordsPending || passIncomplete || nowMs - lastPassMs >= MIN_PASS_INTERVAL_MS;
             if (passPending && passDue && fleetKnown(nowMs)) {
-                passPending = false;
                 recordsPending = false;
                 lastPassMs = nowMs;
-                scheduler.schedule(nowMs);
+                passIncomplete = !scheduler.schedule(nowMs);
+                passPending = passIncomplete;
             }
             append(nowMs);
         }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Placer.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Placer.java
@@ -4,16 +4,19 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 import org.fuchsiawinch.model.Resources;
+import org.fuchsiawinch.workflow.job.JobState;
 import org.fuchsiawinch.workflow.job.StepSpec;
-import org.fuchsiawinch.workflow.job.Submission;
 
 /**
  * Places units on workers during one scheduling pass. Each placement is deducted at once from the free capacity for the
@@ -58,6 +61,18 @@
     private final long nowMs;
     private final Reservations reservations;
 
+    /** Accelerators of all usable workers. */
+    private double acceleratorCapacity;
+
+    /** Accelerators of the usable workers that are free. */
+    private double freeAccelerators;
+
+    /** The usable workers, fastest first; empty until it is needed. */
+    private List<WorkerState> fastestFirst = List.of();
+
+    /** What was computed for the step of the unit that was last placed; the units of a step follow one another. */
+    private Optional<StepPlacement> lastStep = Optional.empty();
+
     Placer(CellState state, long nowMs) {
         this.state = state;
         this.nowMs = nowMs;
@@ -69,6 +84,8 @@
             free.put(worker, worker.free());
             if (worker.usable(nowMs)) {
                 usable.add(worker);
+                acceleratorCapacity += worker.registration.capacity().accelerators();
+                freeAccelerators += free.get(worker).accelerators();
                 racks.computeIfAbsent(worker.registration.rack(), rack -> new ArrayList<>())
                         .add(worker);
             }
@@ -87,31 +104,49 @@
         return free.get(worker);
     }
 
+    /** Deducts resources that a claim takes from a worker's free capacity. */
     void deduct(WorkerState worker, Resources need) {
+        lastStep.ifPresent(step -> step.lastChoice = Optional.empty());
+        take(worker, need);
+    }
+
+    private void take(WorkerState worker, Resources need) {
         free.merge(worker, need, Resources::minus);
+        if (worker.usable(nowMs)) {
+            freeAccelerators -= need.accelerators();
+        }
     }
 
     /** Places all tasks of the unit or none, and deducts their resources; returns one worker per task, or empty. */
     Optional<List<WorkerState>> place(SchedulingUnit unit) {
         Optional<List<WorkerState>> found = find(unit);
         found.ifPresent(workers -> workers.forEach(worker -> {
-            deduct(worker, unit.spec().perTask());
-            reservations.started(worker, unit.spec().perTask(), runMs(unit, worker));
+            take(worker, unit.spec().perTask());
+            reservations.started(
+                    worker,
+                    unit.spec().perTask(),
+                    state.predictor.runMs(unit.job(), unit.spec(), worker, state.settings.remoteFactor()));
         }));
         return found;
     }
 
     private Optional<List<WorkerState>> find(SchedulingUnit unit) {
+        StepPlacement step = stepPlacement(unit);
         if (!unit.rackBound() || racks.values().stream().noneMatch(rack -> fitsEmptyRack(rack, unit))) {
-            return placeOn(unit, usable);
+            return step.place(unit, worker -> true);
         }
-        return racks.values().stream()
-                .map(rack -> placeOn(unit, rack))
+        return racks.keySet().stream()
+                .map(rack ->
+                        step.place(unit, worker -> worker.registration.rack().equals(rack)))
                 .flatMap(Optional::stream)
-                .min(Comparator.comparingDouble(workers -> workers.stream()
-                        .mapToDouble(worker -> runMs(unit, worker))
-                        .max()
-                        .orElse(0)));
+                .min(Comparator.comparingDouble(step::slowestRunMs));
+    }
+
+    private StepPlacement stepPlacement(SchedulingUnit unit) {
+        StepPlacement step = lastStep.filter(last -> last.job == unit.job() && last.step == unit.step())
+                .orElseGet(() -> new StepPlacement(unit));
+        lastStep = Optional.of(step);
+        return step;
     }
 
     /** Returns whether the unit would fit on the rack if nothing ran there. */
@@ -130,114 +165,211 @@
         return tasks >= unit.indexes().size();
     }
 
-    private Optional<List<WorkerState>> placeOn(SchedulingUnit unit, List<WorkerState> candidates) {
-        Set<WorkerState> headroom = headroom(unit);
-        List<WorkerState> eligible = candidates.stream()
-                .filter(worker -> eligible(worker, unit) && !headroom.contains(worker))
-                .toList();
-        // Another failure fails the job, so workers whose last run succeeded are preferred.
-        if (unit.lastAttempt()) {
-            List<WorkerState> proven =
-                    eligible.stream().filter(worker -> worker.health.proven()).toList();
-            Optional<List<WorkerState>> workers = choose(unit, proven);
-            if (workers.isPresent()) {
-                return workers;
-            }
+    private double shareInUse() {
+        return acceleratorCapacity == 0 ? 0 : 1 - freeAccelerators / acceleratorCapacity;
+    }
+
+    private List<WorkerState> fastestFirst() {
+        if (fastestFirst.isEmpty()) {
+            Map<WorkerState, Double> speeds = new HashMap<>();
+            usable.forEach(worker -> speeds.put(worker, worker.health.speed()));
+            fastestFirst = new ArrayList<>(usable);
+            fastestFirst.sort(Comparator.comparing(speeds::get, Comparator.reverseOrder()));
         }
-        return choose(unit, eligible);
+        return fastestFirst;
     }
 
-    /** Returns the fastest idle workers, which the unit leaves free for urgent work; empty if it need not leave any. */
-    private Set<WorkerState> headroom(SchedulingUnit unit) {
-        long count = Math.round(usable.size() * state.settings.headroomShare());
-        if (count == 0 || unit.urgent() || shareInUse() < HEADROOM_MIN_USE) {
-            return Set.of();
+    /** Placement of the units of one step: run times, and the limits on them that follow from the job's utility. */
+    private final class StepPlacement {
+
+        private final JobState job;
+        private final int step;
+        private final double referenceRunMs;
+        private final Map<WorkerState, Double> runMs = new HashMap<>();
+
+        /** The eligible workers, those with the shortest run time first. */
+        private final List<WorkerState> byRunMs = new ArrayList<>();
+
+        private final boolean leavesHeadroom;
+
+        /** Run time on the slowest acceptable worker if the best choice takes {@link #acceptableBestMs}. */
+        private double longestAcceptableMs;
+
+        private double acceptableBestMs = -1;
+
+        /** Worker of the last single task; the best choice until it is full, as each task lowers its score. */
+        private Optional<WorkerState> lastChoice = Optional.empty();
+
+        private StepPlacement(SchedulingUnit unit) {
+            this.job = unit.job();
+            this.step = unit.step();
+            this.referenceRunMs = state.predictor.referenceRunMs(job, unit.spec());
+            double factor = state.predictor.correctionFactor(job);
+            for (WorkerState worker : usable) {
+                if (eligible(worker, unit)) {
+                    runMs.put(
+                            worker, state.predictor.runMs(unit.spec(), worker, state.settings.remoteFactor(), factor));
+                    byRunMs.add(worker);
+                }
+            }
+            byRunMs.sort(Comparator.<WorkerState, Double>comparing(runMs::get).thenComparing(worker -> worker.id));
+            this.leavesHeadroom = !unit.urgent() && mayWait();
         }
-        JobUtility.CompletionForecast forecast =
-                completionForecast(unit, state.predictor.referenceRunMs(unit.job(), unit.spec()));
-        Submission job = unit.job().submission();
-        double utility = state.utility.expected(job, forecast);
-        if (utility - state.utility.expected(job, forecast.delayedBy(HEADROOM_DELAY_MS))
-                > HEADROOM_MAX_LOSS * utility) {
-            return Set.of();
+
+        /** Returns whether the job loses almost no utility if it waits rather than uses the headroom. */
+        private boolean mayWait() {
+            JobUtility.CompletionForecast forecast = forecast(referenceRunMs);
+            double utility = state.utility.expected(job.submission(), forecast);
+            double delayed = state.utility.expected(job.submission(), forecast.delayedBy(HEADROOM_DELAY_MS));
+            return utility - delayed <= HEADROOM_MAX_LOSS * utility;
         }
-        return usable.stream()
-                .filter(worker -> free.get(worker).accelerators()
-                        == worker.registration.capacity().accelerators())
-                .sorted(Comparator.comparingDouble(worker -> -worker.health.speed()))
-                .limit(count)
-                .collect(Collectors.toSet());
-    }
 
-    private double shareInUse() {
-        double capacity = 0;
-        double unused = 0;
-        for (WorkerState worker : usable) {
-            capacity += worker.registration.capacity().accelerators();
-            unused += free.get(worker).accelerators();
+        private JobUtility.CompletionForecast forecast(double stepRunMs) {
+            return state.predictor.completionForecast(
+                    job, step, nowMs - job.submission().acceptedAtMs(), stepRunMs);
         }
-        return capacity == 0 ? 0 : 1 - unused / capacity;
-    }
 
-    /**
-     * Chooses the slowest workers whose effect on the job's utility is negligible, so that fast ones stay free for work
-     * that needs them. An urgent unit is only allowed workers that do not extend its run time beyond that of the
-     * fastest choice; within a gang the slowest member determines the run time.
-     */
-    private Optional<List<WorkerState>> choose(SchedulingUnit unit, List<WorkerState> candidates) {
-        Map<WorkerState, Double> runMs = new HashMap<>();
-        candidates.forEach(worker -> runMs.put(worker, runMs(unit, worker)));
-        Optional<List<WorkerState>> fastest = fillInOrder(unit, candidates, Comparator.comparing(runMs::get));
-        if (fastest.isEmpty()) {
-            return fastest;
+        private double utility(double stepRunMs) {
+            return state.utility.expected(job.submission(), forecast(stepRunMs));
         }
-        double bestMs = fastest.get().stream().mapToDouble(runMs::get).max().orElse(0);
-        double longestAcceptableMs = unit.urgent() ? bestMs : longestAcceptableMs(unit, runMs.values(), bestMs);
-        List<WorkerState> allowed = candidates.stream()
-                .filter(worker -> runMs.get(worker) <= longestAcceptableMs)
-                .toList();
-        double referenceRunMs = Math.max(1, state.predictor.referenceRunMs(unit.job(), unit.spec()));
-        return fillInOrder(
-                unit,
-                allowed,
-                Comparator.comparingDouble(worker -> leftover(worker, unit)
-                        - SLOW_WEIGHT * Math.min(MAX_SLOWNESS, runMs.get(worker) / referenceRunMs)));
-    }
 
-    /** Returns the longest candidate run time with a negligible loss of utility against the best one. */
-    private double longestAcceptableMs(SchedulingUnit unit, Collection<Double> runMs, double bestMs) {
-        double minUtility = utility(unit, bestMs) * (1 - MAX_SLOW_LOSS);
-        return runMs.stream()
-                .filter(time -> time <= bestMs || utility(unit, time * SLOW_RUN_TIME_MARGIN) >= minUtility)
-                .mapToDouble(time -> time)
-                .max()
-                .orElse(bestMs);
-    }
+        private double slowestRunMs(List<WorkerState> workers) {
+            return workers.stream().mapToDouble(runMs::get).max().orElse(0);
+        }
 
-    /** Fills workers in the given order until all tasks of the unit are placed; empty if they do not fit. */
-    private Optional<List<WorkerState>> fillInOrder(
-            SchedulingUnit unit, List<WorkerState> candidates, Comparator<WorkerState> order) {
-        Resources need = unit.spec().perTask();
-        List<WorkerState> sorted = candidates.stream()
-                .filter(worker -> need.fitsIn(free.get(worker)))
-                .sorted(order.thenComparing(worker -> worker.id))
-                .toList();
-        List<WorkerState> chosen = new ArrayList<>();
-        for (WorkerState worker : sorted) {
-            int max = Math.min(unit.indexes().size() - chosen.size(), startableTasks(worker, unit));
-            for (int i = 0; i < max; i++) {
-                chosen.add(worker);
+        /** Places a unit on workers that match a condition; returns one worker per task, or empty. */
+        private Optional<List<WorkerState>> place(SchedulingUnit unit, Predicate<WorkerState> condition) {
+            boolean single = unit.indexes().size() == 1 && !unit.lastAttempt();
+            Optional<WorkerState> again =
+                    lastChoice.filter(worker -> single && startableTasks(worker, unit, runMs.get(worker)) > 0);
+            if (again.isPresent()) {
+                return again.map(List::of);
+            }
+            Optional<List<WorkerState>> chosen = placeAnew(unit, condition);
+            lastChoice = single ? chosen.map(workers -> workers.get(0)) : Optional.empty();
+            return chosen;
+        }
+
+        private Optional<List<WorkerState>> placeAnew(SchedulingUnit unit, Predicate<WorkerState> condition) {
+            Set<WorkerState> headroom = headroom();
+            Predicate<WorkerState> allowed = condition.and(worker -> !headroom.contains(worker));
+            // Another failure fails the job, so workers whose last run succeeded are preferred.
+            if (unit.lastAttempt()) {
+                Optional<List<WorkerState>> workers = choose(unit, allowed.and(worker -> worker.health.proven()));
+                if (workers.isPresent()) {
+                    return workers;
+                }
+            }
+            return choose(unit, allowed);
+        }
+
+        /** Returns the fastest idle workers, which the step leaves free for urgent work; empty if it need not. */
+        private Set<WorkerState> headroom() {
+            long count = Math.round(usable.size() * state.settings.headroomShare());
+            if (count == 0 || !leavesHeadroom || shareInUse() < HEADROOM_MIN_USE) {
+                return Set.of();
             }
+            return fastestFirst().stream()
+                    .filter(worker -> free.get(worker).accelerators()
+                            == worker.registration.capacity().accelerators())
+                    .limit(count)
+                    .collect(Collectors.toSet());
+        }
+
+        /**
+         * Chooses the slowest workers whose effect on the job's utility is negligible, so that fast ones stay free for
+         * work that needs them. An urgent unit is only allowed workers that do not extend its run time beyond that of
+         * the fastest choice; within a gang the slowest member determines the run time.
+         */
+        private Optional<List<WorkerState>> choose(SchedulingUnit unit, Predicate<WorkerState> allowed) {
+            Resources need = unit.spec().perTask();
+            Predicate<WorkerState> candidate = worker -> need.fitsIn(free.get(worker)) && allowed.test(worker);
+            Optional<List<WorkerState>> fastest =
+                    fill(unit, byRunMs.stream().filter(candidate).iterator());
+            if (fastest.isEmpty()) {
+                return fastest;
+            }
+            double bestMs = slowestRunMs(fastest.get());
+            double limitMs = unit.urgent() ? bestMs : longestAcceptableMs(bestMs);
+            List<Scored> scored = byRunMs.stream()
+                    .takeWhile(worker -> runMs.get(worker) <= limitMs)
+                    .filter(candidate)
+                    .map(worker -> new Scored(worker, score(worker, unit)))
+                    .collect(Collectors.toCollection(ArrayList::new));
+            // The head of a heap is enough for a single task.
+            PriorityQueue<Scored> cheapestFirst = new PriorityQueue<>(scored);
+            return fill(unit, new Iterator<>() {
+                @Override
+                public boolean hasNext() {
+                    return !cheapestFirst.isEmpty();
+                }
+
+                @Override
+                public WorkerState next() {
+                    return cheapestFirst.remove().worker();
+                }
+            });
+        }
+
+        private double score(WorkerState worker, SchedulingUnit unit) {
+            return leftover(worker, unit)
+                    - SLOW_WEIGHT * Math.min(MAX_SLOWNESS, runMs.get(worker) / Math.max(1, referenceRunMs));
+        }
+
+        /**
+         * Returns the longest run time of a worker with a negligible loss of utility against the best choice. Utility
+         * never rises with the run time, so the first worker that loses too much ends the search.
+         */
+        private double longestAcceptableMs(double bestMs) {
+            if (acceptableBestMs != bestMs) {
+                acceptableBestMs = bestMs;
+                double minUtility = utility(bestMs) * (1 - MAX_SLOW_LOSS);
+                int from = 0;
+                int to = byRunMs.size();
+                while (from < to) {
+                    int middle = (from + to) / 2;
+                    double time = runMs.get(byRunMs.get(middle));
+                    if (time <= bestMs || utility(time * SLOW_RUN_TIME_MARGIN) >= minUtility) {
+                        from = middle + 1;
+                    } else {
+                        to = middle;
+                    }
+                }
+                longestAcceptableMs = from == 0 ? bestMs : runMs.get(byRunMs.get(from - 1));
+            }
+            return longestAcceptableMs;
+        }
+
+        /** Fills workers in the given order until all tasks of the unit are placed; empty if they do not fit. */
+        private Optional<List<WorkerState>> fill(SchedulingUnit unit, Iterator<WorkerState> workers) {
+            int count = unit.indexes().size();
+            List<WorkerState> chosen = new ArrayList<>(count);
+            while (chosen.size() < count && workers.hasNext()) {
+                WorkerState worker = workers.next();
+                int max = Math.min(count - chosen.size(), startableTasks(worker, unit, runMs.get(worker)));
+                for (int i = 0; i < max; i++) {
+                    chosen.add(worker);
+                }
+            }
+            return chosen.size() < count ? Optional.empty() : Optional.of(chosen);
+        }
+    }
+
+    /** A worker with its score; of equal scores the lower id is chosen. */
+    private record Scored(WorkerState worker, double score) implements Comparable<Scored> {
+
+        @Override
+        public int compareTo(Scored other) {
+            int byScore = Double.compare(score, other.score);
+            return byScore != 0 ? byScore : worker.id.compareTo(other.worker.id);
         }
-        return chosen.size() < unit.indexes().size() ? Optional.empty() : Optional.of(chosen);
     }
 
     /** Returns the number of the unit's tasks that may start on a worker now. */
-    private int startableTasks(WorkerState worker, SchedulingUnit unit) {
+    private int startableTasks(WorkerState worker, SchedulingUnit unit, double runMs) {
         Resources need = unit.spec().perTask();
         int limit = unit.spec().maxPerWorker();
         int max = limit == 0 ? unit.indexes().size() : limit - runsOnWorker(worker, unit);
-        double runMs = runMs(unit, worker);
         Resources taken = need;
         int tasks = 0;
         while (tasks < max && taken.fitsIn(free.get(worker)) && reservations.mayStart(worker, taken, runMs)) {
@@ -247,22 +379,9 @@
         return tasks;
     }
 
-    private double runMs(SchedulingUnit unit, WorkerState worker) {
-        return state.predictor.runMs(unit.job(), unit.spec(), worker, state.settings.remoteFactor());
-    }
-
-    private JobUtility.CompletionForecast completionForecast(SchedulingUnit unit, double runMs) {
-        return state.predictor.completionForecast(
-                unit.job(), unit.step(), nowMs - unit.job().submission().acceptedAtMs(), runMs);
-    }
-
-    private double utility(SchedulingUnit unit, double runMs) {
-        return state.utility.expected(unit.job().submission(), completionForecast(unit, runMs));
-    }
-
-    /** Reserves workers for a unit that could not be placed. */
-    void reserve(SchedulingUnit unit) {
-        reservations.reserve(unit, usable, racks.values());
+    /** Reserves workers for a unit that could not be placed; returns false if no unit of its shape can get any. */
+    boolean reserve(SchedulingUnit unit) {
+        return reservations.reserve(unit, usable, racks.values());
     }
 
     /** Returns whether a worker is eligible for the unit's tasks, regardless of its free capacity. */
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Preemptor.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Preemptor.java
@@ -3,12 +3,16 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import org.fuchsiawinch.model.Resources;
 import org.fuchsiawinch.workflow.job.JobState;
@@ -43,32 +47,63 @@
     /** Time in ms from a stop order until the capacity is free. */
     private static final long STOP_MS = 450;
 
+    /** Time in ms for which a failed attempt and computed losses stand; both change with the progress of runs. */
+    private static final long VALID_MS = 40;
+
     /** Time in ms that work waits for free capacity on a busy day. */
     private static final long CAPACITY_WAIT_MS = 2500;
 
+    private static final Plan NO_VICTIMS = new Plan(List.of(), Set.of(), 0);
+
     private final CellState state;
     private final RunTracker runTracker;
     private final Map<SchedulingUnit, List<WorkerState>> claimedWorkers = new HashMap<>();
 
-    /** Losses computed in the pass at {@link #lossesAtMs}. */
+    /** Attempts without a claim, by what was asked for. */
+    private final Map<Attempt, Failure> failures = new HashMap<>();
+
+    /** Losses computed since {@link #lossesAtMs}. */
     private final Map<ActiveRun, Double> lossByRun = new HashMap<>();
 
+    /** Choices for one task on each worker, by what was asked for, since {@link #lossesAtMs}. */
+    private final Map<Attempt, Map<WorkerState, Choice>> choicesByAttempt = new HashMap<>();
+
     private long lossesAtMs;
 
+    /** Number of claims in this pass for units that had none. */
+    private int newClaims;
+
     Preemptor(CellState state, RunTracker runTracker) {
         this.state = state;
         this.runTracker = runTracker;
     }
 
     /** A unit that claims capacity, and the rules for its victims. */
-    private record Claim(SchedulingUnit unit, Placer placer, Set<JobState> guaranteedJobs, boolean insideGuarantee) {
+    private record Claim(SchedulingUnit unit, UnitShape shape, Placer placer, Set<JobState> guaranteedJobs) {
+
+        boolean insideGuarantee() {
+            return guaranteedJobs.contains(unit.job());
+        }
+
+        Attempt attempt() {
+            return new Attempt(shape, insideGuarantee());
+        }
 
         boolean mayPreempt(ActiveRun run) {
             return !guaranteedJobs.contains(run.job)
-                    && (insideGuarantee || run.job.submission().rules().priority() > 0);
+                    && (insideGuarantee() || run.job.submission().rules().priority() > 0);
         }
     }
 
+    /** What an attempt asks for; units that ask for the same fail alike. */
+    private record Attempt(UnitShape shape, boolean insideGuarantee) {}
+
+    /** The victims on a worker, if any suffice, with what they depend on. */
+    private record Choice(Resources free, int runChanges, Optional<VictimSet> victims) {}
+
+    /** A failed attempt; {@code gain} is the highest gain for which too much would have been lost. */
+    private record Failure(long atMs, double gain) {}
+
     /** Placement of a unit's tasks, with the victims to stop and the loss of utility. */
     private record Plan(List<WorkerState> workers, Set<ActiveRun> victims, double loss) {
 
@@ -88,42 +123,60 @@
     /** The victims with the least loss that free capacity for one task on a worker. */
     private record VictimSet(WorkerState worker, List<ActiveRun> victims, double loss) {}
 
-    /** Claims capacity for all tasks of the unit and stops the victims; returns false if nothing was claimed. */
-    boolean claim(SchedulingUnit unit, Placer placer, Set<JobState> guaranteedJobs, long nowMs) {
-        Claim claim = new Claim(unit, placer, guaranteedJobs, guaranteedJobs.contains(unit.job()));
-        double gain = gain(unit, nowMs);
-        if (!claim.insideGuarantee() && gain < MIN_GAIN) {
+    /**
+     * Claims capacity for all tasks of the unit and stops the victims; returns false if nothing was claimed. An attempt
+     * is skipped if a unit of the same shape, which had as much to gain, has just failed.
+     */
+    boolean claim(SchedulingUnit unit, UnitShape shape, Placer placer, Set<JobState> guaranteedJobs, long nowMs) {
+        Claim claim = new Claim(unit, shape, placer, guaranteedJobs);
+        double gain = claim.insideGuarantee() ? Double.MAX_VALUE : gain(unit, nowMs);
+        if (gain < MIN_GAIN) {
+            return false;
+        }
+        Failure failure = failures.get(claim.attempt());
+        boolean holdsClaim = claimedWorkers.containsKey(unit);
+        if (!holdsClaim && failure != null && gain <= failure.gain()) {
             return false;
         }
+        Optional<Plan> plan = findPlan(claim, nowMs)
+                .filter(found -> claim.insideGuarantee() || found.loss() * MIN_GAIN_RATIO <= gain);
+        if (plan.isEmpty()) {
+            failures.put(claim.attempt(), new Failure(nowMs, gain));
+            logFailure(claim);
+            return false;
+        }
+        // The victims may leave capacity for others of the shapes that have failed.
+        failures.clear();
+        newClaims += holdsClaim ? 0 : 1;
+        claimedWorkers.put(unit, List.copyOf(new LinkedHashSet<>(plan.get().workers())));
+        plan.get().workers().forEach(worker -> placer.deduct(worker, unit.spec().perTask()));
+        plan.get().victims().forEach(victim -> runTracker.stop(victim, "reclaimed", nowMs));
+        return true;
+    }
+
+    private Optional<Plan> findPlan(Claim claim, long nowMs) {
+        SchedulingUnit unit = claim.unit();
         Optional<Plan> plan = planOnClaimedWorkers(claim, nowMs);
         if (plan.isEmpty() && unit.rackBound()) {
-            plan = placer.racks().stream()
+            plan = claim.placer().racks().stream()
                     .map(rack -> plan(claim, rack, nowMs))
                     .flatMap(Optional::stream)
                     .min(Comparator.comparingDouble(Plan::loss));
         }
-        if (plan.isEmpty()) {
-            plan = plan(claim, placer.usable(), nowMs);
-        }
-        if (!claim.insideGuarantee()
-                && plan.filter(found -> found.loss() * MIN_GAIN_RATIO <= gain).isEmpty()) {
-            return false;
-        }
-        if (plan.isEmpty()) {
+        return plan.isEmpty() ? plan(claim, claim.placer().usable(), nowMs) : plan;
+    }
+
+    private void logFailure(Claim claim) {
+        if (claim.insideGuarantee()) {
             state.log.line(
                     "reclaim-failed",
                     "request",
-                    unit.job().submission().id(),
+                    claim.unit().job().submission().id(),
                     "step",
-                    unit.step(),
+                    claim.unit().step(),
                     "usableWorkers",
-                    placer.usable().size());
-            return false;
+                    claim.placer().usable().size());
         }
-        claimedWorkers.put(unit, List.copyOf(new LinkedHashSet<>(plan.get().workers())));
-        plan.get().workers().forEach(worker -> placer.deduct(worker, unit.spec().perTask()));
-        plan.get().victims().forEach(victim -> runTracker.stop(victim, "reclaimed", nowMs));
-        return true;
     }
 
     /** Plans on the workers of the unit's earlier claim; other workers would mean additional victims. */
@@ -134,31 +187,61 @@
         return claimed.isEmpty() ? Optional.empty() : plan(claim, claimed, nowMs);
     }
 
+    /** Returns the number of units that have got a claim in this pass and had none before. */
+    int newClaims() {
+        return newClaims;
+    }
+
     /** Removes the claim of a unit that was placed. */
     void removeClaim(SchedulingUnit unit) {
         claimedWorkers.remove(unit);
     }
 
-    /** Removes the claims of units that no longer wait. */
-    void retainClaims(Set<SchedulingUnit> waiting) {
-        claimedWorkers.keySet().retainAll(waiting);
+    /** Starts a pass: removes the claims of units that no longer wait, and failures that no longer stand. */
+    void startPass(Stream<SchedulingUnit> waiting, long nowMs) {
+        newClaims = 0;
+        if (nowMs - lossesAtMs >= VALID_MS) {
+            lossesAtMs = nowMs;
+            lossByRun.clear();
+            choicesByAttempt.clear();
+        }
+        failures.values().removeIf(failure -> nowMs - failure.atMs() >= VALID_MS);
+        if (!claimedWorkers.isEmpty()) {
+            claimedWorkers.keySet().retainAll(waiting.collect(Collectors.toSet()));
+        }
     }
 
     /** Returns the plan with the least loss from victims and slow workers; a gang is as slow as its slowest member. */
     private Optional<Plan> plan(Claim claim, List<WorkerState> workers, long nowMs) {
         SchedulingUnit unit = claim.unit();
         double referenceRunMs = state.predictor.referenceRunMs(unit.job(), unit.spec());
+        double factor = state.predictor.correctionFactor(unit.job());
+        Map<WorkerState, Choice> known = choicesByAttempt.computeIfAbsent(claim.attempt(), added -> new HashMap<>());
+        Map<WorkerState, Double> runMs = new HashMap<>();
+        List<VictimSet> choices = new ArrayList<>();
+        for (WorkerState worker : workers) {
+            if (Placer.eligible(worker, unit)) {
+                choice(claim, worker, known, nowMs).victims().ifPresent(choices::add);
+                runMs.put(worker, state.predictor.runMs(unit.spec(), worker, state.settings.remoteFactor(), factor));
+            }
+        }
         Optional<Plan> best = Optional.empty();
+        int planned = -1;
         for (double limit : RUN_TIME_LIMITS) {
-            List<WorkerState> eligible = workers.stream()
-                    .filter(worker -> Placer.eligible(worker, unit) && runMs(unit, worker) <= limit * referenceRunMs)
+            List<VictimSet> allowed = choices.stream()
+                    .filter(choice -> runMs.get(choice.worker()) <= limit * referenceRunMs)
                     .toList();
-            Optional<Plan> found = selectVictims(claim, eligible, nowMs)
+            // The same workers as for the limit before give the same plan.
+            if (allowed.size() == planned) {
+                continue;
+            }
+            planned = allowed.size();
+            Optional<Plan> found = selectVictims(claim, allowed, nowMs)
                     .map(plan -> plan.withLoss(plan.loss()
                             + slowWorkerLoss(
                                     unit,
                                     plan.workers().stream()
-                                            .mapToDouble(worker -> runMs(unit, worker))
+                                            .mapToDouble(runMs::get)
                                             .max()
                                             .orElse(referenceRunMs),
                                     nowMs)));
@@ -170,21 +253,28 @@
         return best;
     }
 
-    private Optional<Plan> selectVictims(Claim claim, List<WorkerState> eligible, long nowMs) {
+    /** Returns the choice for one task on a worker, computed again if its free capacity or its runs have changed. */
+    private Choice choice(Claim claim, WorkerState worker, Map<WorkerState, Choice> known, long nowMs) {
+        Resources free = claim.placer().free(worker);
+        Choice choice = known.get(worker);
+        if (choice == null
+                || choice.runChanges() != worker.runChanges()
+                || !choice.free().equals(free)) {
+            choice = new Choice(free, worker.runChanges(), selectVictims(claim, worker, free, NO_VICTIMS, nowMs));
+            known.put(worker, choice);
+        }
+        return choice;
+    }
+
+    /** Selects victims for one task after the other; a choice changes only that of its worker and of broken gangs. */
+    private Optional<Plan> selectVictims(Claim claim, List<VictimSet> choices, long nowMs) {
         Resources need = claim.unit().spec().perTask();
         Map<WorkerState, Resources> claimed = new HashMap<>();
         Plan plan = new Plan(new ArrayList<>(), new LinkedHashSet<>(), 0);
-        for (int i = 0; i < claim.unit().indexes().size(); i++) {
-            Plan soFar = plan;
-            Optional<VictimSet> best = eligible.stream()
-                    .map(worker -> selectVictims(
-                            claim,
-                            worker,
-                            claim.placer().free(worker).minus(claimed.getOrDefault(worker, Resources.NONE)),
-                            soFar,
-                            nowMs))
-                    .flatMap(Optional::stream)
-                    .min(Comparator.comparingDouble(VictimSet::loss));
+        List<VictimSet> remaining = new ArrayList<>(choices);
+        for (int left = claim.unit().indexes().size(); left > 0; left--) {
+            Optional<VictimSet> best =
+                    remaining.stream().filter(Objects::nonNull).min(Comparator.comparingDouble(VictimSet::loss));
             if (best.isEmpty()) {
                 return Optional.empty();
             }
@@ -193,10 +283,38 @@
             plan.workers().add(victimSet.worker());
             plan.victims().addAll(victimSet.victims());
             plan = plan.withLoss(plan.loss() + victimSet.loss());
+            if (left > 1) {
+                chooseAgain(claim, remaining, victimSet, claimed, plan, nowMs);
+            }
         }
         return Optional.of(plan);
     }
 
+    /** Replaces the choices that the last one has changed; null for a worker without one. */
+    private void chooseAgain(
+            Claim claim,
+            List<VictimSet> choices,
+            VictimSet last,
+            Map<WorkerState, Resources> claimed,
+            Plan plan,
+            long nowMs) {
+        Set<WorkerState> changed = new HashSet<>();
+        changed.add(last.worker());
+        for (ActiveRun victim : last.victims()) {
+            if (victim.step().gang()) {
+                members(victim).forEach(member -> changed.add(member.worker));
+            }
+        }
+        choices.replaceAll(choice -> {
+            if (choice == null || !changed.contains(choice.worker())) {
+                return choice;
+            }
+            Resources free =
+                    claim.placer().free(choice.worker()).minus(claimed.getOrDefault(choice.worker(), Resources.NONE));
+            return selectVictims(claim, choice.worker(), free, plan, nowMs).orElse(null);
+        });
+    }
+
     private Optional<VictimSet> selectVictims(Claim claim, WorkerState worker, Resources free, Plan plan, long nowMs) {
         Resources need = claim.unit().spec().perTask();
         Resources available = free;
@@ -243,10 +361,6 @@
                 - state.utility.expected(unit.job().submission(), forecast.delayedBy(CAPACITY_WAIT_MS));
     }
 
-    private double runMs(SchedulingUnit unit, WorkerState worker) {
-        return state.predictor.runMs(unit.job(), unit.spec(), worker, state.settings.remoteFactor());
-    }
-
     /** Returns the loss of utility if the unit runs longer than on workers of speed 1. */
     private double slowWorkerLoss(SchedulingUnit unit, double runMs, long nowMs) {
         Submission job = unit.job().submission();
@@ -261,13 +375,9 @@
     /**
      * Returns the loss if a run and the other members of its gang are stopped: wasted work, and utility lost to a
      * restart after another wait for capacity. The cost of the stop and of the wasted work is multiplied by the run
-     * number, so that the same task is not preempted repeatedly. Computed once per run and pass.
+     * number, so that the same task is not preempted repeatedly. Computed at most once per run in {@link #VALID_MS}.
      */
     private double loss(ActiveRun run, long nowMs) {
-        if (lossesAtMs != nowMs) {
-            lossesAtMs = nowMs;
-            lossByRun.clear();
-        }
         return lossByRun.computeIfAbsent(run, stopped -> computeLoss(stopped, nowMs));
     }
 
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Reservations.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Reservations.java
@@ -28,12 +28,14 @@
 
     private final CellState state;
     private final long nowMs;
+    private final int largestWorkerAccelerators;
     private final Map<WorkerState, Reservation> reservations = new HashMap<>();
     private int reservedUnits;
 
     Reservations(CellState state, long nowMs) {
         this.state = state;
         this.nowMs = nowMs;
+        this.largestWorkerAccelerators = state.largestWorkerAccelerators();
     }
 
     /** Reserved resources of a worker, and the resources predicted to be free when the reservation starts. */
@@ -62,10 +64,14 @@
         }
     }
 
-    /** Reserves the workers that are predicted to have capacity for the unit first; no effect for small units. */
-    void reserve(SchedulingUnit unit, List<WorkerState> workers, Collection<List<WorkerState>> racks) {
-        if (reservedUnits >= MAX_UNITS || !unit.large(state.largestWorkerAccelerators())) {
-            return;
+    /**
+     * Reserves the workers that are predicted to have capacity for the unit first; no effect for small units.
+     *
+     * @return whether workers were reserved
+     */
+    boolean reserve(SchedulingUnit unit, List<WorkerState> workers, Collection<List<WorkerState>> racks) {
+        if (reservedUnits >= MAX_UNITS || !unit.large(largestWorkerAccelerators)) {
+            return false;
         }
         Optional<List<TaskCapacity>> capacity = unit.rackBound()
                 ? racks.stream()
@@ -74,7 +80,7 @@
                         .min(Comparator.comparingDouble(Reservations::lastAvailableMs))
                 : earliestCapacity(unit, workers);
         if (capacity.isEmpty() || lastAvailableMs(capacity.get()) > HORIZON_MS) {
-            return;
+            return false;
         }
         reservedUnits++;
         double startInMs = lastAvailableMs(capacity.get());
@@ -84,6 +90,7 @@
             reservation.reserved = reservation.reserved.plus(unit.spec().perTask());
             reservation.freeAtStart = predictedFree(taskCapacity.worker(), reservation.startInMs);
         }
+        return true;
     }
 
     private static double lastAvailableMs(List<TaskCapacity> capacity) {
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTimePredictor.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTimePredictor.java
@@ -72,10 +72,15 @@
 
     /** Returns the expected run time in ms of a task of the step on a worker. */
     double runMs(JobState job, StepSpec step, WorkerState worker, double remoteFactor) {
+        return runMs(step, worker, remoteFactor, correctionFactor(job));
+    }
+
+    /** Returns the expected run time in ms of a task of the step on a worker, with the correction factor of its job. */
+    double runMs(StepSpec step, WorkerState worker, double remoteFactor, double correctionFactor) {
         boolean remote = step.dataRack()
                 .filter(rack -> !rack.equals(worker.registration.rack()))
                 .isPresent();
-        return step.estimatedMs() * (remote ? remoteFactor : 1) / worker.health.speed() * correctionFactor(job);
+        return step.estimatedMs() * (remote ? remoteFactor : 1) / worker.health.speed() * correctionFactor;
     }
 
     /** Returns the expected run time in ms of a task of the step on a worker of speed 1 in the rack of its data. */
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTracker.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTracker.java
@@ -112,6 +112,7 @@
             return;
         }
         run.stopping = true;
+        run.worker.runStopping();
         state.log.count("runs.stopped." + cause);
         state.log.line(
                 "run-stopped",
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Scheduler.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Scheduler.java
@@ -8,8 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.ToDoubleFunction;
-import java.util.stream.Collectors;
 
 import org.fuchsiawinch.model.Resources;
 import org.fuchsiawinch.model.WorkspaceId;
@@ -36,6 +34,9 @@
      */
     private static final double DELAYED_UTILITY_WEIGHT = 0.5;
 
+    /** Maximum number of tasks assigned and capacity claimed in one pass; the next one follows soon. */
+    private static final int MAX_WORK_PER_PASS = 60;
+
     private final CellState state;
     private final Preemptor preemptor;
 
@@ -44,63 +45,132 @@
         this.preemptor = new Preemptor(state, runTracker);
     }
 
-    /** A unit with its sort criteria; {@code density} is the cost of a delay per core-second of the job's work. */
+    /**
+     * The ready units of a step with their sort criteria.
+     *
+     * @param units the units, at least one; they differ only in the indexes of their tasks
+     * @param shape requirements of each unit
+     * @param guaranteed whether their job is inside a guarantee
+     * @param standing predicted end of their job
+     * @param density cost of a delay per core-second of the job's work
+     * @param ageMs age of the job in ms
+     * @param first whether they go before other units of the same density
+     */
     private record Candidate(
-            SchedulingUnit unit, boolean guaranteed, JobUtility.Standing standing, double density, long ageMs) {
+            List<SchedulingUnit> units,
+            UnitShape shape,
+            boolean guaranteed,
+            JobUtility.Standing standing,
+            double density,
+            long ageMs,
+            boolean first) {
+
+        SchedulingUnit unit() {
+            return units.get(0);
+        }
 
         int priority() {
-            return unit.job().submission().rules().priority();
+            return unit().job().submission().rules().priority();
         }
 
-        /** Returns whether this is a large unit that has waited too long for less urgent work to go first. */
+        /** Returns whether these are large units that have waited too long for less urgent work to go first. */
         boolean starved(int largestWorkerAccelerators) {
-            return unit.large(largestWorkerAccelerators)
-                    && ageMs >= STARVED_SHARE * JobUtility.objectiveMs(unit.job())
+            return unit().large(largestWorkerAccelerators)
+                    && ageMs >= STARVED_SHARE * JobUtility.objectiveMs(unit().job())
                     && standing != JobUtility.Standing.HOPELESS;
         }
 
-        /** Returns whether the unit may preempt other work. */
+        /** Returns the first unit as a candidate that goes before all others of the given density. */
+        Candidate firstMovedUp(double newDensity) {
+            return new Candidate(units.subList(0, 1), shape, guaranteed, standing, newDensity, ageMs, true);
+        }
+
+        /** Returns the other units. */
+        Candidate withoutFirst() {
+            return new Candidate(units.subList(1, units.size()), shape, guaranteed, standing, density, ageMs, first);
+        }
+
+        /** Returns whether the units may preempt other work. */
         boolean mayPreempt() {
-            return guaranteed || unit.urgent();
+            return guaranteed || unit().urgent();
         }
     }
 
     /**
      * Runs one scheduling pass: assigns each unit that can be placed, and claims or reserves capacity for the others.
      * After a unit could not be placed, units of the same shape are not placed in this pass.
+     *
+     * @return whether all units were considered; false if another pass is due because this one has assigned enough
      */
-    void schedule(long nowMs) {
+    boolean schedule(long nowMs) {
+        state.log.count("scheduling.passes");
         Set<JobState> guaranteed = guaranteedJobs();
         List<Candidate> candidates = candidates(guaranteed, nowMs);
-        preemptor.retainClaims(candidates.stream().map(Candidate::unit).collect(Collectors.toSet()));
+        preemptor.startPass(candidates.stream().flatMap(candidate -> candidate.units().stream()), nowMs);
         if (candidates.isEmpty()) {
-            return;
+            return true;
         }
-        Placer placer = new Placer(state, nowMs);
-        Set<String> unplaceableShapes = new HashSet<>();
+        Pass pass = new Pass(new Placer(state, nowMs), guaranteed, nowMs);
         for (Candidate candidate : candidates) {
-            SchedulingUnit unit = candidate.unit();
-            String shape = shape(unit);
-            Optional<List<WorkerState>> workers =
-                    unplaceableShapes.contains(shape) ? Optional.empty() : placer.place(unit);
-            if (workers.isPresent()) {
-                preemptor.removeClaim(unit);
-                assign(unit, workers.get(), candidate, nowMs);
-                continue;
-            }
-            unplaceableShapes.add(shape);
-            boolean claimed = candidate.mayPreempt() && preemptor.claim(unit, placer, guaranteed, nowMs);
-            if (!claimed && candidate.standing() != JobUtility.Standing.HOPELESS) {
-                placer.reserve(unit);
+            if (!pass.schedule(candidate)) {
+                return false;
             }
         }
+        return true;
     }
 
-    /** Returns a key of the requirements of a unit's placement, equal for units of the same shape. */
-    private static String shape(SchedulingUnit unit) {
-        StepSpec step = unit.spec();
-        return unit.indexes().size() + "x" + step.perTask() + step.sameRack() + step.requiredLabel()
-                + step.maxPerWorker() + unit.job().submission().service();
+    /** One pass, with the shapes that have failed in it. */
+    private final class Pass {
+
+        private final Placer placer;
+        private final Set<JobState> guaranteed;
+        private final long nowMs;
+        private final Set<UnitShape> unplaceable = new HashSet<>();
+        private final Set<UnitShape> unreservable = new HashSet<>();
+        private int starts;
+
+        private Pass(Placer placer, Set<JobState> guaranteed, long nowMs) {
+            this.placer = placer;
+            this.guaranteed = guaranteed;
+            this.nowMs = nowMs;
+        }
+
+        /** Schedules the units of a candidate; returns false if the pass has assigned enough. */
+        private boolean schedule(Candidate candidate) {
+            boolean placeable = !unplaceable.contains(candidate.shape());
+            boolean reservable =
+                    candidate.standing() != JobUtility.Standing.HOPELESS && !unreservable.contains(candidate.shape());
+            for (SchedulingUnit unit : candidate.units()) {
+                if (starts + preemptor.newClaims() >= MAX_WORK_PER_PASS) {
+                    return false;
+                }
+                if (placeable && place(unit, candidate)) {
+                    continue;
+                }
+                placeable = false;
+                unplaceable.add(candidate.shape());
+                boolean claimed =
+                        candidate.mayPreempt() && preemptor.claim(unit, candidate.shape(), placer, guaranteed, nowMs);
+                if (!claimed && reservable && !placer.reserve(unit)) {
+                    reservable = false;
+                    unreservable.add(candidate.shape());
+                }
+                if (!candidate.mayPreempt() && !reservable) {
+                    break;
+                }
+            }
+            return true;
+        }
+
+        private boolean place(SchedulingUnit unit, Candidate candidate) {
+            Optional<List<WorkerState>> workers = placer.place(unit);
+            workers.ifPresent(chosen -> {
+                preemptor.removeClaim(unit);
+                assign(unit, chosen, candidate, nowMs);
+                starts += chosen.size();
+            });
+            return workers.isPresent();
+        }
     }
 
     /** Returns the jobs of priority 0 that fit into their workspace's guarantee, filled in order of acceptance. */
@@ -112,7 +182,7 @@
                 continue;
             }
             WorkspaceId workspace = job.submission().workspace();
-            long after = used.getOrDefault(workspace, 0L) + job.submission().peakAccelerators();
+            long after = used.getOrDefault(workspace, 0L) + job.peakAccelerators();
             if (after <= state.guarantees.of(workspace)) {
                 used.put(workspace, after);
                 chosen.add(job);
@@ -142,15 +212,24 @@
      */
     private void sort(List<Candidate> found) {
         int largestWorkerAccelerators = state.largestWorkerAccelerators();
-        Optional<Candidate> starved = found.stream()
-                .filter(candidate -> candidate.starved(largestWorkerAccelerators))
-                .max(Comparator.comparingLong(Candidate::ageMs));
-        ToDoubleFunction<Candidate> density = candidate -> starved.filter(candidate::equals)
-                .map(large -> maxDensity(found, large.priority()))
-                .orElse(candidate.density());
+        int starved = -1;
+        for (int i = 0; i < found.size(); i++) {
+            boolean longest =
+                    starved < 0 || found.get(i).ageMs() > found.get(starved).ageMs();
+            if (longest && found.get(i).starved(largestWorkerAccelerators)) {
+                starved = i;
+            }
+        }
+        if (starved >= 0) {
+            Candidate large = found.get(starved);
+            found.set(starved, large.firstMovedUp(maxDensity(found, large.priority())));
+            if (large.units().size() > 1) {
+                found.add(starved + 1, large.withoutFirst());
+            }
+        }
         found.sort(Comparator.comparing((Candidate candidate) -> !candidate.guaranteed())
-                .thenComparing(Comparator.comparingDouble(density).reversed())
-                .thenComparing(candidate -> starved.filter(candidate::equals).isEmpty()));
+                .thenComparing(Comparator.comparingDouble(Candidate::density).reversed())
+                .thenComparing(candidate -> !candidate.first()));
     }
 
     private static double maxDensity(List<Candidate> found, int priority) {
@@ -176,19 +255,27 @@
                         - DELAYED_UTILITY_WEIGHT
                                 * state.utility.expected(job.submission(), forecast.delayedBy(DELAY_MS)))
                 / coreSeconds;
+        List<SchedulingUnit> units = readyUnits(job, step, spec);
+        if (!units.isEmpty()) {
+            found.add(new Candidate(units, UnitShape.of(job, spec), guaranteed, standing, density, ageMs, false));
+        }
+    }
+
+    private List<SchedulingUnit> readyUnits(JobState job, int step, StepSpec spec) {
         if (spec.gang()) {
-            SchedulingUnit unit = SchedulingUnit.gang(job, step);
-            if (ready(unit)) {
-                found.add(new Candidate(unit, guaranteed, standing, density, ageMs));
-            }
-            return;
+            return Optional.of(SchedulingUnit.gang(job, step)).filter(this::ready).stream()
+                    .toList();
         }
+        List<SchedulingUnit> units = new ArrayList<>();
         for (int index = 0; index < spec.count(); index++) {
-            SchedulingUnit unit = SchedulingUnit.task(job, step, index);
-            if (ready(unit)) {
-                found.add(new Candidate(unit, guaranteed, standing, density, ageMs));
+            if (job.tasks(step).get(index).phase() == TaskPhase.WAITING) {
+                SchedulingUnit unit = SchedulingUnit.task(job, step, index);
+                if (ready(unit)) {
+                    units.add(unit);
+                }
             }
         }
+        return units;
     }
 
     /** Returns whether all tasks of a unit are waiting and none has a run that is still being stopped. */
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerState.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerState.java
@@ -68,6 +68,7 @@
     Resources used = Resources.NONE;
 
     private final RunIndex runIndex;
+    private int runChanges;
 
     WorkerState(WorkerId id, RunIndex runIndex, long nowMs) {
         this.id = id;
@@ -78,16 +79,28 @@
     void add(ActiveRun run) {
         runs.put(run.id, run);
         runIndex.add(run);
+        runChanges++;
         used = used.plus(run.need);
     }
 
     void remove(ActiveRun run) {
         if (runs.remove(run.id) != null) {
             runIndex.remove(run);
+            runChanges++;
             used = used.minus(run.need);
         }
     }
 
+    /** Records that a run is being stopped, so that its capacity becomes free. */
+    void runStopping() {
+        runChanges++;
+    }
+
+    /** Returns a number that differs whenever runs were added, removed or stopped in between. */
+    int runChanges() {
+        return runChanges;
+    }
+
     long runCount(ActiveRun.Stage stage) {
         return runs.values().stream().filter(run -> run.stage == stage).count();
     }
