Read the streams anew after the machine was suspended

What callers see: a key that was withdrawn while a machine was suspended is accepted by it for a moment, and what it says of jobs is as old as the pause. Cause: the steady clock stands still in a suspension, so that rules and streams look as fresh as before it. Owners need no such check: leases and start orders end on the workers' clocks.

--- a/server/src/main/java/org/fuchsiawinch/server/Node.java
+++ b/server/src/main/java/org/fuchsiawinch/server/Node.java
@@ -60,6 +60,7 @@
     private final FailureBarrier barrier;
     private final Scheduler scheduler;
     private final LongSupplier clock;
+    private final LongSupplier suspensionMs;
     private final DecisionLog log;
     private final MetricRegistry metrics;
     private final RecordCodec codec = new RecordCodec();
@@ -94,7 +95,8 @@
      * @param settings settings of the node
      * @param ports ports to the platform
      * @param scheduler scheduler of the node's single thread
-     * @param clock supplies the present Unix time in ms
+     * @param clock supplies the present Unix time in ms; may stand still while the machine is suspended
+     * @param suspensionMs supplies for how long in ms the machine has been suspended since the last call
      * @param log receives a line for each decision
      * @param metrics registry of the node's counters
      */
@@ -103,11 +105,13 @@
             OwnerSession.Ports ports,
             Scheduler scheduler,
             LongSupplier clock,
+            LongSupplier suspensionMs,
             DecisionLog log,
             MetricRegistry metrics) {
         this.settings = settings;
         this.scheduler = scheduler;
         this.clock = clock;
+        this.suspensionMs = suspensionMs;
         this.log = new CountingLog(log, metrics);
         this.barrier = new FailureBarrier(this.log);
         this.ports = new OwnerSession.Ports(
@@ -186,7 +190,23 @@
         }
     }
 
+    /**
+     * Reads the streams anew if the machine has been suspended, since all that this node knows may be outdated although
+     * its clock says otherwise. Call before a request is handled.
+     */
+    public void checkForSuspension() {
+        long suspendedMs = suspensionMs.getAsLong();
+        if (suspendedMs == 0) {
+            return;
+        }
+        metrics.counter("suspensions").inc();
+        log.line("node-suspended", "suspendedMs", suspendedMs);
+        operatorFollower.startAgain();
+        cellFollower.startAgain();
+    }
+
     private void tick() {
+        checkForSuspension();
         long nowMs = clock.getAsLong();
         if (nowMs < claimPauseEndMs) {
             return;
--- a/server/src/main/java/org/fuchsiawinch/server/stream/StreamFollower.java
+++ b/server/src/main/java/org/fuchsiawinch/server/stream/StreamFollower.java
@@ -62,6 +62,9 @@
     private static final long MIN_RETRY_DELAY_MS = 80;
     private static final long MAX_RETRY_DELAY_MS = 600;
 
+    /** A time in ms before all others; half the minimum, so that differences do not overflow. */
+    private static final long NEVER_MS = Long.MIN_VALUE / 2;
+
     private final Stream stream;
     private final StreamStore store;
     private final Scheduler scheduler;
@@ -85,8 +88,8 @@
     private long nextOffset = -1;
     private long retryDelayMs = MIN_RETRY_DELAY_MS;
 
-    /** Time of the store's last answer in ms; initially half the minimum, so that differences do not overflow. */
-    private long lastAnswerMs = Long.MIN_VALUE / 2;
+    /** Time in ms of the store's last answer. */
+    private long lastAnswerMs = NEVER_MS;
 
     private boolean unreachable;
     private boolean probing;
@@ -132,6 +135,20 @@
         loadSnapshot(new ArrayList<>(), Optional.empty(), -1);
     }
 
+    /**
+     * Discards what is known of the stream's age, and loads a new snapshot. Answers to earlier reads are ignored. Call
+     * after the clock may have stood still.
+     */
+    public void startAgain() {
+        if (closed) {
+            return;
+        }
+        lastAnswerMs = NEVER_MS;
+        probing = false;
+        pending.dispose();
+        start();
+    }
+
     /** Stops permanently. */
     public void close() {
         closed = true;
@@ -219,11 +236,11 @@
                             }
                             applySnapshot(collected, end);
                         },
-                        this::startAgain);
+                        this::startAfterFailure);
     }
 
     /** Loads a new snapshot after an unexpected failure. */
-    private void startAgain(Throwable failure) {
+    private void startAfterFailure(Throwable failure) {
         barrier.report("follow-" + stream, failure);
         if (!closed) {
             probing = false;
@@ -292,7 +309,7 @@
                             }
                             onResult(result);
                         },
-                        this::startAgain);
+                        this::startAfterFailure);
     }
 
     /**
@@ -312,7 +329,7 @@
                                 pending.dispose();
                                 onResult(result);
                             },
-                            this::startAgain);
+                            this::startAfterFailure);
         });
     }
 
--- a/server/src/test/java/org/fuchsiawinch/server/ClaimTest.java
+++ b/server/src/test/java/org/fuchsiawinch/server/ClaimTest.java
@@ -63,6 +63,7 @@
                 new OwnerSession.Ports(store, new UnresponsiveWorkers(), new SingleDocumentDecoder()),
                 time,
                 () -> time.now(TimeUnit.MILLISECONDS),
+                () -> 0,
                 (event, pairs) -> log.add(event),
                 new MetricRegistry());
         node.start();
--- a/server/src/test/java/org/fuchsiawinch/server/NodeFailureTest.java
+++ b/server/src/test/java/org/fuchsiawinch/server/NodeFailureTest.java
@@ -66,6 +66,7 @@
                 new OwnerSession.Ports(store, new ScriptedWorkers(), new ThrowingDecoder()),
                 time,
                 () -> time.now(TimeUnit.MILLISECONDS),
+                () -> 0,
                 (event, pairs) -> log.add(event),
                 new MetricRegistry());
         node.start();
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/OwnerFaultScheduleTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/OwnerFaultScheduleTest.java
@@ -1,9 +1,11 @@
 package org.fuchsiawinch.workflow;
 
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.stream.LongStream;
 
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -37,6 +39,20 @@
         new FaultSchedule(seed).play();
     }
 
+    /** The seeds of this run, each a case of its own. */
+    @DataProvider
+    public static Iterator<Object[]> seeds() {
+        return LongStream.range(FIRST_SEED, FIRST_SEED + SCHEDULES)
+                .mapToObj(seed -> new Object[] {seed})
+                .iterator();
+    }
+
+    // Guards against an owner that acts on a lease or an epoch that has run out while its clock stood still.
+    @Test(dataProvider = "seeds")
+    public void keepsTheRulesWhenOwnersAreSuspended(long seed) {
+        new FaultSchedule(seed, true).play();
+    }
+
     @Test
     public void keepsTheRulesUnderFaults() {
         Map<String, List<Long>> failing = new TreeMap<>();
