Forget choices of victims when the guaranteed jobs change

They are dropped when the set of guaranteed jobs differs from that of the last pass. Whether a task has a run is looked up by task, no longer by going through all runs of its job.

--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Preemptor.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Preemptor.java
@@ -70,6 +70,9 @@
 
     private long lossesAtMs;
 
+    /** Jobs inside guarantees in the last pass; they decide which runs may be victims. */
+    private Set<JobState> guaranteedJobs = Set.of();
+
     /** Number of claims in this pass for units that had none. */
     private int newClaims;
 
@@ -127,7 +130,7 @@
      * Claims capacity for all tasks of the unit and stops the victims; returns false if nothing was claimed. An attempt
      * is skipped if a unit of the same shape, which had as much to gain, has just failed.
      */
-    boolean claim(SchedulingUnit unit, UnitShape shape, Placer placer, Set<JobState> guaranteedJobs, long nowMs) {
+    boolean claim(SchedulingUnit unit, UnitShape shape, Placer placer, long nowMs) {
         Claim claim = new Claim(unit, shape, placer, guaranteedJobs);
         double gain = claim.insideGuarantee() ? Double.MAX_VALUE : gain(unit, nowMs);
         if (gain < MIN_GAIN) {
@@ -197,9 +200,14 @@
         claimedWorkers.remove(unit);
     }
 
-    /** Starts a pass: removes the claims of units that no longer wait, and failures that no longer stand. */
-    void startPass(Stream<SchedulingUnit> waiting, long nowMs) {
+    /** Starts a pass: removes the claims of units that no longer wait, and what no longer stands. */
+    void startPass(Stream<SchedulingUnit> waiting, Set<JobState> guaranteed, long nowMs) {
         newClaims = 0;
+        if (!guaranteed.equals(guaranteedJobs)) {
+            guaranteedJobs = guaranteed;
+            choicesByAttempt.clear();
+            failures.clear();
+        }
         if (nowMs - lossesAtMs >= VALID_MS) {
             lossesAtMs = nowMs;
             lossByRun.clear();
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunIndex.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunIndex.java
@@ -9,16 +9,19 @@
 import org.fuchsiawinch.workflow.job.JobState;
 import org.fuchsiawinch.workflow.job.TaskRef;
 
-/** The runs that hold capacity of any worker, by job. Not thread-safe. */
+/** The runs that hold capacity of any worker, by job and task. Not thread-safe. */
 final class RunIndex {
 
     private final Map<JobState, Set<ActiveRun>> runsByJob = new HashMap<>();
+    private final Map<TaskRef, Integer> runsByTask = new HashMap<>();
 
     void add(ActiveRun run) {
+        runsByTask.merge(run.id.task(), 1, Integer::sum);
         runsByJob.computeIfAbsent(run.job, job -> new LinkedHashSet<>()).add(run);
     }
 
     void remove(ActiveRun run) {
+        runsByTask.computeIfPresent(run.id.task(), (task, count) -> count == 1 ? null : count - 1);
         runsByJob.computeIfPresent(run.job, (job, runs) -> {
             runs.remove(run);
             return runs.isEmpty() ? null : runs;
@@ -31,8 +34,7 @@
     }
 
     /** Returns whether any run of a task holds capacity, also one from which the task has been released. */
-    boolean holds(JobState job, TaskRef task) {
-        return runsByJob.getOrDefault(job, Set.of()).stream()
-                .anyMatch(run -> run.id.task().equals(task));
+    boolean holds(TaskRef task) {
+        return runsByTask.containsKey(task);
     }
 }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Scheduler.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Scheduler.java
@@ -106,11 +106,11 @@
         state.log.count("scheduling.passes");
         Set<JobState> guaranteed = guaranteedJobs();
         List<Candidate> candidates = candidates(guaranteed, nowMs);
-        preemptor.startPass(candidates.stream().flatMap(candidate -> candidate.units().stream()), nowMs);
+        preemptor.startPass(candidates.stream().flatMap(candidate -> candidate.units().stream()), guaranteed, nowMs);
         if (candidates.isEmpty()) {
             return true;
         }
-        Pass pass = new Pass(new Placer(state, nowMs), guaranteed, nowMs);
+        Pass pass = new Pass(new Placer(state, nowMs), nowMs);
         for (Candidate candidate : candidates) {
             if (!pass.schedule(candidate)) {
                 return false;
@@ -123,15 +123,13 @@
     private final class Pass {
 
         private final Placer placer;
-        private final Set<JobState> guaranteed;
         private final long nowMs;
         private final Set<UnitShape> unplaceable = new HashSet<>();
         private final Set<UnitShape> unreservable = new HashSet<>();
         private int starts;
 
-        private Pass(Placer placer, Set<JobState> guaranteed, long nowMs) {
+        private Pass(Placer placer, long nowMs) {
             this.placer = placer;
-            this.guaranteed = guaranteed;
             this.nowMs = nowMs;
         }
 
@@ -149,8 +147,7 @@
                 }
                 placeable = false;
                 unplaceable.add(candidate.shape());
-                boolean claimed =
-                        candidate.mayPreempt() && preemptor.claim(unit, candidate.shape(), placer, guaranteed, nowMs);
+                boolean claimed = candidate.mayPreempt() && preemptor.claim(unit, candidate.shape(), placer, nowMs);
                 if (!claimed && reservable && !placer.reserve(unit)) {
                     reservable = false;
                     unreservable.add(candidate.shape());
@@ -280,8 +277,7 @@
 
     /** Returns whether all tasks of a unit are waiting and none has a run that is still being stopped. */
     private boolean ready(SchedulingUnit unit) {
-        return unit.ready()
-                && unit.indexes().stream().noneMatch(index -> state.runIndex.holds(unit.job(), unit.ref(index)));
+        return unit.ready() && unit.indexes().stream().noneMatch(index -> state.runIndex.holds(unit.ref(index)));
     }
 
     private void assign(SchedulingUnit unit, List<WorkerState> workers, Candidate candidate, long nowMs) {
