Keep the doubt about start orders while a worker is off the list

What callers see: as before the bar of late orders: a task runs again after its end. A worker was away for longer than its entry lives, the owner forgot it with its unanswered orders, and took its next process for a new worker.

--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
@@ -295,7 +295,9 @@
             if (expired && !worker.runs.isEmpty()) {
                 releaseExpired(worker, nowMs);
             }
-            boolean settled = worker.runs.isEmpty() && (expired || !worker.hasUnacknowledgedEnds());
+            boolean settled = worker.runs.isEmpty()
+                    && (expired || !worker.hasUnacknowledgedEnds())
+                    && worker.unansweredStarts.settled(nowMs);
             if (!worker.listed && settled && !worker.renewing) {
                 state.workers.remove(worker.id);
             }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/UnansweredStarts.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/UnansweredStarts.java
@@ -15,7 +15,7 @@
 final class UnansweredStarts {
 
     /** Longest delay in ms of an order that the network or the worker holds back. */
-    static final long MAX_ORDER_DELAY_MS = 15_000;
+    private static final long MAX_ORDER_DELAY_MS = 15_000;
 
     /** Delay in ms between two stop orders for the same run. */
     private static final long STOP_RETRY_MS = 400;
@@ -50,6 +50,12 @@
         }
     }
 
+    /** Returns whether no order can be carried out any more. */
+    boolean settled(long nowMs) {
+        orders.values().removeIf(order -> nowMs - order.sentMs > MAX_ORDER_DELAY_MS);
+        return orders.isEmpty();
+    }
+
     /** Records that the worker has accepted a stop of a run, and so refuses late start orders of it. */
     void stopAccepted(TaskRun run, long incarnation) {
         Order order = orders.get(run);
@@ -63,7 +69,9 @@
      * one. Counts each as sent.
      */
     List<TaskRun> stopsDue(long incarnation, long nowMs) {
-        orders.values().removeIf(order -> nowMs - order.sentMs > MAX_ORDER_DELAY_MS);
+        if (settled(nowMs)) {
+            return List.of();
+        }
         List<TaskRun> due = new ArrayList<>();
         orders.forEach((run, order) -> {
             if (order.incarnation == incarnation) {
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/RestartSafetyTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/RestartSafetyTest.java
@@ -91,6 +91,17 @@
         simulation.rules.checkAllEnded();
     }
 
+    // Guards against the same when the worker is away for so long that it leaves the list meanwhile.
+    @Test
+    public void barsALateStartOfADoneTaskAfterALongRestart() {
+        FaultSimulation simulation = settled(1);
+        simulation.links.nextStartDelays.add(13_000L);
+        simulation.submit("job", task(500)).run(2000);
+        simulation.workers.values().forEach(worker -> worker.crash(8000));
+        simulation.run(25_000);
+        simulation.rules.checkAllEnded();
+    }
+
     // Guards against an unanswered start that a restarted worker carries out before the owner has heard of the restart.
     @Test
     public void barsALateStartBeforeTheRestartIsNoticed() {
