--- a/server/src/test/java/org/fuchsiawinch/server/ClaimTest.java
+++ b/server/src/test/java/org/fuchsiawinch/server/ClaimTest.java
@@ -12,18 +12,14 @@
 import org.fuchsiawinch.server.owner.OwnerSession;
 import org.fuchsiawinch.server.port.EntryDecoder;
 import org.fuchsiawinch.server.port.StreamStore;
-import org.fuchsiawinch.server.port.WorkerGateway;
 import org.fuchsiawinch.workflow.cell.CellRules;
 import org.fuchsiawinch.workflow.owner.Guarantees;
-import org.fuchsiawinch.workflow.owner.OwnerEffect;
 import org.fuchsiawinch.workflow.owner.OwnerSettings;
-import org.fuchsiawinch.workflow.owner.StartOutcome;
 import org.fuchsiawinch.workflow.record.CellRecord;
 import org.fuchsiawinch.workflow.record.RecordCodec;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
-import reactor.core.publisher.Mono;
 import reactor.test.scheduler.VirtualTimeScheduler;
 
 import static org.testng.Assert.assertEquals;
@@ -84,24 +80,6 @@
         }
     }
 
-    private static final class UnresponsiveWorkers implements WorkerGateway {
-
-        @Override
-        public Mono<RenewResult> renew(String address, long epoch, OwnerEffect.Renew order) {
-            return Mono.never();
-        }
-
-        @Override
-        public Mono<StartOutcome> start(String address, long epoch, OwnerEffect.Start order) {
-            return Mono.never();
-        }
-
-        @Override
-        public Mono<Boolean> stop(String address, long epoch, OwnerEffect.Stop order) {
-            return Mono.never();
-        }
-    }
-
     private long cellTakenEvents() {
         return log.stream().filter("cell-taken"::equals).count();
     }
--- a/server/src/test/java/org/fuchsiawinch/server/SuspensionTest.java
+++ b/server/src/test/java/org/fuchsiawinch/server/SuspensionTest.java
@@ -14,17 +14,13 @@
 import org.fuchsiawinch.server.api.JobBody;
 import org.fuchsiawinch.server.owner.OwnerSession;
 import org.fuchsiawinch.server.port.EntryDecoder;
-import org.fuchsiawinch.server.port.WorkerGateway;
 import org.fuchsiawinch.workflow.cell.CellRules;
 import org.fuchsiawinch.workflow.cell.Queue;
 import org.fuchsiawinch.workflow.job.Submission;
 import org.fuchsiawinch.workflow.owner.Guarantees;
-import org.fuchsiawinch.workflow.owner.OwnerEffect;
 import org.fuchsiawinch.workflow.owner.OwnerSettings;
-import org.fuchsiawinch.workflow.owner.StartOutcome;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
-import reactor.core.publisher.Mono;
 import reactor.test.scheduler.VirtualTimeScheduler;
 
 import static org.testng.Assert.assertEquals;
@@ -52,7 +48,7 @@
         List<String> log = new ArrayList<>();
         node = new Node(
                 new NodeSettings("n1", 7, 1, OwnerSettings.of("n1", 6000, 3, 120_000)),
-                new OwnerSession.Ports(store, new SilentWorkers(), new VersionDecoder()),
+                new OwnerSession.Ports(store, new UnresponsiveWorkers(), new VersionDecoder()),
                 time,
                 () -> time.now(TimeUnit.MILLISECONDS),
                 this::takeSuspensionMs,
@@ -92,24 +88,6 @@
         }
     }
 
-    private static final class SilentWorkers implements WorkerGateway {
-
-        @Override
-        public Mono<RenewResult> renew(String address, long epoch, OwnerEffect.Renew order) {
-            return Mono.never();
-        }
-
-        @Override
-        public Mono<StartOutcome> start(String address, long epoch, OwnerEffect.Start order) {
-            return Mono.never();
-        }
-
-        @Override
-        public Mono<Boolean> stop(String address, long epoch, OwnerEffect.Stop order) {
-            return Mono.never();
-        }
-    }
-
     // Guards against a submission with a key that was withdrawn while the machine was suspended.
     @Test
     public void acceptsNoSubmissionOnRulesFromBeforeASuspension() {
