Check that a suspended node stores no submission

SuspensionTest accepted Malformed as an answer, which is given only after the withdrawn key has been accepted, so that this assertion could not fail. It submits a valid job now, demands a refusal and that nothing is stored; that part by itself fails without the new reads.

--- a/server/src/test/java/org/fuchsiawinch/server/SuspensionTest.java
+++ b/server/src/test/java/org/fuchsiawinch/server/SuspensionTest.java
@@ -97,9 +97,10 @@
         node.checkForSuspension();
         assertFalse(node.ready(time.now(TimeUnit.MILLISECONDS)));
         Answer answer = node.requestHandler()
-                .submit(SUBMISSION, () -> new JobBody.Malformed("not read"))
-                .block();
-        assertTrue(answer instanceof Answer.Unavailable || answer instanceof Answer.Malformed, "" + answer);
+                .submit(SUBMISSION, () -> new JobBody.Job("payload", List.of()))
+                .block(Duration.ofSeconds(1));
+        assertTrue(answer instanceof Answer.Unavailable, "" + answer);
+        assertTrue(store.entries.stream().noneMatch(entry -> entry.key().startsWith("j/")));
         time.advanceTimeBy(Duration.ofMillis(200));
         assertEquals(node.requestHandler().query(QUERY).block(), new Answer.UnknownKey());
     }
