--- a/review/1/LostStarts.java
+++ b/review/1/LostStarts.java
@@ -14,18 +14,21 @@
 import lab.Worker;
 
 /**
- * One worker of eight is cut off for some seconds while work is started on it, and other jobs come at once. Some of
- * their work items are never started.
+ * Two workers of twelve are cut off for some seconds while work is started on them, and many jobs come at once; then the
+ * next two. Some of the jobs' work items are never started. The traffic ends when a job stands still, or after a time.
  */
 public final class LostStarts {
 
     private static final String KEY = "key-a";
     private static final long CUT_MS = 2700;
-    private static final long PAUSE_MS = 1500;
-    private static final long TRAFFIC_MS = 70_000;
+    private static final long SETTLE_MS = 5000;
+    private static final long TRAFFIC_MS = 78_000;
     private static final long FINISH_MS = 14_000;
     private static final long IDLE_MS = 3000;
-    private static final int WORKERS = 8;
+    private static final Set<String> ENDED = ConcurrentHashMap.newKeySet();
+    private static final int WORKERS = 12;
+    private static final int CUT_AT_ONCE = 2;
+    private static final int JOBS_AT_ONCE = 24;
 
     /** The time from a start order until its connection is waited for no longer. */
     private static final long ORDER_MS = 1200;
@@ -56,10 +59,8 @@
             }
         };
         for (int i = 0; i < WORKERS; i++) {
-            lab.worker("i-7f3a91c" + i, "r1-" + i / 3, listener);
+            lab.worker(String.format("i-7f3a91c%x", i), "r1-" + i, listener);
         }
-        Worker cut = lab.workers.get(0);
-        cut.kind("b");
         lab.config(7, List.of(KEY));
         for (int i = 0; i < 3; i++) {
             lab.node("frontend-z1-" + i, lab.store.port());
@@ -83,23 +84,38 @@
         long endMs = lab.recorder.nowMs() + TRAFFIC_MS;
         for (int round = 0; lab.recorder.nowMs() < endMs; round++) {
             int node = round % 3;
+            int firstCut = CUT_AT_ONCE * round % WORKERS;
+            List<Worker> cut = lab.workers.subList(firstCut, firstCut + CUT_AT_ONCE);
             if (lab.trouble) {
-                cut.silent(true);
+                cut.forEach(worker -> worker.silent(true));
             }
             long cutAtMs = lab.recorder.nowMs();
             Lab.sleep(50);
-            submit(lab, accepted, node, String.format("%016x", 0xa0000 + round), job(64, "b", 300));
+            for (int i = 0; i < CUT_AT_ONCE; i++) {
+                String id = String.format("%016x", 0xa0000 + CUT_AT_ONCE * round + i);
+                submit(lab, accepted, node, id, job(64, "r1-" + (firstCut + i), 300));
+            }
             for (int burst = 1; burst <= 2; burst++) {
                 Lab.sleep(Math.max(0, cutAtMs + burst * ORDER_MS - 100 - lab.recorder.nowMs()));
-                for (int i = 0; i < 16; i++) {
+                for (int i = 0; i < JOBS_AT_ONCE; i++) {
                     String id = String.format("%016x", 0xb0000 + round * 100 + burst * 50 + i);
-                    consumers.execute(() -> submit(lab, accepted, node + id.hashCode() & 3, id, job(14, "a", 300)));
-                    Lab.sleep(20);
+                    int first = i % 3;
+                    consumers.execute(() -> submit(lab, accepted, first, id, job(14, "", 300)));
+                    Lab.sleep(12);
                 }
             }
             Lab.sleep(Math.max(0, cutAtMs + CUT_MS - lab.recorder.nowMs()));
-            cut.silent(false);
-            Lab.sleep(PAUSE_MS);
+            if (lab.trouble) {
+                cut.forEach(worker -> worker.silent(false));
+            }
+            long settledMs = lab.recorder.nowMs() + SETTLE_MS;
+            while (open(lab, accepted) > 0 && lab.recorder.nowMs() < settledMs) {
+                Lab.sleep(100);
+            }
+            if (open(lab, accepted) > 0) {
+                lab.recorder.say("after round " + round + " a job has not ended 5 s after all workers answer again");
+                break;
+            }
         }
         long overMs = lab.recorder.nowMs();
         lab.recorder.say(accepted.size() + " jobs accepted; the traffic is over");
@@ -128,6 +144,17 @@
         lab.finish(!stuck.isEmpty(), "LOST, an accepted job has nothing running while all workers are idle");
     }
 
+    /** Returns the number of accepted jobs that have not ended; ended ones are not asked for again. */
+    private static long open(Lab lab, Set<String> accepted) {
+        return accepted.stream()
+                .filter(id -> !ENDED.contains(id))
+                .filter(id -> {
+                    Lab.Reply reply = lab.call(lab.nodes.get(1).frontend, "GET", Lab.PREFIX + id, KEY, "", 3000);
+                    return !reply.body().contains("completed") || !ENDED.add(id);
+                })
+                .count();
+    }
+
     private static void submit(Lab lab, Set<String> accepted, int node, String id, String body) {
         for (int attempt = 0; attempt < 5; attempt++) {
             if (lab.consumer(lab.nodes.get((node + attempt) % 3), "POST", Lab.PREFIX + id, KEY, body).status() == 200) {
@@ -138,7 +165,7 @@
         }
     }
 
-    private static String job(int count, String kind, long workMs) {
+    private static String job(int count, String label, long workMs) {
         return Json.write(Json.map(
                 "spec", "text ms=" + workMs,
                 "steps",
@@ -147,6 +174,6 @@
                                 "cpu", 500,
                                 "requestedMemoryMb", 256,
                                 "estimatedMs", workMs,
-                                "requirements", kind))));
+                                "requirements", label))));
     }
 }
