--- a/review/lab/Worker.java
+++ b/review/lab/Worker.java
@@ -24,6 +24,10 @@
     private static final long HOLD_MAX_MS = 10_000;
     private static final long STEP_MS = 10;
 
+    /** Interval of the check-ins in ms, and the silence after which the platform removes the entry. */
+    private static final long BEAT_MS = 1500;
+    private static final long REMOVED_AFTER_MS = 3 * BEAT_MS;
+
     /** Decides whether a start order is not answered and carried out later: the delay in ms, or a negative number. */
     public interface Orders {
         long lateMs(String task, long run);
@@ -74,6 +78,8 @@
     private volatile Orders orders = (task, run) -> -1;
     private volatile boolean ordersOutliveCrashes = true;
     private volatile String kind = "a";
+    private volatile long lastBeatMs;
+    private volatile boolean listed;
 
     public Worker(String id, String service, String rack, Store store, Recorder recorder, Listener listener)
             throws IOException {
@@ -85,7 +91,8 @@
         this.listener = listener;
         boot();
         timer.scheduleAtFixedRate(this::step, STEP_MS, STEP_MS, TimeUnit.MILLISECONDS);
-        timer.scheduleAtFixedRate(this::beat, 1500, 1500, TimeUnit.MILLISECONDS);
+        timer.scheduleAtFixedRate(this::beat, BEAT_MS, BEAT_MS, TimeUnit.MILLISECONDS);
+        timer.scheduleAtFixedRate(this::removeSilentEntry, 100, 100, TimeUnit.MILLISECONDS);
     }
 
     public String id() {
@@ -125,6 +132,7 @@
     public void silent(boolean on) {
         silent = on;
         recorder.line(id, on ? "is silent" : "answers again");
+        beat();
     }
 
     private synchronized void boot() throws IOException {
@@ -165,10 +173,21 @@
         boot();
     }
 
+    /** Removes the worker's entry as the platform does, after three check-in intervals of silence. */
+    private void removeSilentEntry() {
+        if (listed && recorder.nowMs() - lastBeatMs > REMOVED_AFTER_MS) {
+            listed = false;
+            store.put("keyed.servers", id, "");
+            recorder.line("store", "removes the entry of", id);
+        }
+    }
+
     private void beat() {
         if (!up || silent) {
             return;
         }
+        lastBeatMs = recorder.nowMs();
+        listed = true;
         store.put(
                 "keyed.servers",
                 id,
