--- a/review/5/PendingCount.java
+++ b/review/5/PendingCount.java
@@ -33,7 +33,7 @@
             @Override
             public void ended(Worker worker, String task, long run, String how, long atMs) {}
         };
-        for (int i = 0; i < 7; i++) {
+        for (int i = 0; i < 8; i++) {
             lab.worker("i-7f3a91c" + i, "r1-" + i, listener);
         }
         lab.config(7, List.of("/plans/", "/quotes/"), List.of(KEY));
@@ -43,10 +43,10 @@
         lab.awaitReady();
         String full = "/plans/00000000000000f0";
         lab.await(
-                () -> lab.consumer(lab.nodes.get(0), "POST", full, KEY, Lab.job(6, 8, 40_000)).status() == 200,
+                () -> lab.consumer(lab.nodes.get(0), "POST", full, KEY, Lab.job(7, 8, 40_000)).status() == 200,
                 20_000,
                 "no job is accepted");
-        lab.await(() -> lab.workers.stream().filter(w -> w.runs() > 0).count() == 6, 20_000, "six workers are not busy");
+        lab.await(() -> lab.workers.stream().filter(w -> w.runs() > 0).count() == 7, 20_000, "seven workers are not busy");
         Lab.sleep(4000);
         Worker free = lab.workers.stream().filter(w -> w.runs() == 0).findFirst().get();
         if (lab.trouble) {
