--- a/server/src/main/java/org/fuchsiawinch/server/port/StreamStore.java
+++ b/server/src/main/java/org/fuchsiawinch/server/port/StreamStore.java
@@ -8,7 +8,7 @@
 
 /**
  * The platform's store of keyed, append-only streams. Failures are returned as values: no publisher of this port ends
- * with an error. Each call has its own time-out.
+ * with an error. Each call has its own time-out. Results, time-outs included, arrive on the node's single thread.
  */
 public interface StreamStore {
 
--- a/server/src/main/java/org/fuchsiawinch/server/port/WorkerGateway.java
+++ b/server/src/main/java/org/fuchsiawinch/server/port/WorkerGateway.java
@@ -7,7 +7,7 @@
 
 /**
  * Sends orders to workers. Failures are returned as values: no publisher of this port ends with an error. Each call has
- * its own time-out.
+ * its own time-out. Results, time-outs included, arrive on the node's single thread.
  */
 public interface WorkerGateway {
 
