Keep the cancelling of a job that is stored later

Cause: the store may carry out an append seconds after its caller has given up. A cancelling of a job that does not exist left nothing behind, and the owner takes any stored submission as new. Ruled out: a node that answers 410 on an old state; it reads the stream to its end first, and the store's record has the append after the answer.

Change: such a cancelling is stored before the 410 is given, limited to the caller's workspace. Owner and nodes keep it until the retention of an ended job is over, and a submission that arrives meanwhile is accepted as cancelled. Earlier releases skip the new record version.

--- a/server/src/main/java/org/fuchsiawinch/server/api/CallerRequestHandler.java
+++ b/server/src/main/java/org/fuchsiawinch/server/api/CallerRequestHandler.java
@@ -139,12 +139,16 @@
                 return Mono.just(
                         new Answer.Pending(index.queuedCount(resolved.queue().name())));
             }
-            return withJob(resolved, job -> Mono.just(new Answer.State(job.reportedPhase())));
+            return withJob(
+                    resolved,
+                    job -> Mono.just(new Answer.State(job.reportedPhase())),
+                    () -> Mono.just(new Answer.NoSuchJob()));
         });
     }
 
     /**
-     * Cancels a job. Idempotent; a job that has ended stays as it is.
+     * Cancels a job. Idempotent; a job that has ended stays as it is. A job that does not exist is cancelled for the
+     * case that its submission, which the caller had no answer to, is stored later.
      *
      * @param request the request
      * @return the answer
@@ -153,12 +157,30 @@
         return handle(
                 "cancel",
                 request,
-                resolved -> withJob(resolved, job -> {
-                    if (job.phase().ended() || job.cancelRequested()) {
-                        return Mono.just(new Answer.Cancelled());
-                    }
-                    return append(request, new CellRecord.CancelRequested(resolved.job()), new Answer.Cancelled());
-                }));
+                resolved -> withJob(
+                        resolved,
+                        job -> {
+                            if (job.phase().ended() || job.cancelRequested()) {
+                                return Mono.just(new Answer.Cancelled());
+                            }
+                            return append(
+                                    request, new CellRecord.CancelRequested(resolved.job()), new Answer.Cancelled());
+                        },
+                        () -> cancelEarly(request, resolved)));
+    }
+
+    /** Stores the cancellation of a job that does not exist, unless its id is invalid or another workspace's. */
+    private Mono<Answer> cancelEarly(CallerRequest request, ResolvedRequest resolved) {
+        String id = resolved.job();
+        boolean mayBeSubmitted = JOB_ID.matcher(id).matches() && index.find(id).isEmpty();
+        if (!mayBeSubmitted || index.cancelledEarly(id, resolved.workspace())) {
+            return Mono.just(new Answer.NoSuchJob());
+        }
+        return append(request, new CellRecord.CancelRequested(id, resolved.workspace()), new Answer.NoSuchJob())
+                .map(answer -> answer instanceof Answer.NoSuchJob
+                                && findVisible(resolved).isPresent()
+                        ? new Answer.Cancelled()
+                        : answer);
     }
 
     private Mono<Answer> handle(String verb, CallerRequest request, Function<ResolvedRequest, Mono<Answer>> action) {
@@ -189,7 +211,10 @@
         return rulesCurrent ? refusal : new Answer.Unavailable("rules-outdated", RETRY_AFTER_S);
     }
 
-    private Mono<Answer> withJob(ResolvedRequest resolved, Function<JobIndex.JobSummary, Mono<Answer>> action) {
+    private Mono<Answer> withJob(
+            ResolvedRequest resolved,
+            Function<JobIndex.JobSummary, Mono<Answer>> action,
+            Supplier<Mono<Answer>> missing) {
         Optional<JobIndex.JobSummary> known = findVisible(resolved);
         if (known.isPresent()) {
             return action.apply(known.get());
@@ -199,8 +224,7 @@
             if (found.isPresent()) {
                 return action.apply(found.get());
             }
-            return Mono.just(
-                    caughtUp ? new Answer.NoSuchJob() : new Answer.Unavailable("store-unreachable", RETRY_AFTER_S));
+            return caughtUp ? missing.get() : Mono.just(new Answer.Unavailable("store-unreachable", RETRY_AFTER_S));
         });
     }
 
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/cell/JobIndex.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/cell/JobIndex.java
@@ -13,6 +13,9 @@
 
     private final Map<String, JobSummary> jobs = new HashMap<>();
 
+    /** Cancellations by job id, of jobs whose acceptance has not been read. */
+    private final Map<String, CellRecord.CancelRequested> earlyCancellations = new HashMap<>();
+
     /**
      * Summary of a job.
      *
@@ -45,13 +48,14 @@
         if (record instanceof CellRecord.Accepted accepted) {
             String id = accepted.submission().id();
             JobSummary known = jobs.getOrDefault(id, JobSummary.UNKNOWN);
+            Optional<WorkspaceId> workspace = Optional.of(accepted.submission().workspace());
             jobs.put(
                     id,
                     new JobSummary(
                             accepted.submission().queue().intern(),
-                            Optional.of(accepted.submission().workspace()),
+                            workspace,
                             known.phase(),
-                            known.cancelRequested()));
+                            known.cancelRequested() || cancelledEarly(id, workspace)));
         } else if (record instanceof CellRecord.Progress progress) {
             JobSummary known = jobs.getOrDefault(progress.job(), JobSummary.UNKNOWN);
             jobs.put(
@@ -59,15 +63,42 @@
                     new JobSummary(
                             progress.queue().intern(), known.workspace(), progress.phase(), known.cancelRequested()));
         } else if (record instanceof CellRecord.CancelRequested request) {
-            jobs.computeIfPresent(
-                    request.job(),
-                    (id, known) -> new JobSummary(known.queue(), known.workspace(), known.phase(), true));
-        } else if (record instanceof CellRecord.Removed removed
-                && removed.key().startsWith(CellRecord.Accepted.PREFIX)) {
-            jobs.remove(removed.key().substring(CellRecord.Accepted.PREFIX.length()));
+            apply(request);
+        } else if (record instanceof CellRecord.Removed removed) {
+            remove(removed.key());
+        }
+    }
+
+    private void apply(CellRecord.CancelRequested request) {
+        JobSummary known = jobs.get(request.job());
+        if (known == null || !request.appliesTo(known.workspace())) {
+            earlyCancellations.put(request.job(), request);
+            return;
+        }
+        jobs.put(request.job(), new JobSummary(known.queue(), known.workspace(), known.phase(), true));
+    }
+
+    private void remove(String key) {
+        if (key.startsWith(CellRecord.Accepted.PREFIX)) {
+            jobs.remove(key.substring(CellRecord.Accepted.PREFIX.length()));
+        } else if (key.startsWith(CellRecord.CancelRequested.PREFIX)) {
+            earlyCancellations.remove(key.substring(CellRecord.CancelRequested.PREFIX.length()));
         }
     }
 
+    /**
+     * Returns whether a job was cancelled before its acceptance was read.
+     *
+     * @param id the job's id, chosen by the caller
+     * @param workspace workspace of the job; empty if it is not known
+     * @return true if a cancellation is stored that applies to the job
+     */
+    public boolean cancelledEarly(String id, Optional<WorkspaceId> workspace) {
+        return Optional.ofNullable(earlyCancellations.get(id))
+                .filter(request -> request.appliesTo(workspace))
+                .isPresent();
+    }
+
     /**
      * Finds a job.
      *
@@ -94,9 +125,10 @@
         return count;
     }
 
-    /** Removes all jobs, before a new snapshot is applied. */
+    /** Removes all jobs and cancellations, before a new snapshot is applied. */
     public void clear() {
         jobs.clear();
+        earlyCancellations.clear();
     }
 
     /**
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
@@ -121,7 +121,7 @@
         }
         for (CellRecord record : records) {
             if (record instanceof CellRecord.CancelRequested request) {
-                cancel(request.job(), nowMs);
+                cancel(request, nowMs);
             }
         }
         state.log.line("cell-loaded", "epoch", epoch, "jobs", state.jobs.size(), "open", state.openJobs.size());
@@ -294,16 +294,25 @@
     private void recordRead(CellRecord record, long nowMs) {
         if (record instanceof CellRecord.Accepted accepted) {
             state.accept(new JobState(accepted.submission()));
+            Optional.ofNullable(
+                            state.earlyCancellations.get(accepted.submission().id()))
+                    .ifPresent(early -> cancel(early.request(), nowMs));
         } else if (record instanceof CellRecord.CancelRequested request) {
-            cancel(request.job(), nowMs);
+            cancel(request, nowMs);
         } else if (record instanceof CellRecord.Owner owner && owner.epoch() > epoch) {
             state.effects.add(new OwnerEffect.StepDown("node " + owner.node() + " owns epoch " + owner.epoch()));
         }
     }
 
-    private void cancel(String id, long nowMs) {
-        JobState job = state.jobs.get(id);
-        if (job == null || !state.cancelled.add(id) || job.phase().ended()) {
+    /** Cancels a job, or keeps the request for a job whose acceptance is stored later. */
+    private void cancel(CellRecord.CancelRequested request, long nowMs) {
+        JobState job = state.jobs.get(request.job());
+        if (job == null || !request.appliesTo(Optional.of(job.submission().workspace()))) {
+            state.earlyCancellations.putIfAbsent(request.job(), new CellState.EarlyCancellation(request, nowMs));
+            return;
+        }
+        state.earlyCancellations.remove(request.job());
+        if (!state.cancelled.add(request.job()) || job.phase().ended()) {
             return;
         }
         state.endJob(job, JobPhase.CANCELLED, nowMs);
@@ -449,6 +458,13 @@
             }
             return expired;
         });
+        state.earlyCancellations.values().removeIf(early -> {
+            boolean expired = nowMs - early.readAtMs() > state.settings.retentionMs();
+            if (expired) {
+                removed.add(new CellRecord.Removed(early.request().key()));
+            }
+            return expired;
+        });
         return removed;
     }
 }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellState.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellState.java
@@ -1,6 +1,7 @@
 package org.fuchsiawinch.workflow.owner;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -29,6 +30,9 @@
     /** Ids of jobs with an accepted cancellation. */
     final Set<String> cancelled = new HashSet<>();
 
+    /** Cancellations by job id, of jobs whose acceptance has not been read. */
+    final Map<String, EarlyCancellation> earlyCancellations = new HashMap<>();
+
     final Map<WorkerId, WorkerState> workers = new TreeMap<>();
     final RunIndex runIndex = new RunIndex();
 
@@ -48,6 +52,9 @@
 
     List<OwnerEffect> effects = new ArrayList<>();
 
+    /** A cancellation and the time in ms at which this owner read it. */
+    record EarlyCancellation(CellRecord.CancelRequested request, long readAtMs) {}
+
     CellState(OwnerSettings settings, DecisionLog log) {
         this.settings = settings;
         this.log = log;
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/record/CellRecord.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/record/CellRecord.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 
 import org.fuchsiawinch.model.WorkerId;
+import org.fuchsiawinch.model.WorkspaceId;
 import org.fuchsiawinch.workflow.job.JobPhase;
 import org.fuchsiawinch.workflow.job.Submission;
 import org.fuchsiawinch.workflow.job.TaskPhase;
@@ -39,15 +40,36 @@
     }
 
     /**
-     * Acceptance of a caller's request to cancel a job.
+     * Acceptance of a caller's request to cancel a job. The request also holds for a job whose acceptance is stored
+     * later: the store may carry out an append seconds after the caller has given up on it.
      *
      * @param job the job's id
+     * @param workspace workspace whose job is cancelled; empty if the job of any workspace is
      */
-    record CancelRequested(String job) implements CellRecord {
+    record CancelRequested(String job, Optional<WorkspaceId> workspace) implements CellRecord {
 
         /** Prefix of the key. */
         public static final String PREFIX = "c/";
 
+        /**
+         * Creates a record for a job of any workspace.
+         *
+         * @param job the job's id
+         */
+        public CancelRequested(String job) {
+            this(job, Optional.empty());
+        }
+
+        /**
+         * Returns whether the request cancels the job of a workspace.
+         *
+         * @param owner workspace of the job; empty if it is not known
+         * @return true if the request is for this workspace or for any
+         */
+        public boolean appliesTo(Optional<WorkspaceId> owner) {
+            return workspace.isEmpty() || workspace.equals(owner);
+        }
+
         @Override
         public String key() {
             return PREFIX + job;
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/record/RecordCodec.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/record/RecordCodec.java
@@ -25,12 +25,15 @@
  * Encodes and decodes the values of a cell's records as MessagePack: a format version, then the fields in order of
  * declaration. Enum constants are written as ordinals, the flags of a step as one bit set, and learned run times as
  * 32-bit floats. Slots and connections of resources are not written, nor is what the key already holds; the value of a
- * {@link CellRecord.CancelRequested} is the version alone. Thread-safe.
+ * {@link CellRecord.CancelRequested} for any workspace is the version alone. Thread-safe.
  */
 public final class RecordCodec {
 
     private static final int VERSION = 1;
 
+    /** Version of a cancellation that is limited to a workspace. Earlier releases skip it. */
+    private static final int LIMITED_CANCELLATION_VERSION = 2;
+
     /** Largest valid epoch; leaves room for 2^32 rounds of claims, and for higher epochs after it. */
     private static final long MAX_EPOCH = 1L << 48;
 
@@ -52,7 +55,7 @@
             return new byte[0];
         }
         try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
-            packer.packInt(VERSION);
+            packer.packInt(version(record));
             if (record instanceof CellRecord.Accepted accepted) {
                 packSubmission(packer, accepted.submission());
             } else if (record instanceof CellRecord.Progress progress) {
@@ -61,6 +64,9 @@
                 packLearned(packer, learned);
             } else if (record instanceof CellRecord.Owner owner) {
                 packer.packString(owner.node()).packLong(owner.epoch()).packBoolean(owner.released());
+            } else if (record instanceof CellRecord.CancelRequested request
+                    && request.workspace().isPresent()) {
+                packer.packString(request.workspace().get().value());
             }
             return packer.toByteArray();
         } catch (IOException e) {
@@ -68,6 +74,12 @@
         }
     }
 
+    private static int version(CellRecord record) {
+        boolean limited = record instanceof CellRecord.CancelRequested request
+                && request.workspace().isPresent();
+        return limited ? LIMITED_CANCELLATION_VERSION : VERSION;
+    }
+
     /**
      * Decodes a record.
      *
@@ -82,6 +94,11 @@
         }
         try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(value)) {
             int version = unpacker.unpackInt();
+            boolean cancellation = key.startsWith(CellRecord.CancelRequested.PREFIX);
+            if (version == LIMITED_CANCELLATION_VERSION && cancellation) {
+                return new CellRecord.CancelRequested(
+                        cancelledJob(key), Optional.of(new WorkspaceId(unpacker.unpackString())));
+            }
             if (version != VERSION) {
                 throw new RecordFormatException(
                         key, "unsupported format version " + version + ", expected " + VERSION, null);
@@ -109,7 +126,7 @@
             return new CellRecord.Accepted(job);
         }
         if (key.startsWith(CellRecord.CancelRequested.PREFIX)) {
-            return new CellRecord.CancelRequested(key.substring(CellRecord.CancelRequested.PREFIX.length()));
+            return new CellRecord.CancelRequested(cancelledJob(key));
         }
         if (key.startsWith(CellRecord.Progress.PREFIX)) {
             return unpackProgress(key.substring(CellRecord.Progress.PREFIX.length()), unpacker, length);
@@ -117,6 +134,10 @@
         throw new RecordFormatException(key, "unknown key prefix", null);
     }
 
+    private static String cancelledJob(String key) {
+        return key.substring(CellRecord.CancelRequested.PREFIX.length());
+    }
+
     private static CellRecord.Owner unpackOwner(MessageUnpacker unpacker) throws IOException {
         String node = unpacker.unpackString();
         long epoch = unpacker.unpackLong();
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/RecordCodecTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/RecordCodecTest.java
@@ -68,6 +68,7 @@
         return new Object[][] {
             {new CellRecord.Accepted(job)},
             {new CellRecord.CancelRequested("0123456789abcdef")},
+            {new CellRecord.CancelRequested("0123456789abcdef", Optional.of(new WorkspaceId("ws")))},
             {new CellRecord.Progress("0123456789abcdef", "plans", JobPhase.ACTIVE, 0, List.of(List.of(task, task)))},
             {new CellRecord.Owner("n1", 70_000, true)},
             {new CellRecord.LearnedRunTimes(Map.of(new WorkerId("i-1"), 0.5), Map.of("plans", -0.25))},
