Count a job as begun once a worker has confirmed a start

Cause: the owner moved a job to ACTIVE as it assigned the first run, before the start order was sent. An order that is refused, not answered or given up left the job ACTIVE. Ruled out: nodes that are behind; all of them showed the phase that was stored.

Change: a job becomes ACTIVE when a worker answers the order with success, lists the run or lists its end. The change is stored with the next append or in place of the next heartbeat, so that it costs no call of its own.

--- a/workflow/src/main/java/org/fuchsiawinch/workflow/job/JobPhase.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/job/JobPhase.java
@@ -2,9 +2,9 @@
 
 /** The phase of a job as reported to its caller. Stored by ordinal: constants keep their order. */
 public enum JobPhase {
-    /** Accepted; no task has been assigned to a worker. */
+    /** Accepted; no worker has confirmed the start of a task. */
     QUEUED,
-    /** A task has been assigned to a worker. */
+    /** A task has started. */
     ACTIVE,
     /** All tasks are done. */
     COMPLETED,
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/job/JobState.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/job/JobState.java
@@ -127,11 +127,17 @@
         return true;
     }
 
-    /** Moves the job from QUEUED to ACTIVE when its first task is assigned. */
-    public void markActive() {
-        if (phase == JobPhase.QUEUED) {
-            phase = JobPhase.ACTIVE;
+    /**
+     * Moves the job from QUEUED to ACTIVE, once a worker has confirmed that a task has started.
+     *
+     * @return whether the phase has changed
+     */
+    public boolean markActive() {
+        if (phase != JobPhase.QUEUED) {
+            return false;
         }
+        phase = JobPhase.ACTIVE;
+        return true;
     }
 
     /**
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
@@ -408,6 +408,11 @@
     }
 
     private void append(long nowMs) {
+        boolean heartbeatDue = nowMs - lastAppendMs >= state.settings.heartbeatMs();
+        if (heartbeatDue || !state.changedJobs.isEmpty()) {
+            state.changedJobs.addAll(state.begunJobs);
+            state.begunJobs.clear();
+        }
         List<CellRecord> records = new ArrayList<>();
         state.changedJobs.forEach(job -> records.add(CellState.progressRecord(job)));
         state.changedJobs.clear();
@@ -417,7 +422,7 @@
             lastLearnedRecordMs = nowMs;
             records.add(learnedRunTimes());
         }
-        if (records.isEmpty() && nowMs - lastAppendMs >= state.settings.heartbeatMs()) {
+        if (records.isEmpty() && heartbeatDue) {
             records.add(new CellRecord.Owner(state.settings.node(), epoch, false));
         }
         startsBeingStored = List.copyOf(state.pendingStarts);
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellState.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellState.java
@@ -39,6 +39,9 @@
     /** Jobs whose progress is to be stored with the next append. */
     final Set<JobState> changedJobs = new LinkedHashSet<>();
 
+    /** Jobs that have begun, which is stored with the next append; at the latest with the next heartbeat. */
+    final Set<JobState> begunJobs = new LinkedHashSet<>();
+
     /** Runs whose assignments are to be stored with the next append. */
     final List<ActiveRun> pendingStarts = new ArrayList<>();
 
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
@@ -231,7 +231,7 @@
         ActiveRun run = new ActiveRun(id, job, worker, ActiveRun.Stage.RUNNING);
         worker.add(run);
         run.listed = true;
-        run.confirm(nowMs);
+        runTracker.confirm(run, nowMs);
         runTracker.stop(run, "late-start", nowMs);
     }
 
@@ -240,7 +240,7 @@
             return;
         }
         run.listed = true;
-        run.confirm(nowMs);
+        runTracker.confirm(run, nowMs);
         if (run.current()) {
             saveCheckpoint(run, task.checkpoint());
         }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTracker.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTracker.java
@@ -77,7 +77,7 @@
                     run.startOrders);
         }
         switch (outcome) {
-            case STARTED -> run.confirm(nowMs);
+            case STARTED -> confirm(run, nowMs);
             case FENCED -> state.effects.add(new OwnerEffect.StepDown("worker " + worker.id + " knows a higher epoch"));
             case SUPERSEDED -> run.absenceConclusiveAfterMs = nowMs;
             case UNANSWERED -> startUnanswered(run, nowMs);
@@ -85,6 +85,18 @@
         }
     }
 
+    /** Records that a worker runs, or has run, a run. */
+    void confirm(ActiveRun run, long nowMs) {
+        run.confirm(nowMs);
+        begun(run.job);
+    }
+
+    private void begun(JobState job) {
+        if (job.markActive()) {
+            state.begunJobs.add(job);
+        }
+    }
+
     private void startUnanswered(ActiveRun run, long nowMs) {
         run.startUnanswered = true;
         run.startUnansweredMs = nowMs;
@@ -203,6 +215,7 @@
         if (task == null || task.phase() == TaskPhase.DONE) {
             return;
         }
+        begun(job);
         boolean current = run != null && run.current();
         state.log.count("runs.ended." + end.end());
         state.log.line(
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Scheduler.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Scheduler.java
@@ -301,7 +301,6 @@
             state.pendingStarts.add(run);
             logAssignment(run, candidate, nowMs);
         }
-        unit.job().markActive();
         state.changedJobs.add(unit.job());
     }
 
