See a worker's restart with the first renewal that it answers

Cause: no field of an order names a process, so only a stop bars a late order there, and the owner sends it when a report shows the restart. The first renewal to the new process waited there for an end, up to 2 s.

Change: a renewal to a worker that has stopped answering does not wait.

--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
@@ -62,6 +62,7 @@
         }
         long waitMs = busy ? state.settings.busyWorkerWaitMs() : state.settings.idleWorkerWaitMs();
         boolean settled = worker.contacted
+                && !worker.renewalFailing
                 && worker.seenSequence == worker.acknowledgedSequence
                 && worker.runs.values().stream().noneMatch(run -> run.stopping);
         worker.sentAcknowledgement = acknowledgement(worker);
@@ -81,10 +82,12 @@
     /**
      * Returns the wait in ms of a renewal at a worker with unstored ends or pending stops. It is short while only stops
      * are pending, since the run's absence from the report may confirm its stop. It is 0 with unstored ends, and for a
-     * worker that has not answered yet.
+     * worker that has not answered yet or has stopped answering: its report may show a restart, after which the start
+     * orders that the earlier process has not answered have to be barred at once.
      */
     private long unsettledWaitMs(WorkerState worker) {
-        return worker.contacted && worker.seenSequence == worker.acknowledgedSequence ? UNSTORED_DELAY_MS / 2 : 0;
+        boolean answering = worker.contacted && !worker.renewalFailing;
+        return answering && worker.seenSequence == worker.acknowledgedSequence ? UNSTORED_DELAY_MS / 2 : 0;
     }
 
     void renewalFailed(WorkerState worker, String problem, long nowMs) {
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/RestartSafetyTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/RestartSafetyTest.java
@@ -102,6 +102,17 @@
         simulation.rules.checkAllEnded();
     }
 
+    // Guards against the same while the first renewal after the restart waits at the worker, as at one that is idle.
+    @Test
+    public void barsALateStartSoonAfterARestart() {
+        FaultSimulation simulation = settled(1);
+        simulation.links.nextStartDelays.add(7000L);
+        simulation.submit("job", task(500)).run(3000);
+        simulation.workers.values().forEach(worker -> worker.crash(3500));
+        simulation.run(15_000);
+        simulation.rules.checkAllEnded();
+    }
+
     // Guards against an unanswered start that a restarted worker carries out before the owner has heard of the restart.
     @Test
     public void barsALateStartBeforeTheRestartIsNoticed() {
