Ask a worker in doubt again sooner, also without an entry

Change: while a start order is in doubt (15 s at most), the worker is asked also without an entry, and 0.1 s after a failed renewal.

--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
@@ -16,6 +16,9 @@
     /** Delay in ms before the retry of a failed renewal. */
     private static final long RETRY_DELAY_MS = 300;
 
+    /** The same for a worker whose next process may carry out orders for this one, until its restart is known. */
+    private static final long DOUBT_RETRY_DELAY_MS = 100;
+
     /** Delay in ms between renewals while ended runs are not yet stored; a worker reports those without waiting. */
     private static final long UNSTORED_DELAY_MS = 500;
 
@@ -42,7 +45,10 @@
 
     void sendDueRenewals(long nowMs) {
         for (WorkerState worker : state.workers.values()) {
-            boolean needed = worker.listed || !worker.runs.isEmpty() || worker.hasUnacknowledgedEnds();
+            boolean needed = worker.listed
+                    || !worker.runs.isEmpty()
+                    || worker.hasUnacknowledgedEnds()
+                    || !worker.unansweredStarts.settled(nowMs);
             if (needed && worker.registration != null && !worker.renewing && nowMs >= worker.nextRenewalMs) {
                 send(worker, nowMs);
             }
@@ -93,7 +99,8 @@
     void renewalFailed(WorkerState worker, String problem, long nowMs) {
         worker.renewing = false;
         worker.renewalFailing = true;
-        worker.nextRenewalMs = nowMs + RETRY_DELAY_MS;
+        boolean doubt = !worker.unansweredStarts.settled(nowMs);
+        worker.nextRenewalMs = nowMs + (doubt ? DOUBT_RETRY_DELAY_MS : RETRY_DELAY_MS);
         state.log.line(
                 "renewal-failed",
                 "worker",
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/OwnerFaultScheduleTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/OwnerFaultScheduleTest.java
@@ -29,7 +29,7 @@
 
     @Test(dataProvider = "failedSeeds")
     public void keepsTheRulesOnSeedsThatFailed(long seed, String fault) {
-        new FaultSchedule(seed).play();
+        play(seed, new FaultSchedule(seed));
     }
 
     /** The seeds of this run, each a case of its own. */
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/RestartSafetyTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/RestartSafetyTest.java
@@ -1,6 +1,7 @@
 package org.fuchsiawinch.workflow;
 
 import org.fuchsiawinch.workflow.job.StepSpec;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Guards against tasks that run twice when a worker starts again under its id or leaves the list while it runs. */
@@ -102,12 +103,18 @@
         simulation.rules.checkAllEnded();
     }
 
-    // Guards against the same while the first renewal after the restart waits at the worker, as at one that is idle.
-    @Test
-    public void barsALateStartSoonAfterARestart() {
+    /** Times in ms from a crash's due time to the crash, and from the restart to a late start. */
+    @DataProvider
+    public Object[][] lateStarts() {
+        return new Object[][] {{0, 500}, {0, 1500}, {0, 220}, {70, 220}, {140, 220}, {210, 220}, {280, 220}};
+    }
+
+    // Guards against the same while the first renewal after the restart is not due yet, or waits at the worker.
+    @Test(dataProvider = "lateStarts")
+    public void barsALateStartSoonAfterARestart(int crashMs, int afterMs) {
         FaultSimulation simulation = settled(1);
-        simulation.links.nextStartDelays.add(7000L);
-        simulation.submit("job", task(500)).run(3000);
+        simulation.links.nextStartDelays.add(6500L + crashMs + afterMs);
+        simulation.submit("job", task(500)).run(3000 + crashMs);
         simulation.workers.values().forEach(worker -> worker.crash(3500));
         simulation.run(15_000);
         simulation.rules.checkAllEnded();
