Keep a restarted worker idle while an acknowledgement is in doubt

Cause: a renewal that was held back is carried out by the worker's next process. It acknowledges ends of the earlier one by their number, and the next one forgets its own ends up to that number. If the owner is lost before it has seen them, its successor finds neither run nor end.

Change: a renewal that acknowledges ends does not wait at the worker, so that a crash rarely finds one under way. A worker that restarts within 15 s of such a renewal without an answer gets no work until these are over.

Before: keepsTheEndsOfANewProcessFromALateAcknowledgement fails ("second/0/0#2 after second/0/0#1 done"). After: passes. Not covered: work that the new process got before its restart was seen, and a change of owner in between.

--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
@@ -58,6 +58,7 @@
     /** Sends a renewal. It does not extend the lease of a worker that does not answer, so that the lease can expire. */
     private void send(WorkerState worker, long nowMs) {
         worker.renewing = true;
+        worker.renewalSentMs = nowMs;
         boolean busy = !worker.runs.isEmpty();
         OptionalLong leaseEndMs = OptionalLong.empty();
         if (worker.contacted && busy && !worker.renewalFailing && state.mayGrantLeases(nowMs)) {
@@ -67,11 +68,12 @@
             leaseEndMs = OptionalLong.of(endMs);
         }
         long waitMs = busy ? state.settings.busyWorkerWaitMs() : state.settings.idleWorkerWaitMs();
+        worker.sentAcknowledgement = acknowledgement(worker);
         boolean settled = worker.contacted
                 && !worker.renewalFailing
+                && worker.sentAcknowledgement == 0
                 && worker.seenSequence == worker.acknowledgedSequence
                 && worker.runs.values().stream().noneMatch(run -> run.stopping);
-        worker.sentAcknowledgement = acknowledgement(worker);
         state.effects.add(new OwnerEffect.Renew(
                 worker.id, leaseEndMs, worker.sentAcknowledgement, settled ? waitMs : unsettledWaitMs(worker)));
     }
@@ -87,17 +89,20 @@
 
     /**
      * Returns the wait in ms of a renewal at a worker with unstored ends or pending stops. It is short while only stops
-     * are pending, since the run's absence from the report may confirm its stop. It is 0 with unstored ends, and for a
-     * worker that has not answered yet or has stopped answering: its report may show a restart, after which the start
-     * orders that the earlier process has not answered have to be barred at once.
+     * are pending, since the run's absence from the report may confirm its stop. It is 0 with unstored ends, with an
+     * acknowledgement, so that a crash of the worker rarely leaves one in doubt, and for a worker that has not answered
+     * yet or has stopped answering: its report may show a restart, after which the start orders that the earlier
+     * process has not answered have to be barred at once.
      */
     private long unsettledWaitMs(WorkerState worker) {
         boolean answering = worker.contacted && !worker.renewalFailing;
-        return answering && worker.seenSequence == worker.acknowledgedSequence ? UNSTORED_DELAY_MS / 2 : 0;
+        boolean endsSettled = worker.seenSequence == worker.acknowledgedSequence && worker.sentAcknowledgement == 0;
+        return answering && endsSettled ? UNSTORED_DELAY_MS / 2 : 0;
     }
 
     void renewalFailed(WorkerState worker, String problem, long nowMs) {
         worker.renewing = false;
+        worker.renewalUnanswered();
         worker.renewalFailing = true;
         boolean doubt = !worker.unansweredStarts.settled(nowMs);
         worker.nextRenewalMs = nowMs + (doubt ? DOUBT_RETRY_DELAY_MS : RETRY_DELAY_MS);
@@ -141,7 +146,7 @@
     private void incarnationChanged(WorkerState worker, long sentMs, WorkerReport report, long nowMs) {
         boolean firstContact = !worker.contacted;
         long previousIncarnation = worker.incarnation;
-        worker.startIncarnation(report.incarnation());
+        worker.startIncarnation(report.incarnation(), nowMs);
         // A lease may have been granted on the clock of the earlier process; the worker cuts it to this length.
         worker.extendLease(report.clockMs() + state.settings.longestLeaseMs());
         if (firstContact) {
@@ -161,7 +166,9 @@
                 "confirmed",
                 worker.runCount(ActiveRun.Stage.RUNNING),
                 "unconfirmed",
-                worker.runCount(ActiveRun.Stage.ORDERED));
+                worker.runCount(ActiveRun.Stage.ORDERED),
+                "workInMs",
+                worker.workDelayMs(nowMs));
         Set<TaskRun> reported = reportedRuns(report);
         for (ActiveRun run : List.copyOf(worker.runs.values())) {
             if (run.stage == ActiveRun.Stage.STORING) {
@@ -307,7 +314,8 @@
             }
             boolean settled = worker.runs.isEmpty()
                     && (expired || !worker.hasUnacknowledgedEnds())
-                    && worker.unansweredStarts.settled(nowMs);
+                    && worker.unansweredStarts.settled(nowMs)
+                    && worker.acknowledgementsSettled(nowMs);
             if (!worker.listed && settled && !worker.renewing) {
                 state.workers.remove(worker.id);
             }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/UnansweredStarts.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/UnansweredStarts.java
@@ -15,7 +15,7 @@
 final class UnansweredStarts {
 
     /** Longest delay in ms of an order that the network or the worker holds back. */
-    private static final long MAX_ORDER_DELAY_MS = 15_000;
+    static final long MAX_ORDER_DELAY_MS = 15_000;
 
     /** Delay in ms between two stop orders for the same run. */
     private static final long STOP_RETRY_MS = 400;
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerState.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerState.java
@@ -13,6 +13,9 @@
     /** Silence in ms after which a worker gets no new work; a renewal waits up to 2 s. */
     private static final long MAX_SILENCE_MS = 2800;
 
+    /** A time in ms before all others; half the minimum, so that differences do not overflow. */
+    private static final long NEVER_MS = Long.MIN_VALUE / 2;
+
     final WorkerId id;
     final Map<TaskRun, ActiveRun> runs = new LinkedHashMap<>();
     final WorkerHealth health = new WorkerHealth();
@@ -62,6 +65,15 @@
     /** Highest acknowledged sequence number that the present incarnation has received. */
     long confirmedAcknowledgement;
 
+    /** Time in ms at which the renewal in flight was sent. */
+    long renewalSentMs;
+
+    /** Time in ms at which the last renewal that acknowledged ends and was not answered was sent. */
+    private long unansweredAcknowledgementMs = NEVER_MS;
+
+    /** Time in ms from which on the present incarnation may get work. */
+    private long usableFromMs = NEVER_MS;
+
     /** Start orders without an answer, also of runs that have ended. */
     final UnansweredStarts unansweredStarts = new UnansweredStarts();
 
@@ -118,6 +130,7 @@
     boolean usable(long nowMs) {
         return listed
                 && contacted
+                && nowMs >= usableFromMs
                 && !registration.leaving()
                 && nowMs - lastContactMs <= MAX_SILENCE_MS
                 && !health.quarantined(nowMs);
@@ -178,13 +191,36 @@
         return seenSequence > confirmedAcknowledgement;
     }
 
+    /** Records that the renewal in flight was not answered; it may still be carried out. */
+    void renewalUnanswered() {
+        if (sentAcknowledgement > 0) {
+            unansweredAcknowledgementMs = renewalSentMs;
+        }
+    }
+
+    /** Returns whether no renewal that was not answered can acknowledge ends any more. */
+    boolean acknowledgementsSettled(long nowMs) {
+        return nowMs - unansweredAcknowledgementMs > UnansweredStarts.MAX_ORDER_DELAY_MS;
+    }
+
+    /** Returns the time in ms until the present incarnation may get work; 0 if it may. */
+    long workDelayMs(long nowMs) {
+        return Math.max(0, usableFromMs - nowMs);
+    }
+
     /** Records that the present incarnation has answered the renewal in flight. */
     void acknowledgementConfirmed() {
         confirmedAcknowledgement = Math.max(confirmedAcknowledgement, sentAcknowledgement);
     }
 
-    /** Clears the state that belongs to an earlier process of the worker. */
-    void startIncarnation(long newIncarnation) {
+    /**
+     * Clears the state that belongs to an earlier process of the worker. The new process gets no work while it may
+     * still carry out an acknowledgement for the earlier one: it would forget ends of its own that no owner has seen.
+     */
+    void startIncarnation(long newIncarnation, long nowMs) {
+        if (!acknowledgementsSettled(nowMs)) {
+            usableFromMs = unansweredAcknowledgementMs + UnansweredStarts.MAX_ORDER_DELAY_MS;
+        }
         contacted = true;
         incarnation = newIncarnation;
         leaseEndMs = 0;
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/RestartSafetyTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/RestartSafetyTest.java
@@ -120,6 +120,21 @@
         simulation.rules.checkAllEnded();
     }
 
+    // Guards against a renewal that acknowledges ends of a worker's earlier process and is carried out by the next one,
+    // which forgets an end that no owner has seen, while the owner is gone.
+    @Test
+    public void keepsTheEndsOfANewProcessFromALateAcknowledgement() {
+        FaultSimulation simulation = new FaultSimulation(1, 3, 1).run(20_000);
+        simulation.links.nextAcknowledgementDelays.add(8000L);
+        simulation.submit("first", task(300)).run(2000);
+        restartAll(simulation);
+        simulation.run(5000);
+        simulation.submit("second", task(800)).run(500);
+        simulation.nodes.stream().filter(SimulatedNode::owns).forEach(node -> node.kill(10_000));
+        simulation.run(15_000);
+        simulation.rules.checkAllEnded();
+    }
+
     // Guards against an unanswered start that a restarted worker carries out before the owner has heard of the restart.
     @Test
     public void barsALateStartBeforeTheRestartIsNoticed() {
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/SimulatedLinks.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/SimulatedLinks.java
@@ -41,6 +41,9 @@
     /** Delays in ms of the next start orders, which are carried out without an answer; 0 for a prompt one. */
     final Deque<Long> nextStartDelays = new ArrayDeque<>();
 
+    /** Delays in ms of the next renewals that acknowledge ends, which are carried out without an answer. */
+    final Deque<Long> nextAcknowledgementDelays = new ArrayDeque<>();
+
     private final FaultSimulation simulation;
     private final Random random;
 
@@ -129,6 +132,11 @@
         if (order instanceof OwnerEffect.Start && !nextStartDelays.isEmpty()) {
             return nextStartDelays.remove();
         }
+        if (order instanceof OwnerEffect.Renew renew
+                && renew.acknowledged() > 0
+                && !nextAcknowledgementDelays.isEmpty()) {
+            return nextAcknowledgementDelays.remove();
+        }
         return random.nextDouble() < late ? MIN_LATE_MS + random.nextInt(LATE_SPREAD_MS) : 0;
     }
 
