Let the newest cancelling of an unknown job count for the owner

What callers may see: a job runs after its cancelling was answered with 410, if another workspace has cancelled the same id before. Found on reading the change again.

Cause: the owner kept the first of two cancellings of an unknown job, while the store and the nodes' indexes keep the newest.

Before: cancelsAJobWhoseIdAnotherWorkspaceHasCancelledBefore fails (3 starts for 0). After: passes.

--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
@@ -308,7 +308,7 @@
     private void cancel(CellRecord.CancelRequested request, long nowMs) {
         JobState job = state.jobs.get(request.job());
         if (job == null || !request.appliesTo(Optional.of(job.submission().workspace()))) {
-            state.earlyCancellations.putIfAbsent(request.job(), new CellState.EarlyCancellation(request, nowMs));
+            state.earlyCancellations.put(request.job(), new CellState.EarlyCancellation(request, nowMs));
             return;
         }
         state.earlyCancellations.remove(request.job());
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/EarlyCancellationTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/EarlyCancellationTest.java
@@ -60,6 +60,16 @@
         assertEquals(cell.phase("late"), Optional.of(JobPhase.COMPLETED));
     }
 
+    // Guards against a cancellation that is lost since another workspace has cancelled the same id before.
+    @Test
+    public void cancelsAJobWhoseIdAnotherWorkspaceHasCancelledBefore() {
+        OwnerHarness cell = new OwnerHarness().workers(2).takeOver();
+        cell.run(3000).store(OTHER);
+        cell.store(OWN);
+        cell.submit("late", 0, OwnerHarness.tasks(3, 1, 300)).run(3000);
+        assertEquals(cell.startCount(), 0);
+    }
+
     // Guards against records of cancellations that stay in the store for good.
     @Test
     public void removesAnEarlyCancellationAfterTheRetention() {
