--- a/standin/src/main/java/org/fuchsiawinch/standin/userplatform/UserPlatformServer.java
+++ b/standin/src/main/java/org/fuchsiawinch/standin/userplatform/UserPlatformServer.java
@@ -48,6 +48,7 @@
     private final Map<String, UserPlatformWorker> workers = new LinkedHashMap<>();
     private final DisposableServer server;
     private boolean storeDown;
+    private boolean storeSilent;
 
     /**
      * Binds a free port and starts to listen.
@@ -101,6 +102,19 @@
         storeDown = down;
     }
 
+    /**
+     * Lets new calls on the topics go unanswered, or ends this.
+     *
+     * @param silent whether new calls on the topics are neither carried out nor answered
+     */
+    public synchronized void setStoreSilent(boolean silent) {
+        storeSilent = silent;
+    }
+
+    private synchronized boolean storeSilent() {
+        return storeSilent;
+    }
+
     /**
      * Adds a worker, or replaces the one of the same id as a restart does.
      *
@@ -153,6 +167,9 @@
     }
 
     private Mono<Reply> handleTopicCall(String path, Map<String, String> query, byte[] body) {
+        if (storeSilent()) {
+            return Mono.never();
+        }
         long untilMs = clock.getAsLong() + Long.parseLong(query.getOrDefault("waitMs", "0"));
         return switch (path) {
             case "/-/log-append" -> Mono.fromSupplier(() -> append(query, body));
