--- /dev/null
+++ b/runtime/src/main/java/org/fuchsiawinch/runtime/net/package-info.java
@@ -0,0 +1,2 @@
+/** Connections of the servers of a process. */
+package org.fuchsiawinch.runtime.net;
