--- a/runtime/src/main/java/org/fuchsiawinch/runtime/EventLog.java
+++ b/runtime/src/main/java/org/fuchsiawinch/runtime/EventLog.java
@@ -1,5 +1,6 @@
 package org.fuchsiawinch.runtime;
 
+import ch.qos.logback.classic.LoggerContext;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -44,6 +45,13 @@
         }
     }
 
+    /** Writes the lines of all logs that are still queued and ends logging; call before the process exits. */
+    public static void close() {
+        if (LoggerFactory.getILoggerFactory() instanceof LoggerContext context) {
+            context.stop();
+        }
+    }
+
     static String format(String event, Object... pairs) {
         StringBuilder line = new StringBuilder("event=").append(event);
         for (int i = 0; i + 1 < pairs.length; i += 2) {
