Keep one checkpoint for all members of a stopped gang

Callers saw nothing of it; workers did: after a gang with checkpoints had been stopped, its members were started again from different checkpoints, though the platform demands the same value for all members.

Cause: a running member's checkpoint was kept for the whole gang, that of an ended one only for its own task, and members end a little apart.

Whether the platform refuses such a gang was not seen.

Change: the end of a member's run, too, sets the checkpoint of all members.

--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
@@ -259,7 +259,7 @@
         run.listed = true;
         runTracker.confirm(run, nowMs);
         if (run.current()) {
-            saveCheckpoint(run, task.checkpoint());
+            RunTracker.saveCheckpoint(run.job, run.id, task.checkpoint());
         }
         if (task.percent() != run.percent) {
             run.percent = task.percent();
@@ -268,17 +268,6 @@
         observeSpeed(run, nowMs);
     }
 
-    private void saveCheckpoint(ActiveRun run, String checkpoint) {
-        if (checkpoint.isEmpty()) {
-            return;
-        }
-        if (RunTracker.inGang(run.job, run.id)) {
-            run.job.tasks(run.id.task().step()).forEach(task -> task.saveCheckpoint(checkpoint));
-        } else {
-            run.task().saveCheckpoint(checkpoint);
-        }
-    }
-
     /**
      * Observes a run's speed, unless it is slowed by its distance from its data or gang, or is at 100 percent, where a
      * gang member waits for the others.
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTracker.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTracker.java
@@ -240,11 +240,20 @@
             runFailed(worker, job, end.run(), nowMs);
         }
         if (current) {
-            task.saveCheckpoint(end.checkpoint());
+            saveCheckpoint(job, end.run(), end.checkpoint());
             releaseTask(job, end.run(), nowMs);
         }
     }
 
+    /** Keeps a checkpoint of a run; one of any member of a gang is kept for all, which must carry the same value. */
+    static void saveCheckpoint(JobState job, TaskRun id, String checkpoint) {
+        if (inGang(job, id)) {
+            job.tasks(id.task().step()).forEach(member -> member.saveCheckpoint(checkpoint));
+        } else {
+            job.task(id.task()).saveCheckpoint(checkpoint);
+        }
+    }
+
     private void taskDone(WorkerState worker, JobState job, TaskRun id, long nowMs) {
         worker.health.runSucceeded();
         state.changedJobs.add(job);
