Keep the bound on a lost worker's leases over changes of owner

Callers saw: an accepted job stood still, with nothing running, for as long as owners changed (LOST, in its form for jobs).

Cause: an owner that has not reached a worker does not know when the leases of earlier owners end there, and keeps its runs for the longest time, 12.24 s from the start of its own ownership. Each further owner waited as long again, also after a release, although owners that had not reached the worker had granted no lease. Evidence: LostWorkerHandOverTest, which failed before.

Change: what is left of the wait is stored, in the record unreached: 1 s after a change of owner every 0.2 s while there are such workers, and with a release. A successor counts on from there. So that no stored bound is ever wrong, a worker that a stored record lists gets no lease before the record without it is stored; starts are stored behind it in any case. A record of an owner before the previous one does not count, since earlier versions of the program grant leases without changing it.

All tests of workflow and server pass.

--- a/server/src/main/java/org/fuchsiawinch/server/Node.java
+++ b/server/src/main/java/org/fuchsiawinch/server/Node.java
@@ -75,6 +75,9 @@
     private Optional<OwnerSession> ownership = Optional.empty();
     private OptionalLong claimedEpoch = OptionalLong.empty();
 
+    /** Epoch of the owner before the claim; empty if another node may have claimed the cell in between. */
+    private OptionalLong predecessorEpoch = OptionalLong.empty();
+
     /** Whether a claim, or the read after a failed one, is unanswered. */
     private boolean claimInFlight;
 
@@ -232,6 +235,7 @@
         claimInFlight = true;
         claimedEpoch = OptionalLong.of(epoch);
         boolean conditional = movedClaims < MAX_CONDITIONAL_CLAIMS;
+        predecessorEpoch = conditional ? OptionalLong.of(election.epoch()) : OptionalLong.empty();
         log.line("cell-claimed", "epoch", epoch, "lastOwner", election.owner(), "at", cellFollower.nextOffset());
         CellRecord record = new CellRecord.Owner(settings.name(), epoch, false);
         List<StreamStore.Entry> entries = List.of(new StreamStore.Entry(record.key(), codec.encode(record)));
@@ -284,6 +288,7 @@
         OwnerSession session = new OwnerSession(
                 settings.owner(),
                 epoch,
+                predecessorEpoch,
                 rules.map(CellRules::guarantees).orElse(Guarantees.NONE),
                 ports,
                 scheduler,
--- a/server/src/main/java/org/fuchsiawinch/server/owner/OwnerSession.java
+++ b/server/src/main/java/org/fuchsiawinch/server/owner/OwnerSession.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
@@ -57,6 +58,7 @@
     private final List<CellRecord> recordsBeforeLoad = new ArrayList<>();
     private final StreamFollower workerFollower;
     private final FencedAppender appender;
+    private final OptionalLong predecessorEpoch;
     private final long claimStoredMs;
     private Optional<CellOwner> owner = Optional.empty();
     private Guarantees guarantees;
@@ -80,6 +82,7 @@
      *
      * @param settings settings of the owner
      * @param epoch epoch of the ownership
+     * @param predecessorEpoch epoch of the previous owner; empty if it is not certain
      * @param guarantees guarantees in force
      * @param ports ports to the platform
      * @param scheduler scheduler of the node's single thread
@@ -90,6 +93,7 @@
     public OwnerSession(
             OwnerSettings settings,
             long epoch,
+            OptionalLong predecessorEpoch,
             Guarantees guarantees,
             Ports ports,
             Scheduler scheduler,
@@ -98,6 +102,7 @@
             Runnable onEnd) {
         this.settings = settings;
         this.epoch = epoch;
+        this.predecessorEpoch = predecessorEpoch;
         this.guarantees = guarantees;
         this.ports = ports;
         this.scheduler = scheduler;
@@ -218,7 +223,7 @@
         }
         long nowMs = clock.getAsLong();
         CellOwner loaded = new CellOwner(settings, epoch, log, nowMs);
-        loaded.load(records, nowMs);
+        loaded.load(records, predecessorEpoch, nowMs);
         owner = Optional.of(loaded);
         log.line("cell-taken", "epoch", epoch, "records", records.size(), "loadMs", nowMs - claimStoredMs);
         handle(new OwnerInput.GuaranteesChanged(guarantees));
@@ -304,8 +309,11 @@
     }
 
     private void storeRelease() {
+        List<CellRecord> records = new ArrayList<>(
+                owner.map(current -> current.releaseRecords(clock.getAsLong())).orElse(List.of()));
+        records.add(new CellRecord.Owner(settings.node(), epoch, true));
         owner = Optional.empty();
-        appender.append(entries(List.of(new CellRecord.Owner(settings.node(), epoch, true))), () -> end("released"));
+        appender.append(entries(records), () -> end("released"));
     }
 
     private void end(String cause) {
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 
 import org.fuchsiawinch.model.WorkerId;
@@ -42,6 +43,7 @@
 
     private final CellState state;
     private final RunTracker runTracker;
+    private final UnreachedLeases unreachedLeases;
     private final LeaseRenewer leaseRenewer;
     private final Scheduler scheduler;
     private final StallDetector stallDetector;
@@ -90,7 +92,8 @@
         this.state = new CellState(settings, log);
         this.epoch = epoch;
         this.runTracker = new RunTracker(state);
-        this.leaseRenewer = new LeaseRenewer(state, runTracker, nowMs);
+        this.unreachedLeases = new UnreachedLeases(state, epoch, nowMs);
+        this.leaseRenewer = new LeaseRenewer(state, runTracker, unreachedLeases);
         this.scheduler = new Scheduler(state, runTracker);
         this.stallDetector = new StallDetector(state, runTracker);
         this.load = new OwnerLoad(state, nowMs);
@@ -104,9 +107,10 @@
      * Loads the stored state of the cell. Resulting effects are returned with those of the first input.
      *
      * @param records the newest record of each key, in order of their offsets
+     * @param predecessorEpoch epoch of the previous owner; empty if it is not certain
      * @param nowMs present time in ms
      */
-    public void load(List<CellRecord> records, long nowMs) {
+    public void load(List<CellRecord> records, OptionalLong predecessorEpoch, long nowMs) {
         records.forEach(record -> {
             if (record instanceof CellRecord.Accepted accepted) {
                 state.accept(new JobState(accepted.submission()));
@@ -117,6 +121,8 @@
                 restore(progress, nowMs);
             } else if (record instanceof CellRecord.LearnedRunTimes learned) {
                 restore(learned, nowMs);
+            } else if (record instanceof CellRecord.UnreachedWorkers unreached) {
+                unreachedLeases.inherit(unreached, predecessorEpoch.orElse(Long.MAX_VALUE));
             }
         }
         for (CellRecord record : records) {
@@ -165,6 +171,16 @@
         return effects;
     }
 
+    /**
+     * Returns what has to be stored with the release of the cell. The owner must not handle any input afterwards.
+     *
+     * @param nowMs present time in ms
+     * @return the records
+     */
+    public List<CellRecord> releaseRecords(long nowMs) {
+        return unreachedLeases.recordOfRelease(nowMs).stream().toList();
+    }
+
     /**
      * Returns the number of runs that hold capacity of a worker.
      *
@@ -396,6 +412,7 @@
         appendPending = false;
         lastAppendMs = nowMs;
         state.lastStoredMs = nowMs;
+        unreachedLeases.appendStored(nowMs);
         endsBeingStored.forEach((id, end) -> findWorker(id).ifPresent(worker -> {
             if (end.incarnation() == worker.incarnation && end.sequence() > worker.acknowledgedSequence) {
                 worker.acknowledgedSequence = end.sequence();
@@ -422,9 +439,11 @@
             lastLearnedRecordMs = nowMs;
             records.add(learnedRunTimes());
         }
-        if (records.isEmpty() && heartbeatDue) {
+        Optional<CellRecord> unreachedWorkers = unreachedLeases.recordToStore(nowMs);
+        if (records.isEmpty() && (heartbeatDue || unreachedWorkers.isPresent())) {
             records.add(new CellRecord.Owner(state.settings.node(), epoch, false));
         }
+        unreachedWorkers.ifPresent(records::add);
         startsBeingStored = List.copyOf(state.pendingStarts);
         state.pendingStarts.clear();
         endsBeingStored = new TreeMap<>();
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
@@ -22,11 +22,8 @@
     /** Delay in ms between renewals while ended runs are not yet stored; a worker reports those without waiting. */
     private static final long UNSTORED_DELAY_MS = 500;
 
-    /**
-     * Extra time in ms before an owner releases the runs of a worker that it never reached: an earlier owner that has
-     * lost the store grants leases for a while, counted from an answer of the store that may have taken over a second.
-     */
-    private static final long UNREACHED_SLACK_MS = OwnerSettings.MAX_STORE_SILENCE_MS + 2000;
+    /** Delay in ms between renewals of a worker that may get no lease yet. */
+    private static final long NO_LEASE_DELAY_MS = 100;
 
     /** Minimum time in ms between two observations of a run's speed. */
     private static final long MIN_SPEED_INTERVAL_MS = 700;
@@ -35,12 +32,12 @@
 
     private final CellState state;
     private final RunTracker runTracker;
-    private final long ownedSinceMs;
+    private final UnreachedLeases unreachedLeases;
 
-    LeaseRenewer(CellState state, RunTracker runTracker, long ownedSinceMs) {
+    LeaseRenewer(CellState state, RunTracker runTracker, UnreachedLeases unreachedLeases) {
         this.state = state;
         this.runTracker = runTracker;
-        this.ownedSinceMs = ownedSinceMs;
+        this.unreachedLeases = unreachedLeases;
     }
 
     void sendDueRenewals(long nowMs) {
@@ -61,7 +58,8 @@
         worker.renewalSentMs = nowMs;
         boolean busy = !worker.runs.isEmpty();
         OptionalLong leaseEndMs = OptionalLong.empty();
-        if (worker.contacted && busy && !worker.renewalFailing && state.mayGrantLeases(nowMs)) {
+        boolean mayGrant = unreachedLeases.mayGrant(worker.id);
+        if (worker.contacted && busy && !worker.renewalFailing && mayGrant && state.mayGrantLeases(nowMs)) {
             long leaseMs = worker.registration.leaving() ? state.settings.leavingLeaseMs() : state.settings.leaseMs();
             long endMs = worker.newLeaseEndMs(leaseMs, nowMs);
             worker.leaseSent(endMs, nowMs);
@@ -70,6 +68,7 @@
         long waitMs = busy ? state.settings.busyWorkerWaitMs() : state.settings.idleWorkerWaitMs();
         worker.sentAcknowledgement = acknowledgement(worker);
         boolean settled = worker.contacted
+                && mayGrant
                 && !worker.renewalFailing
                 && worker.sentAcknowledgement == 0
                 && worker.seenSequence == worker.acknowledgedSequence
@@ -92,10 +91,11 @@
      * are pending, since the run's absence from the report may confirm its stop. It is 0 with unstored ends, with an
      * acknowledgement, so that a crash of the worker rarely leaves one in doubt, and for a worker that has not answered
      * yet or has stopped answering: its report may show a restart, after which the start orders that the earlier
-     * process has not answered have to be barred at once.
+     * process has not answered have to be barred at once. It is 0, too, for a worker whose next renewal is to grant the
+     * first lease.
      */
     private long unsettledWaitMs(WorkerState worker) {
-        boolean answering = worker.contacted && !worker.renewalFailing;
+        boolean answering = worker.contacted && !worker.renewalFailing && unreachedLeases.mayGrant(worker.id);
         boolean endsSettled = worker.seenSequence == worker.acknowledgedSequence && worker.sentAcknowledgement == 0;
         return answering && endsSettled ? UNSTORED_DELAY_MS / 2 : 0;
     }
@@ -130,7 +130,7 @@
         worker.acknowledgementConfirmed();
         worker.readClock(report.clockMs(), nowMs);
         worker.renewalFailing = false;
-        worker.nextRenewalMs = nowMs;
+        worker.nextRenewalMs = unreachedLeases.mayGrant(worker.id) ? nowMs : nowMs + NO_LEASE_DELAY_MS;
         for (WorkerReport.EndedRun end : report.ended()) {
             if (end.sequence() > worker.seenSequence) {
                 worker.seenSequence = end.sequence();
@@ -294,10 +294,7 @@
     /** Releases the runs of workers whose lease has certainly expired, and removes unlisted workers without runs. */
     void expireLeases(long nowMs) {
         for (WorkerState worker : List.copyOf(state.workers.values())) {
-            boolean expired = worker.contacted
-                    ? worker.leaseExpired(nowMs)
-                    : nowMs - ownedSinceMs
-                            > state.settings.leaseMs() * (1 + 2 * OwnerSettings.CLOCK_DRIFT) + UNREACHED_SLACK_MS;
+            boolean expired = worker.contacted ? worker.leaseExpired(nowMs) : unreachedLeases.expired(worker.id, nowMs);
             if (expired && !worker.runs.isEmpty()) {
                 releaseExpired(worker, nowMs);
             }
--- /dev/null
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/UnreachedLeases.java
@@ -0,0 +1,132 @@
+package org.fuchsiawinch.workflow.owner;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.fuchsiawinch.model.WorkerId;
+import org.fuchsiawinch.workflow.record.CellRecord;
+
+/**
+ * Bounds the leases of workers that this owner has not reached: only earlier owners can have granted them. The bounds
+ * are stored, so that they do not start anew with each change of owner. A worker gets no lease while a stored record
+ * may list it; so each bound holds for every later owner, however this one ends. Not thread-safe.
+ */
+final class UnreachedLeases {
+
+    /**
+     * Extra time in ms: an earlier owner that has lost the store grants leases for a while, counted from an answer of
+     * the store that may have taken over a second.
+     */
+    private static final long SLACK_MS = OwnerSettings.MAX_STORE_SILENCE_MS + 2000;
+
+    /** Time in ms in which workers answer a new owner; those that have not are stored after it. */
+    private static final long FIRST_CONTACT_MS = 1000;
+
+    /** Interval in ms between records; a change of owner without a release loses the time since the last one. */
+    private static final long RECORD_INTERVAL_MS = 200;
+
+    private final CellState state;
+    private final long epoch;
+    private final long ownedSinceMs;
+    private final long longestRestMs;
+
+    /** Bounds in ms from the start of this ownership, of workers that the previous owner had not reached. */
+    private final Map<WorkerId, Long> inheritedRestMs = new HashMap<>();
+
+    private Set<WorkerId> storedWorkers = Set.of();
+    private Optional<Set<WorkerId>> workersBeingStored = Optional.empty();
+    private long lastRecordMs;
+
+    UnreachedLeases(CellState state, long epoch, long ownedSinceMs) {
+        this.state = state;
+        this.epoch = epoch;
+        this.ownedSinceMs = ownedSinceMs;
+        this.lastRecordMs = ownedSinceMs;
+        this.longestRestMs = (long) (state.settings.leaseMs() * (1 + 2 * OwnerSettings.CLOCK_DRIFT)) + SLACK_MS;
+    }
+
+    /**
+     * Takes over the stored bounds.
+     *
+     * @param record newest record
+     * @param predecessorEpoch epoch of the previous owner; a record of an earlier one may be outdated, since programs
+     *     that do not know this type of record grant leases without updating it
+     */
+    void inherit(CellRecord.UnreachedWorkers record, long predecessorEpoch) {
+        storedWorkers = record.leaseRestMs().keySet();
+        if (record.epoch() >= predecessorEpoch) {
+            inheritedRestMs.putAll(record.leaseRestMs());
+        }
+    }
+
+    /** Returns whether all leases of a worker that this owner has not reached have expired. */
+    boolean expired(WorkerId worker, long nowMs) {
+        return nowMs - ownedSinceMs > restMs(worker);
+    }
+
+    /** Returns the bound in ms from the start of this ownership. */
+    private long restMs(WorkerId worker) {
+        return Math.min(longestRestMs, inheritedRestMs.getOrDefault(worker, longestRestMs));
+    }
+
+    /** Returns whether the worker may get a lease: no stored record lists it, and none that is being stored. */
+    boolean mayGrant(WorkerId worker) {
+        return !storedWorkers.contains(worker)
+                && workersBeingStored.filter(set -> set.contains(worker)).isEmpty();
+    }
+
+    /** Returns the record to store with the next append, if the stored one is outdated. */
+    Optional<CellRecord> recordToStore(long nowMs) {
+        Map<WorkerId, Long> bounds = bounds(nowMs, nowMs - ownedSinceMs >= FIRST_CONTACT_MS);
+        boolean current = bounds.keySet().equals(storedWorkers)
+                && (bounds.isEmpty() || nowMs - lastRecordMs < RECORD_INTERVAL_MS);
+        if (current) {
+            return Optional.empty();
+        }
+        lastRecordMs = nowMs;
+        workersBeingStored = Optional.of(bounds.keySet());
+        return Optional.of(record(bounds));
+    }
+
+    /** Returns the record to store with the release of the cell, after which this owner grants no lease. */
+    Optional<CellRecord> recordOfRelease(long nowMs) {
+        Map<WorkerId, Long> bounds = bounds(nowMs, true);
+        return bounds.isEmpty() && storedWorkers.isEmpty() ? Optional.empty() : Optional.of(record(bounds));
+    }
+
+    private CellRecord record(Map<WorkerId, Long> bounds) {
+        return bounds.isEmpty()
+                ? new CellRecord.Removed(CellRecord.UnreachedWorkers.KEY)
+                : new CellRecord.UnreachedWorkers(epoch, bounds);
+    }
+
+    private Map<WorkerId, Long> bounds(long nowMs, boolean all) {
+        Map<WorkerId, Long> bounds = new TreeMap<>();
+        for (WorkerState worker : state.workers.values()) {
+            boolean unreached = !worker.contacted && !worker.runs.isEmpty();
+            if (unreached && (all || inheritedRestMs.containsKey(worker.id))) {
+                bounds.put(worker.id, Math.max(0, restMs(worker.id) - (nowMs - ownedSinceMs)));
+            }
+        }
+        return bounds;
+    }
+
+    /** Handles the confirmation of an append; workers that may get a lease from now on are renewed at once. */
+    void appendStored(long nowMs) {
+        if (workersBeingStored.isEmpty()) {
+            return;
+        }
+        Set<WorkerId> before = storedWorkers;
+        storedWorkers = workersBeingStored.get();
+        workersBeingStored = Optional.empty();
+        for (WorkerId id : before) {
+            WorkerState worker = state.workers.get(id);
+            if (worker != null && mayGrant(id)) {
+                worker.nextRenewalMs = nowMs;
+            }
+        }
+    }
+}
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/record/CellRecord.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/record/CellRecord.java
@@ -132,6 +132,31 @@
         }
     }
 
+    /**
+     * Workers that the owner has not reached although they may have runs.
+     *
+     * @param epoch epoch of the owner
+     * @param leaseRestMs for each worker the time in ms, from the storing of the record, after which every lease that
+     *     an owner has granted it has expired
+     */
+    record UnreachedWorkers(long epoch, Map<WorkerId, Long> leaseRestMs) implements CellRecord {
+
+        /** Key of the only record of this type. */
+        public static final String KEY = "unreached";
+
+        /**
+         * Copies the map.
+         */
+        public UnreachedWorkers {
+            leaseRestMs = Map.copyOf(leaseRestMs);
+        }
+
+        @Override
+        public String key() {
+            return KEY;
+        }
+    }
+
     /**
      * Learned parameters of the run-time prediction, passed on to the next owner.
      *
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/record/RecordCodec.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/record/RecordCodec.java
@@ -62,6 +62,8 @@
                 packProgress(packer, progress);
             } else if (record instanceof CellRecord.LearnedRunTimes learned) {
                 packLearned(packer, learned);
+            } else if (record instanceof CellRecord.UnreachedWorkers unreached) {
+                packUnreached(packer, unreached);
             } else if (record instanceof CellRecord.Owner owner) {
                 packer.packString(owner.node()).packLong(owner.epoch()).packBoolean(owner.released());
             } else if (record instanceof CellRecord.CancelRequested request
@@ -118,6 +120,9 @@
         if (key.equals(CellRecord.LearnedRunTimes.KEY)) {
             return unpackLearned(unpacker);
         }
+        if (key.equals(CellRecord.UnreachedWorkers.KEY)) {
+            return unpackUnreached(unpacker);
+        }
         if (key.startsWith(CellRecord.Accepted.PREFIX)) {
             Submission job = unpackSubmission(key.substring(CellRecord.Accepted.PREFIX.length()), unpacker, length);
             job.problem().ifPresent(problem -> {
@@ -140,11 +145,37 @@
 
     private static CellRecord.Owner unpackOwner(MessageUnpacker unpacker) throws IOException {
         String node = unpacker.unpackString();
+        return new CellRecord.Owner(node, unpackEpoch(unpacker), unpacker.unpackBoolean());
+    }
+
+    private static long unpackEpoch(MessageUnpacker unpacker) throws IOException {
         long epoch = unpacker.unpackLong();
         if (epoch < 0 || epoch > MAX_EPOCH) {
             throw new IllegalArgumentException("epoch: not from 0 to " + MAX_EPOCH + ": " + epoch);
         }
-        return new CellRecord.Owner(node, epoch, unpacker.unpackBoolean());
+        return epoch;
+    }
+
+    private static void packUnreached(MessageBufferPacker packer, CellRecord.UnreachedWorkers unreached)
+            throws IOException {
+        packer.packLong(unreached.epoch()).packMapHeader(unreached.leaseRestMs().size());
+        for (Map.Entry<WorkerId, Long> rest : unreached.leaseRestMs().entrySet()) {
+            packer.packString(rest.getKey().value()).packLong(rest.getValue());
+        }
+    }
+
+    private static CellRecord.UnreachedWorkers unpackUnreached(MessageUnpacker unpacker) throws IOException {
+        long epoch = unpackEpoch(unpacker);
+        Map<WorkerId, Long> leaseRestMs = new HashMap<>();
+        for (int left = unpacker.unpackMapHeader(); left > 0; left--) {
+            WorkerId worker = new WorkerId(unpacker.unpackString());
+            long restMs = unpacker.unpackLong();
+            if (restMs < 0) {
+                throw new IllegalArgumentException("negative time: " + restMs);
+            }
+            leaseRestMs.put(worker, restMs);
+        }
+        return new CellRecord.UnreachedWorkers(epoch, leaseRestMs);
     }
 
     /** Reads the length of an array, whose elements take at least a byte each of a value of the given length. */
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/FakeWorker.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/FakeWorker.java
@@ -53,7 +53,7 @@
     long incarnation = 1;
     long startedMs;
     long fence;
-    private long leaseEndMs;
+    long leaseEndMs;
     private long sequence;
 
     /** A run in progress. Work is in ms on a worker of speed 1. */
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/LostWorkerHandOverTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/LostWorkerHandOverTest.java
@@ -3,9 +3,12 @@
 import java.util.Optional;
 
 import org.fuchsiawinch.workflow.job.JobPhase;
+import org.fuchsiawinch.workflow.record.CellRecord;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 /**
  * Guards against a job that stands still for as long as owners change: its worker is lost for good, and each new owner
@@ -24,10 +27,7 @@
         OwnerHarness harness =
                 new OwnerHarness().workers(2).takeOver().submit("job", 1, OwnerHarness.tasks(1, 8, 2000));
         harness.run(1500);
-        FakeWorker holder = harness.workers.values().stream()
-                .filter(worker -> !worker.running.isEmpty())
-                .findFirst()
-                .orElseThrow();
+        FakeWorker holder = busyWorker(harness);
         holder.silent = true;
         long changedMs = harness.nowMs;
         for (int change = 0; change < 4; change++) {
@@ -38,4 +38,56 @@
         harness.run(4000);
         assertEquals(harness.phase("job"), Optional.of(JobPhase.COMPLETED));
     }
+
+    /** As above, with owners that release the cell before their successors know which workers do not answer. */
+    @Test
+    public void startsARunOfALostWorkerAgainThoughOwnersReleaseTheCellSoon() {
+        OwnerHarness harness =
+                new OwnerHarness().workers(2).takeOver().submit("job", 1, OwnerHarness.tasks(1, 8, 2000));
+        harness.run(1500);
+        FakeWorker holder = busyWorker(harness);
+        holder.silent = true;
+        long changedMs = harness.nowMs;
+        harness.takeOver();
+        for (int change = 0; change < 12; change++) {
+            harness.run(700).release().takeOver();
+        }
+        harness.run(changedMs + LAST_LEASE_MS + 1000 - harness.nowMs);
+        assertEquals(harness.startCount(), 2, "the run of the lost worker is still held");
+    }
+
+    /** Guards against a successor that gives up a run although the owner has extended its lease in the meantime. */
+    @Test
+    public void grantsNoLeaseWhileTheStoreListsTheWorkerAsUnreached() {
+        OwnerHarness harness =
+                new OwnerHarness().workers(2).takeOver().submit("job", 1, OwnerHarness.tasks(1, 8, 9000));
+        harness.run(1500);
+        FakeWorker holder = busyWorker(harness);
+        holder.silent = true;
+        harness.takeOver().run(3000);
+        assertTrue(listsUnreachedWorkers(harness));
+        long leaseEndMs = holder.leaseEndMs;
+        harness.storeDown = true;
+        holder.silent = false;
+        harness.run(1000);
+        assertEquals(holder.leaseEndMs, leaseEndMs, "lease while the record is stored");
+        harness.storeDown = false;
+        harness.run(1000);
+        assertFalse(listsUnreachedWorkers(harness));
+        assertTrue(holder.leaseEndMs > leaseEndMs, "lease once the record is removed");
+        harness.run(9000);
+        assertEquals(harness.startCount(), 1);
+        assertEquals(harness.phase("job"), Optional.of(JobPhase.COMPLETED));
+    }
+
+    private static FakeWorker busyWorker(OwnerHarness harness) {
+        return harness.workers.values().stream()
+                .filter(worker -> !worker.running.isEmpty())
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private static boolean listsUnreachedWorkers(OwnerHarness harness) {
+        return harness.stored.get(CellRecord.UnreachedWorkers.KEY) instanceof CellRecord.UnreachedWorkers;
+    }
 }
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/OwnerHarness.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/OwnerHarness.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
@@ -97,7 +98,7 @@
                 epoch,
                 new Recorder(),
                 nowMs);
-        owner.load(List.copyOf(stored.values()), nowMs);
+        owner.load(List.copyOf(stored.values()), OptionalLong.of(epoch - 1), nowMs);
         input(new OwnerInput.GuaranteesChanged(guarantees));
         for (FakeWorker worker : workers.values()) {
             list(worker, false);
@@ -107,6 +108,12 @@
         return this;
     }
 
+    /** Stores what the owner stores with the release of the cell; a takeover has to follow. */
+    OwnerHarness release() {
+        owner.releaseRecords(nowMs).forEach(record -> stored.put(record.key(), record));
+        return this;
+    }
+
     /** Records the lines and counts of all owners. */
     private final class Recorder implements DecisionLog {
 
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/RecordCodecTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/RecordCodecTest.java
@@ -71,6 +71,7 @@
             {new CellRecord.CancelRequested("0123456789abcdef", Optional.of(new WorkspaceId("ws")))},
             {new CellRecord.Progress("0123456789abcdef", "plans", JobPhase.ACTIVE, 0, List.of(List.of(task, task)))},
             {new CellRecord.Owner("n1", 70_000, true)},
+            {new CellRecord.UnreachedWorkers(70_000, Map.of(new WorkerId("w1"), 4000L, new WorkerId("w2"), 0L))},
             {new CellRecord.LearnedRunTimes(Map.of(new WorkerId("i-1"), 0.5), Map.of("plans", -0.25))},
             {new CellRecord.Removed("s/0123456789abcdef")},
         };
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/SimulatedNode.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/SimulatedNode.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 
 import org.fuchsiawinch.model.WorkerId;
@@ -165,7 +166,8 @@
                     epoch,
                     (event, pairs) -> simulation.log(name + " " + event + " " + List.of(pairs)),
                     nowMs());
-            owner.load(records, nowMs());
+            // All nodes know the records of unreached workers, so those of any earlier owner hold.
+            owner.load(records, OptionalLong.of(0), nowMs());
             simulation.log(name + " owns the cell under " + epoch);
             tick();
         }
