Pass on the rest of a silent worker's lease with a release

Change: the record of a release lists such workers, too, with the time in which the owner itself would have given up their runs. It leaves out workers with a start in doubt, which the next process of the worker may still carry out.

LostWorkerHandOverTest.startsARunOfALostWorkerAgainSoonAfterARelease fails without the change (no record of the worker) and passes with it; waitsForTheLongestLeaseOfAStartInDoubtAfterARelease passes before and after.

--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/UnreachedLeases.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/UnreachedLeases.java
@@ -10,9 +10,10 @@
 import org.fuchsiawinch.workflow.record.CellRecord;
 
 /**
- * Bounds the leases of workers that this owner has not reached: only earlier owners can have granted them. The bounds
- * are stored, so that they do not start anew with each change of owner. A worker gets no lease while a stored record
- * may list it; so each bound holds for every later owner, however this one ends. Not thread-safe.
+ * Bounds the leases of workers that this owner has not reached: only earlier owners can have granted them. The bounds,
+ * and those of workers that do not answer at a release, are stored, so that they do not start anew with each change of
+ * owner. A worker gets no lease while a stored record may list it; so each bound holds for every later owner, however
+ * this one ends. Not thread-safe.
  */
 final class UnreachedLeases {
 
@@ -91,12 +92,30 @@
         return Optional.of(record(bounds));
     }
 
-    /** Returns the record to store with the release of the cell, after which this owner grants no lease. */
+    /**
+     * Returns the record to store with the release of the cell, after which this owner grants no lease. It also lists
+     * workers that have stopped answering.
+     */
     Optional<CellRecord> recordOfRelease(long nowMs) {
         Map<WorkerId, Long> bounds = bounds(nowMs, true);
+        for (WorkerState worker : state.workers.values()) {
+            if (worker.contacted && worker.renewalFailing && leaseBoundsRuns(worker, nowMs)) {
+                bounds.put(worker.id, Math.max(0, worker.leaseRestMs(nowMs)));
+            }
+        }
         return bounds.isEmpty() && storedWorkers.isEmpty() ? Optional.empty() : Optional.of(record(bounds));
     }
 
+    /**
+     * Returns whether all that may run on a worker ends with its lease. A start that is in doubt may be carried out by
+     * the worker's next process, for which the end of the lease means another time.
+     */
+    private static boolean leaseBoundsRuns(WorkerState worker, long nowMs) {
+        return !worker.runs.isEmpty()
+                && worker.runs.values().stream().allMatch(run -> run.listed)
+                && worker.unansweredStarts.settled(nowMs);
+    }
+
     private CellRecord record(Map<WorkerId, Long> bounds) {
         return bounds.isEmpty()
                 ? new CellRecord.Removed(CellRecord.UnreachedWorkers.KEY)
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerState.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerState.java
@@ -149,6 +149,11 @@
         return contacted && clockMs + (nowMs - clockReadMs) * (1 - OwnerSettings.CLOCK_DRIFT) > leaseEndMs;
     }
 
+    /** Returns the time in ms until the worker's lease has certainly expired; not positive if it has. */
+    long leaseRestMs(long nowMs) {
+        return (long) Math.ceil((leaseEndMs - clockMs) / (1 - OwnerSettings.CLOCK_DRIFT)) - (nowMs - clockReadMs);
+    }
+
     /** Returns the time in ms since the worker's last answer, or since the owner learned of it if it gave none. */
     long silentMs(long nowMs) {
         return nowMs - lastContactMs;
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/record/CellRecord.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/record/CellRecord.java
@@ -133,7 +133,7 @@
     }
 
     /**
-     * Workers that the owner has not reached although they may have runs.
+     * Workers that the owner does not reach although they may have runs.
      *
      * @param epoch epoch of the owner
      * @param leaseRestMs for each worker the time in ms, from the storing of the record, after which every lease that
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/LostWorkerHandOverTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/LostWorkerHandOverTest.java
@@ -56,6 +56,31 @@
         assertEquals(harness.startCount(), 2, "the run of the lost worker is still held");
     }
 
+    /** Guards against a successor that waits anew although the lease was about to expire at the release. */
+    @Test
+    public void startsARunOfALostWorkerAgainSoonAfterARelease() {
+        OwnerHarness harness =
+                new OwnerHarness().workers(2).takeOver().submit("job", 1, OwnerHarness.tasks(1, 8, 9000));
+        harness.run(4000);
+        FakeWorker holder = busyWorker(harness);
+        holder.silent = true;
+        harness.run(4000).release().takeOver();
+        assertTrue(listsUnreachedWorkers(harness));
+        harness.run(2500);
+        assertEquals(harness.startCount(), 2, "the run of the lost worker is still held");
+        assertTrue(holder.leaseEndMs < harness.nowMs, "the lease is over");
+    }
+
+    /** Guards against a successor that gives up a run whose start order may still be carried out. */
+    @Test
+    public void waitsForTheLongestLeaseOfAStartInDoubtAfterARelease() {
+        OwnerHarness harness = new OwnerHarness().workers(2).takeOver().run(500);
+        harness.workers.values().forEach(worker -> worker.silent = true);
+        harness.submit("job", 1, OwnerHarness.tasks(1, 8, 9000)).run(1500);
+        harness.release();
+        assertFalse(listsUnreachedWorkers(harness));
+    }
+
     /** Guards against a successor that gives up a run although the owner has extended its lease in the meantime. */
     @Test
     public void grantsNoLeaseWhileTheStoreListsTheWorkerAsUnreached() {
