--- a/server/src/main/java/org/fuchsiawinch/server/StopSchedule.java
+++ b/server/src/main/java/org/fuchsiawinch/server/StopSchedule.java
@@ -12,7 +12,7 @@
     private static final long BALANCER_DROP_MS = 2600;
 
     /** Part in ms of the grace period that is reserved for closing the connections and the exit of the process. */
-    private static final long EXIT_RESERVE_MS = 1000;
+    private static final long EXIT_RESERVE_MS = 1500;
 
     /**
      * Returns whether the node may close its connections. It serves callers on open connections until these have been
--- a/server/src/test/java/org/fuchsiawinch/server/StopScheduleTest.java
+++ b/server/src/test/java/org/fuchsiawinch/server/StopScheduleTest.java
@@ -21,8 +21,8 @@
 
     @Test
     public void servesOpenConnectionsUntilTheGracePeriodNearsItsEnd() {
-        assertFalse(schedule.mayClose(START_MS + 4500, 1));
-        assertTrue(schedule.mayClose(START_MS + 5500, 1));
+        assertFalse(schedule.mayClose(START_MS + 4000, 1));
+        assertTrue(schedule.mayClose(START_MS + 5000, 1));
     }
 
     @Test
