Don't hold failures of one job against the whole fleet

Cause: WorkerHealth counted every failure against the worker, whatever job it was of. Each one after the first also prolonged and doubled the quarantine, those of runs placed before it too; eight runs that failed together meant 24 s. Stalls did the same.

Change: - FailingJobs: once a job has failed on three or more workers, and on more than it still runs on besides, without a success since, its failures count against no worker. Those counted before are forgotten, and quarantines that rest on them end. Failures of one job count until then, as a faulty worker may get only tasks of one large job. - A run that began before the end of a quarantine starts no further one. - Placer: while over half of a service's reachable workers are in quarantine, all of them get work. This covers small services, and many failing jobs.

Memory: failed workers of open jobs only; 32 failed jobs for each worker.

Evidence: on its base PoisonedFleetTest failed as listed, and 4 of the 5 new tests of WorkerQuarantineTest; the fifth passes before and after and guards that a worker on which different jobs fail is quarantined.

--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Placer.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Placer.java
@@ -54,6 +54,12 @@
     /** Maximum share of a job's utility that {@link #HEADROOM_DELAY_MS} may cost if it leaves the headroom free. */
     private static final double HEADROOM_MAX_LOSS = 0.05;
 
+    /**
+     * Share of a service's workers in quarantine above which its quarantines are ignored. Work would stand still beside
+     * mostly idle workers, and failures on most workers are rarely the workers' fault.
+     */
+    private static final double MAX_QUARANTINE_SHARE = 0.5;
+
     private final Map<WorkerState, Resources> free = new HashMap<>();
     private final Map<String, List<WorkerState>> racks = new TreeMap<>();
     private final List<WorkerState> usable = new ArrayList<>();
@@ -61,6 +67,9 @@
     private final long nowMs;
     private final Reservations reservations;
 
+    /** Share of its reachable workers that is in quarantine, by service. */
+    private final Map<String, Double> quarantineShares;
+
     /** Accelerators of all usable workers. */
     private double acceleratorCapacity;
 
@@ -77,12 +86,13 @@
         this.state = state;
         this.nowMs = nowMs;
         this.reservations = new Reservations(state, nowMs);
+        this.quarantineShares = quarantineShares();
         for (WorkerState worker : state.workers.values()) {
             if (worker.registration == null) {
                 continue;
             }
             free.put(worker, worker.free());
-            if (worker.usable(nowMs)) {
+            if (usable(worker)) {
                 usable.add(worker);
                 acceleratorCapacity += worker.registration.capacity().accelerators();
                 freeAccelerators += free.get(worker).accelerators();
@@ -92,6 +102,19 @@
         }
     }
 
+    private Map<String, Double> quarantineShares() {
+        return state.workers.values().stream()
+                .filter(worker -> worker.registration != null && worker.reachable(nowMs))
+                .collect(Collectors.groupingBy(
+                        worker -> worker.registration.service(),
+                        Collectors.averagingDouble(worker -> worker.health.quarantined(nowMs) ? 1 : 0)));
+    }
+
+    private boolean usable(WorkerState worker) {
+        boolean ignored = quarantineShares.getOrDefault(worker.registration.service(), 0.0) > MAX_QUARANTINE_SHARE;
+        return ignored ? worker.reachable(nowMs) : worker.usable(nowMs);
+    }
+
     Collection<List<WorkerState>> racks() {
         return racks.values();
     }
@@ -112,7 +135,7 @@
 
     private void take(WorkerState worker, Resources need) {
         free.merge(worker, need, Resources::minus);
-        if (worker.usable(nowMs)) {
+        if (usable(worker)) {
             freeAccelerators -= need.accelerators();
         }
     }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTracker.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTracker.java
@@ -23,9 +23,11 @@
     private static final long STOP_RETRY_MS = 400;
 
     private final CellState state;
+    private final FailingJobs failingJobs;
 
     RunTracker(CellState state) {
         this.state = state;
+        this.failingJobs = new FailingJobs(state);
     }
 
     /** Sends the start order of a run whose assignment is stored, or releases the run if it is no longer wanted. */
@@ -107,7 +109,7 @@
     }
 
     private void startRefused(ActiveRun run, StartOutcome outcome, long nowMs) {
-        if (outcome == StartOutcome.REJECTED && run.worker.health.runFailed(nowMs)) {
+        if (outcome == StartOutcome.REJECTED && failingJobs.runFailed(run.worker, run.job, nowMs, nowMs)) {
             state.log.line("worker-quarantined", "worker", run.worker.id, "cause", "rejects-starts");
         }
         // An earlier order that was not answered may still be carried out, so the run cannot be released yet.
@@ -237,7 +239,8 @@
             return;
         }
         if (end.end() == WorkerReport.RunEnd.FAILED) {
-            runFailed(worker, job, end.run(), nowMs);
+            long startedMs = run == null ? nowMs : Math.min(run.confirmedMs, nowMs);
+            runFailed(worker, job, end.run(), startedMs, nowMs);
         }
         if (current) {
             saveCheckpoint(job, end.run(), end.checkpoint());
@@ -255,7 +258,7 @@
     }
 
     private void taskDone(WorkerState worker, JobState job, TaskRun id, long nowMs) {
-        worker.health.runSucceeded();
+        failingJobs.runSucceeded(worker, job);
         state.changedJobs.add(job);
         if (inGang(job, id)) {
             recordGangDone(job, id);
@@ -290,8 +293,8 @@
         }
     }
 
-    private void runFailed(WorkerState worker, JobState job, TaskRun id, long nowMs) {
-        if (worker.health.runFailed(nowMs)) {
+    private void runFailed(WorkerState worker, JobState job, TaskRun id, long startedMs, long nowMs) {
+        if (failingJobs.runFailed(worker, job, startedMs, nowMs)) {
             state.log.line("worker-quarantined", "worker", worker.id, "cause", "fails-runs");
         }
         state.changedJobs.add(job);
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/StallDetector.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/StallDetector.java
@@ -42,8 +42,7 @@
             return;
         }
         // Members of a gang wait for each other, so the worker of a stalled one may not be at fault.
-        if (!RunTracker.inGang(run.job, run.id)) {
-            run.worker.health.quarantine(nowMs);
+        if (!RunTracker.inGang(run.job, run.id) && run.worker.health.quarantine(run.confirmedMs, nowMs)) {
             state.log.line("worker-quarantined", "worker", run.worker.id, "cause", "run-stalls");
         }
         runTracker.stop(run, "stalled", nowMs);
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerHealth.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerHealth.java
@@ -1,5 +1,8 @@
 package org.fuchsiawinch.workflow.owner;
 
+import java.util.LinkedHashMap;
+import java.util.Map;
+
 /** Health of a worker: its estimated speed, and its quarantine after failed or stalled runs. Not thread-safe. */
 final class WorkerHealth {
 
@@ -15,7 +18,7 @@
     /** Variance added with each observation, so that a worker that becomes slow is detected. */
     private static final double SPEED_DRIFT_VARIANCE = 0.004;
 
-    /** Number of consecutive failed runs after which a worker is quarantined. */
+    /** Number of failed runs since the last success after which a worker is quarantined. */
     private static final int QUARANTINE_FAILURES = 2;
 
     /** Duration of the first quarantine in ms; it doubles with each further one until a run succeeds. */
@@ -24,15 +27,24 @@
     /** Maximum number of doublings; limits a quarantine to 24 s. */
     private static final int MAX_QUARANTINE_DOUBLINGS = 3;
 
+    /** Maximum number of jobs whose failures are kept; the earliest is dropped first. */
+    private static final int MAX_FAILED_JOBS = 32;
+
+    /** Number of failed runs since the last success, by id of the job. */
+    private final Map<String, Integer> failures = new LinkedHashMap<>();
+
     private GaussianEstimate logSpeed = new GaussianEstimate(0, PRIOR_SPEED_VARIANCE);
-    private int consecutiveFailures;
     private int quarantines;
     private long quarantinedUntilMs;
+
+    /** Whether the latest quarantine was for failed runs. */
+    private boolean quarantinedForFailures;
+
     private boolean proven;
 
     /** Clears failures, successes and quarantine after a restart of the worker; the estimated speed stays. */
     void reset() {
-        consecutiveFailures = 0;
+        failures.clear();
         quarantinedUntilMs = 0;
         proven = false;
     }
@@ -46,9 +58,9 @@
         return logSpeed;
     }
 
-    /** Returns whether a run has succeeded since the worker's start and none has failed since the last success. */
+    /** Returns whether a run has succeeded since the worker's start and no failure counts since the last success. */
     boolean proven() {
-        return proven && consecutiveFailures == 0;
+        return proven && failures.isEmpty();
     }
 
     boolean quarantined(long nowMs) {
@@ -66,24 +78,50 @@
     }
 
     void runSucceeded() {
-        consecutiveFailures = 0;
+        failures.clear();
         quarantines = 0;
+        quarantinedForFailures = false;
         proven = true;
     }
 
-    /** Records a failure; returns whether the worker is quarantined for it. */
-    boolean runFailed(long nowMs) {
-        consecutiveFailures++;
-        if (consecutiveFailures < QUARANTINE_FAILURES) {
+    /** Records a failure of a run that began at a time in ms; returns whether the worker is quarantined for it. */
+    boolean runFailed(String job, long startedMs, long nowMs) {
+        failures.merge(job, 1, Integer::sum);
+        if (failures.size() > MAX_FAILED_JOBS) {
+            failures.remove(failures.keySet().iterator().next());
+        }
+        if (failureCount() < QUARANTINE_FAILURES || !quarantine(startedMs, nowMs)) {
             return false;
         }
-        quarantine(nowMs);
+        quarantinedForFailures = true;
         return true;
     }
 
-    /** Starts a quarantine, twice as long as the previous one since the last success. */
-    void quarantine(long nowMs) {
+    private int failureCount() {
+        return failures.values().stream().mapToInt(Integer::intValue).sum();
+    }
+
+    /** Forgets the failures of a job that is at fault itself, and ends the quarantine if too few others remain. */
+    void forgetFailures(String job) {
+        if (failures.remove(job) == null || !quarantinedForFailures || failureCount() >= QUARANTINE_FAILURES) {
+            return;
+        }
+        quarantinedForFailures = false;
+        quarantinedUntilMs = 0;
+        quarantines--;
+    }
+
+    /**
+     * Starts a quarantine for a run that began at a time in ms, twice as long as the previous one since the last
+     * success; returns whether it did. A run that began before the end of the previous one shows nothing new.
+     */
+    boolean quarantine(long startedMs, long nowMs) {
+        if (startedMs < quarantinedUntilMs) {
+            return false;
+        }
         quarantinedUntilMs = nowMs + (FIRST_QUARANTINE_MS << Math.min(quarantines, MAX_QUARANTINE_DOUBLINGS));
         quarantines++;
+        quarantinedForFailures = false;
+        return true;
     }
 }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerState.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerState.java
@@ -128,12 +128,16 @@
 
     /** Returns whether the worker may get new work. */
     boolean usable(long nowMs) {
+        return reachable(nowMs) && !health.quarantined(nowMs);
+    }
+
+    /** Returns whether the worker may get new work, apart from its quarantine. */
+    boolean reachable(long nowMs) {
         return listed
                 && contacted
                 && nowMs >= usableFromMs
                 && !registration.leaving()
-                && nowMs - lastContactMs <= MAX_SILENCE_MS
-                && !health.quarantined(nowMs);
+                && nowMs - lastContactMs <= MAX_SILENCE_MS;
     }
 
     /**
