Write responses on the event loop of their connection

Callers that send the next request on a kept connection right after an answer got no answer to some of them: the request was sent whole, nothing came back, and the connection stayed open until the caller gave up.

Cause: the thread of the state machine wrote the answers that it produced. The HTTP library takes the next request as pipelined if the write completes before that thread has registered for its completion, and a later request on the connection is then not handled. Which step of the library loses it was not traced; the request after the pipelined one was the one that hung.

Change: results that come from other threads are passed on to the event loop of the connection before they are encoded and written.

--- a/node/src/main/java/org/fuchsiawinch/node/http/OperatorRoutes.java
+++ b/node/src/main/java/org/fuchsiawinch/node/http/OperatorRoutes.java
@@ -248,7 +248,7 @@
         if (authenticator.operator(request).isEmpty()) {
             return responder.send(response, Mono.just(unknownToken()));
         }
-        return loop.query((machine, nowMs) -> recorder.lines(machine.fold()))
+        return Responder.onEventLoop(response, loop.query((machine, nowMs) -> recorder.lines(machine.fold())))
                 .flatMap(lines -> responder.sendText(response, 200, lines));
     }
 
--- a/node/src/main/java/org/fuchsiawinch/node/http/Responder.java
+++ b/node/src/main/java/org/fuchsiawinch/node/http/Responder.java
@@ -14,6 +14,7 @@
 import org.fuchsiawinch.node.loop.LoopFullException;
 import org.fuchsiawinch.wire.JsonCodec;
 import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Schedulers;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
 
@@ -44,7 +45,8 @@
     }
 
     Mono<Void> send(HttpServerResponse response, Mono<ApiResponse> result) {
-        return result.onErrorResume(FuchsiawinchException.class, error -> Mono.just(errorResponse(error)))
+        return onEventLoop(response, result)
+                .onErrorResume(FuchsiawinchException.class, error -> Mono.just(errorResponse(error)))
                 .flatMap(ready -> write(response, ready));
     }
 
@@ -53,6 +55,15 @@
         return response.status(status).sendString(Mono.just(text)).then();
     }
 
+    /**
+     * Passes a result on to the event loop of its connection. If another thread writes a response, the HTTP library may
+     * leave a later request on the connection unanswered.
+     */
+    static <T> Mono<T> onEventLoop(HttpServerResponse response, Mono<T> result) {
+        return result.publishOn(Schedulers.fromExecutor(task -> response.withConnection(
+                connection -> connection.channel().eventLoop().execute(task))));
+    }
+
     static long waitMs(HttpServerRequest request, long limitMs) {
         String text = new QueryStringDecoder(request.uri())
                 .parameters()
