Announce the close of connections while a node drains

Callers that used a kept connection until a node was stopped lost the last request on it: it was sent whole, and the connection ended without an answer, so that the caller did not know whether the job was accepted.

Cause: a draining node answered as ever and let the connections open. The stop then closed those without a request in progress at once and the others after their answer, while callers sent the next request.

Change: from the start of the drain each answer says "Connection: close", also if its request came before. The stop closes the port first, waits until no request has been in progress for 100 ms, at most 10 s, and closes the connections last.

--- a/node/src/main/java/org/fuchsiawinch/node/NodeProcess.java
+++ b/node/src/main/java/org/fuchsiawinch/node/NodeProcess.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 
 import com.codahale.metrics.MetricRegistry;
@@ -91,7 +92,8 @@
                 status,
                 recorder,
                 workers::lastList,
-                () -> peers.map(PeerLoop::statuses).orElse(List.of()));
+                () -> peers.map(PeerLoop::statuses).orElse(List.of()),
+                () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
     }
 
     /** Starts all threads and the HTTP server. */
@@ -107,8 +109,8 @@
     }
 
     /**
-     * Releases the cell, waits until every open request is answered, then closes the port. The wait ends early if the
-     * thread is interrupted.
+     * Releases the cell, waits until every open request is answered, then closes the port and the connections. The wait
+     * ends early if the thread is interrupted.
      */
     public void drainAndStop() {
         status.requestDrain();
--- a/node/src/main/java/org/fuchsiawinch/node/http/NodeHttpServer.java
+++ b/node/src/main/java/org/fuchsiawinch/node/http/NodeHttpServer.java
@@ -3,18 +3,24 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
-import io.netty.util.concurrent.DefaultEventExecutor;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import org.fuchsiawinch.document.Document;
 import org.fuchsiawinch.node.loop.NodeLoop;
 import org.fuchsiawinch.node.records.BurnReportRecorder;
 import org.fuchsiawinch.wire.PeerMessage;
 import org.fuchsiawinch.wire.PlatformMessages;
+import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.http.server.HttpServerRoutes;
 
 /** HTTP server of the callers' and operators' API; listens from {@link #start} to {@link #stop}. */
 public final class NodeHttpServer {
@@ -25,8 +31,17 @@
     /** Time without requests after which a connection is closed. */
     private static final Duration IDLE_TIMEOUT = Duration.ofMinutes(2);
 
-    private static final Duration STOP_TIMEOUT = Duration.ofSeconds(10);
+    /** Maximum time to answer the requests in progress once the port is closed. */
+    private static final long ANSWER_TIMEOUT_MS = 10_000;
+    /** Time without requests after which no connection that was accepted last still has one to be read. */
+    private static final long QUIET_MS = 100;
 
+    private static final long CLOSE_TIMEOUT_MS = 1000;
+    private static final long POLL_INTERVAL_MS = 20;
+
+    private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
+    private final ServerActivity activity;
+    private final LongSupplier clock;
     private final HttpServer server;
     private DisposableServer running;
 
@@ -45,6 +60,7 @@
      * @param recorder recorder of the records for the burn report
      * @param workers supplies the platform's last list of workers
      * @param nodes supplies the last status of each node; empty for a node without peers
+     * @param clock source of the present monotonic time in ms
      */
     public NodeHttpServer(
             String host,
@@ -58,24 +74,26 @@
             NodeStatus status,
             BurnReportRecorder recorder,
             Supplier<List<PlatformMessages.ListedWorker>> workers,
-            Supplier<List<PeerMessage.NodeStatusMessage>> nodes) {
+            Supplier<List<PeerMessage.NodeStatusMessage>> nodes,
+            LongSupplier clock) {
+        this.clock = clock;
+        this.activity = new ServerActivity(clock.getAsLong());
         TokenAuthenticator authenticator = new TokenAuthenticator(document, foundingToken);
-        Responder responder = new Responder(metrics, bodyLimitBytes);
+        Responder responder = new Responder(metrics, bodyLimitBytes, status::draining);
         CallerRoutes callers = new CallerRoutes(loop, openRequests, authenticator, responder);
         OperatorRoutes operators = new OperatorRoutes(
                 loop, openRequests, authenticator, responder, document, metrics, status, recorder, workers, nodes);
+        HttpServerRoutes routes = HttpServerRoutes.newRoutes();
+        callers.register(routes);
+        operators.register(routes);
         this.server = HttpServer.create()
                 .host(host)
                 .port(port)
                 .idleTimeout(IDLE_TIMEOUT)
                 .requestTimeout(REQUEST_READ_TIMEOUT)
                 .httpRequestDecoder(decoder -> decoder.maxHeaderSize(MAX_HEADER_BYTES))
-                // lets stop() wait for the requests in progress
-                .channelGroup(new DefaultChannelGroup(new DefaultEventExecutor()))
-                .route(routes -> {
-                    callers.register(routes);
-                    operators.register(routes);
-                });
+                .channelGroup(connections)
+                .handle((request, response) -> serve(routes, status, request, response));
     }
 
     /** Binds the port. Throws an exception of the HTTP library if the port is in use. */
@@ -84,10 +102,36 @@
     }
 
     /**
-     * Accepts no new connections and completes the requests in progress, for at most 10 s, then closes the port. Must
-     * not be called before {@link #start}.
+     * Closes the port, waits until the requests in progress are answered, for at most 10 s, then closes the
+     * connections. Every answer has to announce the close by then, as a caller may send a request just before its
+     * connection is closed. The wait ends early if the thread is interrupted. Must not be called before {@link #start}.
      */
     public void stop() {
-        running.disposeNow(STOP_TIMEOUT);
+        running.channel().close().awaitUninterruptibly(CLOSE_TIMEOUT_MS);
+        awaitAnswers(clock.getAsLong() + ANSWER_TIMEOUT_MS);
+        connections.close().awaitUninterruptibly(CLOSE_TIMEOUT_MS);
+    }
+
+    private void awaitAnswers(long untilMs) {
+        try {
+            for (long nowMs = clock.getAsLong();
+                    nowMs < untilMs && !activity.withoutRequests(QUIET_MS, nowMs);
+                    nowMs = clock.getAsLong()) {
+                Thread.sleep(POLL_INTERVAL_MS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private Mono<Void> serve(
+            HttpServerRoutes routes, NodeStatus status, HttpServerRequest request, HttpServerResponse response) {
+        activity.requestBegan();
+        if (status.draining()) {
+            // also for answers that the HTTP library gives itself
+            response.keepAlive(false);
+        }
+        return Mono.defer(() -> Mono.from(routes.apply(request, response)))
+                .doFinally(signal -> activity.requestEnded(clock.getAsLong()));
     }
 }
--- a/node/src/main/java/org/fuchsiawinch/node/http/Responder.java
+++ b/node/src/main/java/org/fuchsiawinch/node/http/Responder.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.OptionalLong;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 
 import com.codahale.metrics.MetricRegistry;
@@ -18,16 +19,21 @@
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
 
-/** Reads request bodies up to the size limit, encodes responses, and counts them by status. Thread-safe. */
+/**
+ * Reads request bodies up to the size limit, encodes responses, and counts them by status. While the node drains,
+ * responses announce that their connection is closed. Thread-safe.
+ */
 final class Responder {
 
     private final JsonCodec json = new JsonCodec();
     private final MetricRegistry metrics;
     private final int bodyLimitBytes;
+    private final BooleanSupplier draining;
 
-    Responder(MetricRegistry metrics, int bodyLimitBytes) {
+    Responder(MetricRegistry metrics, int bodyLimitBytes, BooleanSupplier draining) {
         this.metrics = metrics;
         this.bodyLimitBytes = bodyLimitBytes;
+        this.draining = draining;
     }
 
     <T> Mono<Void> withBody(
@@ -51,8 +57,8 @@
     }
 
     Mono<Void> sendText(HttpServerResponse response, int status, String text) {
-        metrics.counter("http.status." + status).inc();
-        return response.status(status).sendString(Mono.just(text)).then();
+        begin(response, status);
+        return response.sendString(Mono.just(text)).then();
     }
 
     /**
@@ -94,18 +100,25 @@
     }
 
     private Mono<Void> write(HttpServerResponse response, ApiResponse result) {
-        metrics.counter("http.status." + result.status()).inc();
+        begin(response, result.status());
         if (result.body() instanceof Views.ErrorView error
                 && error.retryAfterMs().isPresent()) {
             long seconds = Math.max(1, (error.retryAfterMs().getAsLong() + 999) / 1000);
             response.header("Retry-After", Long.toString(seconds));
         }
-        return response.status(result.status())
-                .header("Content-Type", "application/json")
+        return response.header("Content-Type", "application/json")
                 .sendByteArray(Mono.just(json.encode(result.body())))
                 .then();
     }
 
+    private void begin(HttpServerResponse response, int status) {
+        metrics.counter("http.status." + status).inc();
+        response.status(status);
+        if (draining.getAsBoolean()) {
+            response.keepAlive(false);
+        }
+    }
+
     private static ApiResponse errorResponse(FuchsiawinchException error) {
         if (error instanceof LoopFullException) {
             return new ApiResponse(
--- a/node/src/test/java/org/fuchsiawinch/node/http/ResponderTest.java
+++ b/node/src/test/java/org/fuchsiawinch/node/http/ResponderTest.java
@@ -21,7 +21,7 @@
     private static final Duration TIMEOUT = Duration.ofSeconds(10);
     private static final int BODY_LIMIT_BYTES = 1024;
 
-    private final Responder responder = new Responder(new MetricRegistry(), BODY_LIMIT_BYTES);
+    private final Responder responder = new Responder(new MetricRegistry(), BODY_LIMIT_BYTES, () -> false);
 
     @Test
     public void writesResultsOfOtherThreadsOnTheEventLoop() {
