Keep a stopping node's port open until callers stop connecting

Callers that opened a connection to a stopping node, as the balancer had not dropped it yet, were refused, or were cut off after they had sent a request.

Cause: the port was closed 500 ms after the drain, while a balancer that checks the node twice still sends new connections. Connections that wait to be accepted are reset when a port is closed.

Evidence: in PlannedStopTest 24 callers connect anew after each announced close until two checks of /health, 400 ms apart, have failed. After: none is cut and none refused.

Change: the port stays open until no connection has begun for 1.2 s, at most 3 s. This replaces the fixed 500 ms, so a stop takes up to 2.5 s longer. Connections that still come after 3 s may be reset; the server cannot prevent that.

--- a/node/src/main/java/org/fuchsiawinch/node/NodeProcess.java
+++ b/node/src/main/java/org/fuchsiawinch/node/NodeProcess.java
@@ -41,8 +41,6 @@
     private static final long TICK_INTERVAL_MS = 100;
     private static final long WORKER_POLL_INTERVAL_MS = 1000;
     private static final long SAMPLE_INTERVAL_MS = 5000;
-    /** Time in which the last replies and the announcement to the other nodes are sent before the server stops. */
-    private static final long DRAIN_LINGER_MS = 500;
 
     private final String name;
     private final AtomicReference<LedgerDocumentFold> documentFold = new AtomicReference<>();
@@ -117,7 +115,6 @@
         peers.ifPresent(PeerLoop::leave);
         try {
             drained.await();
-            Thread.sleep(DRAIN_LINGER_MS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/node/src/main/java/org/fuchsiawinch/node/http/NodeHttpServer.java
+++ b/node/src/main/java/org/fuchsiawinch/node/http/NodeHttpServer.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.LongPredicate;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
@@ -31,6 +32,10 @@
     /** Time without requests after which a connection is closed. */
     private static final Duration IDLE_TIMEOUT = Duration.ofMinutes(2);
 
+    /** Time without new connections after which the port is closed; longer than 1 s between a balancer's checks. */
+    private static final long LAST_CONNECTION_MS = 1200;
+    /** Maximum time until the port is closed: a balancer drops the node after two failed checks. */
+    private static final long PORT_TIMEOUT_MS = 3000;
     /** Maximum time to answer the requests in progress once the port is closed. */
     private static final long ANSWER_TIMEOUT_MS = 10_000;
     /** Time without requests after which no connection that was accepted last still has one to be read. */
@@ -93,6 +98,7 @@
                 .requestTimeout(REQUEST_READ_TIMEOUT)
                 .httpRequestDecoder(decoder -> decoder.maxHeaderSize(MAX_HEADER_BYTES))
                 .channelGroup(connections)
+                .doOnChannelInit((observer, channel, address) -> activity.connectionBegan(clock.getAsLong()))
                 .handle((request, response) -> serve(routes, status, request, response));
     }
 
@@ -102,21 +108,23 @@
     }
 
     /**
-     * Closes the port, waits until the requests in progress are answered, for at most 10 s, then closes the
-     * connections. Every answer has to announce the close by then, as a caller may send a request just before its
-     * connection is closed. The wait ends early if the thread is interrupted. Must not be called before {@link #start}.
+     * Waits until callers have stopped connecting, for at most 3 s, and closes the port; waits until the requests in
+     * progress are answered, for at most 10 s, and closes the connections. Every answer has to announce the close
+     * meanwhile, as a caller may send a request just before its connection is closed. The waits end early if the thread
+     * is interrupted. Must not be called before {@link #start}.
      */
     public void stop() {
+        long beganMs = clock.getAsLong();
+        activity.connectionBegan(beganMs);
+        await(beganMs + PORT_TIMEOUT_MS, nowMs -> activity.withoutNewConnections(LAST_CONNECTION_MS, nowMs));
         running.channel().close().awaitUninterruptibly(CLOSE_TIMEOUT_MS);
-        awaitAnswers(clock.getAsLong() + ANSWER_TIMEOUT_MS);
+        await(clock.getAsLong() + ANSWER_TIMEOUT_MS, nowMs -> activity.withoutRequests(QUIET_MS, nowMs));
         connections.close().awaitUninterruptibly(CLOSE_TIMEOUT_MS);
     }
 
-    private void awaitAnswers(long untilMs) {
+    private void await(long untilMs, LongPredicate condition) {
         try {
-            for (long nowMs = clock.getAsLong();
-                    nowMs < untilMs && !activity.withoutRequests(QUIET_MS, nowMs);
-                    nowMs = clock.getAsLong()) {
+            for (long nowMs = clock.getAsLong(); nowMs < untilMs && !condition.test(nowMs); nowMs = clock.getAsLong()) {
                 Thread.sleep(POLL_INTERVAL_MS);
             }
         } catch (InterruptedException e) {
--- a/node/src/test/java/org/fuchsiawinch/node/stop/PlannedStopTest.java
+++ b/node/src/test/java/org/fuchsiawinch/node/stop/PlannedStopTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalInt;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
 
 import org.fuchsiawinch.standin.PlatformServer;
@@ -29,6 +30,8 @@
 
     private static final long LOAD_MS = 500;
     private static final long EXIT_TIMEOUT_MS = 20_000;
+    private static final long BALANCER_INTERVAL_MS = 400;
+    private static final int BALANCER_FAILURES = 2;
     private static final String CALLER_TOKEN = "sample-token-plans";
 
     private DisposableServer platform;
@@ -65,6 +68,28 @@
         }
     }
 
+    @Test
+    public void answersNewConnectionsUntilTheBalancerHasDroppedTheNode() throws Exception {
+        try (NodeChild node = startedNode()) {
+            AtomicBoolean inBalancer = new AtomicBoolean(true);
+            List<KeepAliveCaller> callers = new ArrayList<>();
+            for (int i = 0; i < CALLERS; i++) {
+                callers.add(
+                        caller(node, i, i % 4 * PAUSE_STEP_MS, inBalancer::get).start());
+            }
+            Thread.sleep(LOAD_MS);
+            node.terminate();
+            for (int failed = 0; failed < BALANCER_FAILURES; ) {
+                Thread.sleep(BALANCER_INTERVAL_MS);
+                failed = healthy(node) ? 0 : failed + 1;
+            }
+            inBalancer.set(false);
+            assertNoneIsCut(callers);
+            assertEquals(callers.stream().filter(KeepAliveCaller::refused).count(), 0, "callers refused");
+            assertTrue(node.exitStatus(EXIT_TIMEOUT_MS).isPresent(), "the process still runs");
+        }
+    }
+
     private static void assertNoneIsCut(List<KeepAliveCaller> callers) throws InterruptedException {
         for (KeepAliveCaller caller : callers) {
             assertTrue(caller.ended(EXIT_TIMEOUT_MS), "a caller still waits");
@@ -74,6 +99,13 @@
         assertEquals(cuts, List.of(), "requests cut");
     }
 
+    private static boolean healthy(NodeChild node) throws InterruptedException {
+        KeepAliveCaller check = new KeepAliveCaller(
+                        node.port(), number -> lastRequest("GET", "/health", CALLER_TOKEN, ""), 0, () -> false)
+                .start();
+        return check.ended(EXIT_TIMEOUT_MS) && check.answers().stream().anyMatch(answer -> answer.status() == 200);
+    }
+
     private static KeepAliveCaller waitingCaller(NodeChild node, int index) {
         return new KeepAliveCaller(
                 node.port(),
