End a node whose port is in use

A node whose port was in use stayed alive without serving anyone. It read the log, and could claim the cell and keep it from nodes that serve callers; a supervisor saw a running process.

Cause: the threads were started before the port was opened, and the thread of the state machine kept the process alive when the start had failed.

Evidence: PlannedStopTest starts a node on a port that is in use. That such a node claims the cell is read from the code, not measured.

Change: both ports are opened before any thread is started; if one is in use, the address is printed and the process exits with status 1. Requests that arrive before the threads run wait in the ring buffer, frames of peers in the inbox.

--- a/node/src/main/java/org/fuchsiawinch/node/NodeMain.java
+++ b/node/src/main/java/org/fuchsiawinch/node/NodeMain.java
@@ -5,6 +5,7 @@
 import org.fuchsiawinch.runtime.Program;
 import org.fuchsiawinch.runtime.SettingProblem;
 import org.fuchsiawinch.runtime.Settings;
+import reactor.netty.ChannelBindException;
 
 /** Runs one node until it is drained. */
 public final class NodeMain {
@@ -28,7 +29,12 @@
             return Program.EXIT_USAGE;
         }
         NodeProcess node = new NodeProcess(settings, System.currentTimeMillis());
-        node.start();
+        try {
+            node.start();
+        } catch (ChannelBindException e) {
+            System.err.println(e.getMessage());
+            return Program.EXIT_FAILED;
+        }
         Runtime.getRuntime().addShutdownHook(new Thread(node::drainAndStop, "drain"));
         try {
             node.awaitDrained();
--- a/node/src/main/java/org/fuchsiawinch/node/NodeProcess.java
+++ b/node/src/main/java/org/fuchsiawinch/node/NodeProcess.java
@@ -94,15 +94,18 @@
                 () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
     }
 
-    /** Starts all threads and the HTTP server. */
+    /**
+     * Opens the ports, then starts all threads. Requests that arrive before wait for the threads. Throws an exception
+     * of the network library if a port is in use; then no thread was started, and a drain is complete at once.
+     */
     public void start() {
+        openPorts();
         loop.start();
         startThread("log-reader", log::follow);
         startThread("ticker", () -> repeat(TICK_INTERVAL_MS, () -> loop.publish(new NodeInput.Tick())));
         startThread("worker-list", () -> repeat(WORKER_POLL_INTERVAL_MS, workers::poll));
         startThread("sampler", () -> repeat(SAMPLE_INTERVAL_MS, this::sample));
         peers.ifPresent(PeerLoop::start);
-        httpServer.start();
         LOG.info("node_started", "node", name);
     }
 
@@ -132,6 +135,16 @@
         drained.await();
     }
 
+    private void openPorts() {
+        try {
+            peers.ifPresent(PeerLoop::listen);
+            httpServer.start();
+        } catch (RuntimeException e) {
+            drained.countDown();
+            throw e;
+        }
+    }
+
     private Optional<PeerLoop> createPeerLoop(Settings settings, long startedMs) {
         int port = settings.value(NodeFlags.PEER_PORT).intValue();
         if (port == 0) {
--- a/node/src/main/java/org/fuchsiawinch/node/peer/PeerLoop.java
+++ b/node/src/main/java/org/fuchsiawinch/node/peer/PeerLoop.java
@@ -24,7 +24,6 @@
 import org.fuchsiawinch.runtime.EventLog;
 import org.fuchsiawinch.wire.PeerCodec;
 import org.fuchsiawinch.wire.PeerMessage;
-import reactor.netty.DisposableServer;
 
 /**
  * Single thread that owns the membership protocol, behind a bounded inbox. Also exchanges node statuses, and documents
@@ -90,17 +89,18 @@
     }
 
     /**
-     * Starts listening and starts the thread.
-     *
-     * @return the listening server
+     * Starts listening; frames that arrive before {@link #start} wait in the inbox. Throws an exception of the network
+     * library if the port is in use.
      */
-    public DisposableServer start() {
-        DisposableServer server =
-                transport.listen(self.endpoint().host(), self.endpoint().port());
+    public void listen() {
+        transport.listen(self.endpoint().host(), self.endpoint().port());
+    }
+
+    /** Starts the thread. */
+    public void start() {
         Thread thread = new Thread(this::run, "peer-loop");
         thread.setDaemon(true);
         thread.start();
-        return server;
     }
 
     /** Announces to the other nodes, within one tick, that this node is stopping. Returns at once. */
--- a/node/src/test/java/org/fuchsiawinch/node/stop/PlannedStopTest.java
+++ b/node/src/test/java/org/fuchsiawinch/node/stop/PlannedStopTest.java
@@ -1,5 +1,7 @@
 package org.fuchsiawinch.node.stop;
 
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -30,6 +32,7 @@
 
     private static final long LOAD_MS = 500;
     private static final long EXIT_TIMEOUT_MS = 20_000;
+    private static final long START_FAILURE_MS = 10_000;
     private static final long BALANCER_INTERVAL_MS = 400;
     private static final int BALANCER_FAILURES = 2;
     private static final String CALLER_TOKEN = "sample-token-plans";
@@ -90,6 +93,14 @@
         }
     }
 
+    @Test
+    public void endsIfThePortIsInUse() throws Exception {
+        try (ServerSocket other = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                NodeChild node = NodeChild.start(other.getLocalPort(), platformPort)) {
+            assertEquals(node.exitStatus(START_FAILURE_MS), OptionalInt.of(1));
+        }
+    }
+
     private static void assertNoneIsCut(List<KeepAliveCaller> callers) throws InterruptedException {
         for (KeepAliveCaller caller : callers) {
             assertTrue(caller.ended(EXIT_TIMEOUT_MS), "a caller still waits");
