Drain also on a signal that comes during the start

A node that was stopped just after it had opened its port ended at once and cut off the requests that callers had already sent.

Cause: the drain was registered as a shutdown hook only after the start had returned, while the port was already open.

Evidence: PlannedStopTest sends SIGTERM as soon as the port of a node accepts a connection, while a caller sends requests on another.

Change: the hook is registered before the start.

--- a/node/src/main/java/org/fuchsiawinch/node/NodeMain.java
+++ b/node/src/main/java/org/fuchsiawinch/node/NodeMain.java
@@ -29,13 +29,14 @@
             return Program.EXIT_USAGE;
         }
         NodeProcess node = new NodeProcess(settings, System.currentTimeMillis());
+        // before the start, as callers may connect before it returns
+        Runtime.getRuntime().addShutdownHook(new Thread(node::drainAndStop, "drain"));
         try {
             node.start();
         } catch (ChannelBindException e) {
             System.err.println(e.getMessage());
             return Program.EXIT_FAILED;
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(node::drainAndStop, "drain"));
         try {
             node.awaitDrained();
         } catch (InterruptedException e) {
--- a/node/src/main/java/org/fuchsiawinch/node/NodeProcess.java
+++ b/node/src/main/java/org/fuchsiawinch/node/NodeProcess.java
@@ -110,8 +110,8 @@
     }
 
     /**
-     * Releases the cell, waits until every open request is answered, then closes the port and the connections. The wait
-     * ends early if the thread is interrupted.
+     * Releases the cell, waits until every open request is answered, then closes the port and the connections. During
+     * {@link #start} it also waits for the end of the start. The wait ends early if the thread is interrupted.
      */
     public void drainAndStop() {
         status.requestDrain();
--- a/node/src/main/java/org/fuchsiawinch/node/http/NodeHttpServer.java
+++ b/node/src/main/java/org/fuchsiawinch/node/http/NodeHttpServer.java
@@ -48,7 +48,7 @@
     private final ServerActivity activity;
     private final LongSupplier clock;
     private final HttpServer server;
-    private DisposableServer running;
+    private volatile DisposableServer running;
 
     /**
      * Creates a server that does not listen yet.
@@ -111,9 +111,12 @@
      * Waits until callers have stopped connecting, for at most 3 s, and closes the port; waits until the requests in
      * progress are answered, for at most 10 s, and closes the connections. Every answer has to announce the close
      * meanwhile, as a caller may send a request just before its connection is closed. The waits end early if the thread
-     * is interrupted. Must not be called before {@link #start}.
+     * is interrupted. Does nothing if the port was not opened.
      */
     public void stop() {
+        if (running == null) {
+            return;
+        }
         long beganMs = clock.getAsLong();
         activity.connectionBegan(beganMs);
         await(beganMs + PORT_TIMEOUT_MS, nowMs -> activity.withoutNewConnections(LAST_CONNECTION_MS, nowMs));
--- a/node/src/test/java/org/fuchsiawinch/node/stop/PlannedStopTest.java
+++ b/node/src/test/java/org/fuchsiawinch/node/stop/PlannedStopTest.java
@@ -19,6 +19,7 @@
 import reactor.netty.DisposableServer;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 /** Checks that callers of a node get a whole answer to each request that they sent around its start and stop. */
@@ -93,6 +94,19 @@
         }
     }
 
+    @Test(invocationCount = 2)
+    public void drainsOnASignalJustAfterThePortOpens() throws Exception {
+        try (NodeChild node = NodeChild.start(NodeChild.freePort(), platformPort)) {
+            node.connectFirst().close();
+            KeepAliveCaller caller = new KeepAliveCaller(
+                            node.port(), number -> request("GET", "/health", CALLER_TOKEN, ""), 0, () -> false)
+                    .start();
+            node.terminate();
+            assertNoneIsCut(List.of(caller));
+            assertFalse(caller.refused(), "the port was closed without a drain");
+        }
+    }
+
     @Test
     public void endsIfThePortIsInUse() throws Exception {
         try (ServerSocket other = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
