Answer requests that are without a reply when a node stops

A caller whose request never got a reply, for instance as its input failed in the state machine, waited until the node was stopped and was then cut off.

Cause: the stop waited 10 s for the requests in progress and closed their connections without an answer.

Evidence: UnansweredRequestTest stops a server whose state machine does not run, on a clock that runs faster. Before, the caller's connection ended without an answer; after, it is answered with status 202 and PENDING ("the outcome is unknown; ask again by key") and told of the close.

Change: after the 10 s the open requests are completed with the reply that callers get elsewhere if the outcome is unknown. Not covered: lookups for operators that the state machine's thread evaluates, if that thread hangs.

--- a/node/src/main/java/org/fuchsiawinch/node/http/NodeHttpServer.java
+++ b/node/src/main/java/org/fuchsiawinch/node/http/NodeHttpServer.java
@@ -41,11 +41,15 @@
     /** Time without requests after which no connection that was accepted last still has one to be read. */
     private static final long QUIET_MS = 100;
 
+    /** Maximum time to send the answers to requests that got no reply. */
+    private static final long LAST_ANSWER_TIMEOUT_MS = 2000;
+
     private static final long CLOSE_TIMEOUT_MS = 1000;
     private static final long POLL_INTERVAL_MS = 20;
 
     private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
     private final ServerActivity activity;
+    private final OpenRequests openRequests;
     private final LongSupplier clock;
     private final HttpServer server;
     private volatile DisposableServer running;
@@ -82,6 +86,7 @@
             Supplier<List<PeerMessage.NodeStatusMessage>> nodes,
             LongSupplier clock) {
         this.clock = clock;
+        this.openRequests = openRequests;
         this.activity = new ServerActivity(clock.getAsLong());
         TokenAuthenticator authenticator = new TokenAuthenticator(document, foundingToken);
         Responder responder = new Responder(metrics, bodyLimitBytes, status::draining);
@@ -109,9 +114,9 @@
 
     /**
      * Waits until callers have stopped connecting, for at most 3 s, and closes the port; waits until the requests in
-     * progress are answered, for at most 10 s, and closes the connections. Every answer has to announce the close
-     * meanwhile, as a caller may send a request just before its connection is closed. The waits end early if the thread
-     * is interrupted. Does nothing if the port was not opened.
+     * progress are answered, for at most 10 s; tells callers without a reply that the outcome is unknown, and closes
+     * the connections. Every answer has to announce the close meanwhile, as a caller may send a request just before its
+     * connection is closed. The waits end early if the thread is interrupted. Does nothing if the port was not opened.
      */
     public void stop() {
         if (running == null) {
@@ -121,10 +126,16 @@
         activity.connectionBegan(beganMs);
         await(beganMs + PORT_TIMEOUT_MS, nowMs -> activity.withoutNewConnections(LAST_CONNECTION_MS, nowMs));
         running.channel().close().awaitUninterruptibly(CLOSE_TIMEOUT_MS);
-        await(clock.getAsLong() + ANSWER_TIMEOUT_MS, nowMs -> activity.withoutRequests(QUIET_MS, nowMs));
+        awaitAnswers(ANSWER_TIMEOUT_MS);
+        openRequests.giveUp();
+        awaitAnswers(LAST_ANSWER_TIMEOUT_MS);
         connections.close().awaitUninterruptibly(CLOSE_TIMEOUT_MS);
     }
 
+    private void awaitAnswers(long timeoutMs) {
+        await(clock.getAsLong() + timeoutMs, nowMs -> activity.withoutRequests(QUIET_MS, nowMs));
+    }
+
     private void await(long untilMs, LongPredicate condition) {
         try {
             for (long nowMs = clock.getAsLong(); nowMs < untilMs && !condition.test(nowMs); nowMs = clock.getAsLong()) {
--- a/node/src/main/java/org/fuchsiawinch/node/http/OpenRequests.java
+++ b/node/src/main/java/org/fuchsiawinch/node/http/OpenRequests.java
@@ -1,5 +1,6 @@
 package org.fuchsiawinch.node.http;
 
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
@@ -53,4 +54,9 @@
             sink.success(reply);
         }
     }
+
+    /** Completes all open requests with the reply that their outcome is unknown. */
+    public void giveUp() {
+        List.copyOf(sinks.keySet()).forEach(id -> reply(id, new NodeReply.Pending()));
+    }
 }
