--- a/node/src/main/java/org/fuchsiawinch/node/NodeProcess.java
+++ b/node/src/main/java/org/fuchsiawinch/node/NodeProcess.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 
 import com.codahale.metrics.MetricRegistry;
@@ -40,8 +41,6 @@
     private static final long TICK_INTERVAL_MS = 100;
     private static final long WORKER_POLL_INTERVAL_MS = 1000;
     private static final long SAMPLE_INTERVAL_MS = 5000;
-    /** Time in which the last replies and the announcement to the other nodes are sent before the server stops. */
-    private static final long DRAIN_LINGER_MS = 500;
 
     private final String name;
     private final AtomicReference<LedgerDocumentFold> documentFold = new AtomicReference<>();
@@ -91,31 +90,34 @@
                 status,
                 recorder,
                 workers::lastList,
-                () -> peers.map(PeerLoop::statuses).orElse(List.of()));
+                () -> peers.map(PeerLoop::statuses).orElse(List.of()),
+                () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
     }
 
-    /** Starts all threads and the HTTP server. */
+    /**
+     * Opens the ports, then starts all threads. Requests that arrive before wait for the threads. Throws an exception
+     * of the network library if a port is in use; then no thread was started, and a drain is complete at once.
+     */
     public void start() {
+        openPorts();
         loop.start();
         startThread("log-reader", log::follow);
         startThread("ticker", () -> repeat(TICK_INTERVAL_MS, () -> loop.publish(new NodeInput.Tick())));
         startThread("worker-list", () -> repeat(WORKER_POLL_INTERVAL_MS, workers::poll));
         startThread("sampler", () -> repeat(SAMPLE_INTERVAL_MS, this::sample));
         peers.ifPresent(PeerLoop::start);
-        httpServer.start();
         LOG.info("node_started", "node", name);
     }
 
     /**
-     * Releases the cell, waits until every open request is answered, then closes the port. The wait ends early if the
-     * thread is interrupted.
+     * Releases the cell, waits until every open request is answered, then closes the port and the connections. During
+     * {@link #start} it also waits for the end of the start. The wait ends early if the thread is interrupted.
      */
     public void drainAndStop() {
         status.requestDrain();
         peers.ifPresent(PeerLoop::leave);
         try {
             drained.await();
-            Thread.sleep(DRAIN_LINGER_MS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -133,6 +135,16 @@
         drained.await();
     }
 
+    private void openPorts() {
+        try {
+            peers.ifPresent(PeerLoop::listen);
+            httpServer.start();
+        } catch (RuntimeException e) {
+            drained.countDown();
+            throw e;
+        }
+    }
+
     private Optional<PeerLoop> createPeerLoop(Settings settings, long startedMs) {
         int port = settings.value(NodeFlags.PEER_PORT).intValue();
         if (port == 0) {
--- a/node/src/main/java/org/fuchsiawinch/node/http/Responder.java
+++ b/node/src/main/java/org/fuchsiawinch/node/http/Responder.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.OptionalLong;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 
 import com.codahale.metrics.MetricRegistry;
@@ -14,19 +15,25 @@
 import org.fuchsiawinch.node.loop.LoopFullException;
 import org.fuchsiawinch.wire.JsonCodec;
 import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Schedulers;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
 
-/** Reads request bodies up to the size limit, encodes responses, and counts them by status. Thread-safe. */
+/**
+ * Reads request bodies up to the size limit, encodes responses, and counts them by status. While the node drains,
+ * responses announce that their connection is closed. Thread-safe.
+ */
 final class Responder {
 
     private final JsonCodec json = new JsonCodec();
     private final MetricRegistry metrics;
     private final int bodyLimitBytes;
+    private final BooleanSupplier draining;
 
-    Responder(MetricRegistry metrics, int bodyLimitBytes) {
+    Responder(MetricRegistry metrics, int bodyLimitBytes, BooleanSupplier draining) {
         this.metrics = metrics;
         this.bodyLimitBytes = bodyLimitBytes;
+        this.draining = draining;
     }
 
     <T> Mono<Void> withBody(
@@ -44,13 +51,23 @@
     }
 
     Mono<Void> send(HttpServerResponse response, Mono<ApiResponse> result) {
-        return result.onErrorResume(FuchsiawinchException.class, error -> Mono.just(errorResponse(error)))
+        return onEventLoop(response, result)
+                .onErrorResume(FuchsiawinchException.class, error -> Mono.just(errorResponse(error)))
                 .flatMap(ready -> write(response, ready));
     }
 
     Mono<Void> sendText(HttpServerResponse response, int status, String text) {
-        metrics.counter("http.status." + status).inc();
-        return response.status(status).sendString(Mono.just(text)).then();
+        begin(response, status);
+        return response.sendString(Mono.just(text)).then();
+    }
+
+    /**
+     * Passes a result on to the event loop of its connection. If another thread writes a response, the HTTP library may
+     * leave a later request on the connection unanswered.
+     */
+    static <T> Mono<T> onEventLoop(HttpServerResponse response, Mono<T> result) {
+        return result.publishOn(Schedulers.fromExecutor(task -> response.withConnection(
+                connection -> connection.channel().eventLoop().execute(task))));
     }
 
     static long waitMs(HttpServerRequest request, long limitMs) {
@@ -83,18 +100,25 @@
     }
 
     private Mono<Void> write(HttpServerResponse response, ApiResponse result) {
-        metrics.counter("http.status." + result.status()).inc();
+        begin(response, result.status());
         if (result.body() instanceof Views.ErrorView error
                 && error.retryAfterMs().isPresent()) {
             long seconds = Math.max(1, (error.retryAfterMs().getAsLong() + 999) / 1000);
             response.header("Retry-After", Long.toString(seconds));
         }
-        return response.status(result.status())
-                .header("Content-Type", "application/json")
+        return response.header("Content-Type", "application/json")
                 .sendByteArray(Mono.just(json.encode(result.body())))
                 .then();
     }
 
+    private void begin(HttpServerResponse response, int status) {
+        metrics.counter("http.status." + status).inc();
+        response.status(status);
+        if (draining.getAsBoolean()) {
+            response.keepAlive(false);
+        }
+    }
+
     private static ApiResponse errorResponse(FuchsiawinchException error) {
         if (error instanceof LoopFullException) {
             return new ApiResponse(
