--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/UnreachedLeases.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/UnreachedLeases.java
@@ -24,7 +24,7 @@
     private static final long SLACK_MS = OwnerSettings.MAX_STORE_SILENCE_MS + 2000;
 
     /** Time in ms in which workers answer a new owner; those that have not are stored after it. */
-    private static final long FIRST_CONTACT_MS = 1000;
+    private static final long FIRST_CONTACT_MS = 2500;
 
     /** Interval in ms between records; a change of owner without a release loses the time since the last one. */
     private static final long RECORD_INTERVAL_MS = 200;
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/LostWorkerHandOverTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/LostWorkerHandOverTest.java
@@ -1,9 +1,11 @@
 package org.fuchsiawinch.workflow;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.fuchsiawinch.workflow.job.JobPhase;
 import org.fuchsiawinch.workflow.record.CellRecord;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -71,6 +73,26 @@
         assertTrue(holder.leaseEndMs < harness.nowMs, "the lease is over");
     }
 
+    @DataProvider
+    public Object[][] uncertainPredecessors() {
+        return new Object[][] {{OptionalLong.empty()}, {OptionalLong.of(1000)}};
+    }
+
+    /** Guards against a bound that an owner in between, which does not know this record, has made outdated. */
+    @Test(dataProvider = "uncertainPredecessors")
+    public void waitsForTheLongestLeaseIfTheRecordIsNotOfTheCertainPredecessor(OptionalLong predecessorEpoch) {
+        OwnerHarness harness =
+                new OwnerHarness().workers(2).takeOver().submit("job", 1, OwnerHarness.tasks(1, 8, 9000));
+        harness.run(4000);
+        busyWorker(harness).silent = true;
+        harness.run(4000).release().takeOver(predecessorEpoch);
+        long takenOverMs = harness.nowMs;
+        harness.run(12_000);
+        assertEquals(harness.startCount(), 1, "starts within 12 s of the change of owner");
+        harness.run(takenOverMs + LAST_LEASE_MS + 1000 - harness.nowMs);
+        assertEquals(harness.startCount(), 2);
+    }
+
     /** Guards against a successor that gives up a run whose start order may still be carried out. */
     @Test
     public void waitsForTheLongestLeaseOfAStartInDoubtAfterARelease() {
