Accept no job while its queue's rules are out of range

Callers got 200 for a job that was never run: the node that had answered reported it as queued, all others answered 410. Seen with real processes of the deploy file while a route had a negative or infinite slackFactor ("NaN", 1e400, -1), a negative priority (also) or a negative targetCompletionMs: 9 of 9 such jobs were lost.

The document was taken with these values and they went into the job's record, which RecordCodec.decode then rejects, so each node skipped it.

Such a submission is now answered with 503, "queue-rules-out-of-range", and nothing is stored. The document stays in force, so that keys can be withdrawn by it.

--- a/server/src/main/java/org/fuchsiawinch/server/api/CallerRequestHandler.java
+++ b/server/src/main/java/org/fuchsiawinch/server/api/CallerRequestHandler.java
@@ -245,6 +245,10 @@
                 clock.getAsLong(),
                 body.payload(),
                 body.steps());
+        // The steps are valid here. All nodes would skip a record with a problem, so the job would be lost.
+        if (submission.problem().isPresent()) {
+            return Mono.just(new Answer.Unavailable("queue-rules-out-of-range", RETRY_AFTER_S));
+        }
         return append(request, new CellRecord.Accepted(submission), new Answer.Accepted());
     }
 
