Go on after an error in one action of a node

An OutOfMemoryError or NoClassDefFoundError in a node's tick, in the decoding of an entry or in a call ended that tick or follower for good: the process went on, but claimed nothing or read nothing any more. A caller's request in which such an error or a stack overflow occurred was never answered by the handler. With real processes: 40 jobs of 200,000 bytes at once, and the node answered no submission any more (20 tries in 64 s), since the batch whose encoding ran out of heap stayed in flight.

FailureBarrier contained only RuntimeException and StackOverflowError. And Reactor throws errors of the virtual machine and of linking into the event loop instead of signalling them, so that onErrorResume does not see them.

The barriers now contain every Error.

--- a/server/src/main/java/org/fuchsiawinch/server/api/CallerRequestHandler.java
+++ b/server/src/main/java/org/fuchsiawinch/server/api/CallerRequestHandler.java
@@ -8,6 +8,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import org.fuchsiawinch.model.WorkspaceId;
+import org.fuchsiawinch.server.failure.ErrorSignals;
 import org.fuchsiawinch.server.port.StreamStore;
 import org.fuchsiawinch.server.stream.BatchingAppender;
 import org.fuchsiawinch.server.stream.StreamFollower;
@@ -188,7 +189,7 @@
         Optional<CellRules> currentRules = rules.get();
         Mono<Answer> answer = currentRules.isEmpty()
                 ? Mono.just(new Answer.Unavailable("no-rules", RETRY_AFTER_S))
-                : withQueue(request, currentRules.get(), startedMs, action);
+                : ErrorSignals.defer(() -> withQueue(request, currentRules.get(), startedMs, action));
         return answer.doOnNext(sent -> recordAnswer(verb, request, sent, startedMs));
     }
 
--- a/server/src/main/java/org/fuchsiawinch/server/failure/ContainedDecoder.java
+++ b/server/src/main/java/org/fuchsiawinch/server/failure/ContainedDecoder.java
@@ -36,7 +36,7 @@
     private <T> Optional<T> contain(String task, Supplier<Optional<T>> decoding) {
         try {
             return decoding.get();
-        } catch (RuntimeException | StackOverflowError failure) {
+        } catch (RuntimeException | Error failure) {
             barrier.report(task, failure);
             return Optional.empty();
         }
--- a/server/src/main/java/org/fuchsiawinch/server/failure/ContainedGateway.java
+++ b/server/src/main/java/org/fuchsiawinch/server/failure/ContainedGateway.java
@@ -27,7 +27,7 @@
 
     @Override
     public Mono<RenewResult> renew(String address, long epoch, OwnerEffect.Renew order) {
-        return Mono.defer(() -> gateway.renew(address, epoch, order)).onErrorResume(failure -> {
+        return ErrorSignals.defer(() -> gateway.renew(address, epoch, order)).onErrorResume(failure -> {
             barrier.report("worker-renew", failure);
             return Mono.just(new RenewResult.Failed(failure.toString()));
         });
@@ -35,7 +35,7 @@
 
     @Override
     public Mono<StartOutcome> start(String address, long epoch, OwnerEffect.Start order) {
-        return Mono.defer(() -> gateway.start(address, epoch, order)).onErrorResume(failure -> {
+        return ErrorSignals.defer(() -> gateway.start(address, epoch, order)).onErrorResume(failure -> {
             barrier.report("worker-start", failure);
             return Mono.just(StartOutcome.UNANSWERED);
         });
@@ -43,7 +43,7 @@
 
     @Override
     public Mono<Boolean> stop(String address, long epoch, OwnerEffect.Stop order) {
-        return Mono.defer(() -> gateway.stop(address, epoch, order)).onErrorResume(failure -> {
+        return ErrorSignals.defer(() -> gateway.stop(address, epoch, order)).onErrorResume(failure -> {
             barrier.report("worker-stop", failure);
             return Mono.just(false);
         });
--- a/server/src/main/java/org/fuchsiawinch/server/failure/ContainedStore.java
+++ b/server/src/main/java/org/fuchsiawinch/server/failure/ContainedStore.java
@@ -27,15 +27,16 @@
 
     @Override
     public Mono<AppendResult> append(List<Entry> entries, Optional<Writer> writer, OptionalLong expectedEnd) {
-        return Mono.defer(() -> store.append(entries, writer, expectedEnd)).onErrorResume(failure -> {
-            barrier.report("store-append", failure);
-            return Mono.just(new AppendResult.Unknown(failure.toString()));
-        });
+        return ErrorSignals.defer(() -> store.append(entries, writer, expectedEnd))
+                .onErrorResume(failure -> {
+                    barrier.report("store-append", failure);
+                    return Mono.just(new AppendResult.Unknown(failure.toString()));
+                });
     }
 
     @Override
     public Mono<ReadResult> read(Stream stream, long from, long waitMs) {
-        return Mono.defer(() -> store.read(stream, from, waitMs)).onErrorResume(failure -> {
+        return ErrorSignals.defer(() -> store.read(stream, from, waitMs)).onErrorResume(failure -> {
             barrier.report("store-read", failure);
             return Mono.just(new ReadResult.Failed(failure.toString()));
         });
@@ -43,7 +44,7 @@
 
     @Override
     public Mono<PageResult> readLatest(Stream stream, Optional<String> after) {
-        return Mono.defer(() -> store.readLatest(stream, after)).onErrorResume(failure -> {
+        return ErrorSignals.defer(() -> store.readLatest(stream, after)).onErrorResume(failure -> {
             barrier.report("store-read-latest", failure);
             return Mono.just(new PageResult.Failed(failure.toString()));
         });
--- a/server/src/main/java/org/fuchsiawinch/server/failure/FailureBarrier.java
+++ b/server/src/main/java/org/fuchsiawinch/server/failure/FailureBarrier.java
@@ -22,8 +22,8 @@
     }
 
     /**
-     * Runs an action and contains its failure. Errors of the virtual machine other than a stack overflow are not
-     * contained.
+     * Runs an action and contains its failure, also an {@link Error}: one entry or message for which memory or stack do
+     * not suffice must not end what follows it.
      *
      * @param task what the action does, as a short name for log and counter
      * @param action the action
@@ -33,7 +33,7 @@
         try {
             action.run();
             return Optional.empty();
-        } catch (RuntimeException | StackOverflowError failure) {
+        } catch (RuntimeException | Error failure) {
             report(task, failure);
             return Optional.of(failure);
         }
--- a/server/src/main/java/org/fuchsiawinch/server/owner/OwnerSession.java
+++ b/server/src/main/java/org/fuchsiawinch/server/owner/OwnerSession.java
@@ -180,29 +180,33 @@
     }
 
     private void load(List<StreamStore.StoredEntry> collected, Optional<String> after) {
-        ports.store().readLatest(Stream.CELL, after).subscribe(result -> {
-            if (ended) {
-                return;
-            }
-            if (result instanceof StreamStore.PageResult.Failed failed) {
-                log.line("owner-load-failed", "epoch", epoch, "problem", failed.problem());
-                scheduler.schedule(
-                        () -> load(new ArrayList<>(), Optional.empty()), LOAD_RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
-                return;
-            }
-            StreamStore.PageResult.Page page = (StreamStore.PageResult.Page) result;
-            collected.addAll(page.entries());
-            if (page.more() && !page.entries().isEmpty()) {
-                load(
-                        collected,
-                        Optional.of(page.entries()
-                                .get(page.entries().size() - 1)
-                                .entry()
-                                .key()));
-                return;
-            }
-            barrier.run("owner-load", () -> initialize(collected)).ifPresent(this::releaseAfterFailure);
-        });
+        ports.store().readLatest(Stream.CELL, after).subscribe(result -> barrier.run(
+                        "owner-load", () -> pageRead(collected, result))
+                .ifPresent(this::releaseAfterFailure));
+    }
+
+    private void pageRead(List<StreamStore.StoredEntry> collected, StreamStore.PageResult result) {
+        if (ended) {
+            return;
+        }
+        if (result instanceof StreamStore.PageResult.Failed failed) {
+            log.line("owner-load-failed", "epoch", epoch, "problem", failed.problem());
+            scheduler.schedule(
+                    () -> load(new ArrayList<>(), Optional.empty()), LOAD_RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        StreamStore.PageResult.Page page = (StreamStore.PageResult.Page) result;
+        collected.addAll(page.entries());
+        if (page.more() && !page.entries().isEmpty()) {
+            load(
+                    collected,
+                    Optional.of(page.entries()
+                            .get(page.entries().size() - 1)
+                            .entry()
+                            .key()));
+            return;
+        }
+        initialize(collected);
     }
 
     private void initialize(List<StreamStore.StoredEntry> entries) {
--- a/server/src/main/java/org/fuchsiawinch/server/stream/StreamFollower.java
+++ b/server/src/main/java/org/fuchsiawinch/server/stream/StreamFollower.java
@@ -6,8 +6,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
+import org.fuchsiawinch.server.failure.ErrorSignals;
 import org.fuchsiawinch.server.failure.FailureBarrier;
 import org.fuchsiawinch.server.port.Stream;
 import org.fuchsiawinch.server.port.StreamStore;
@@ -203,19 +205,19 @@
             return Mono.just(false);
         }
         long from = nextOffset;
-        return store.read(stream, from, 0).map(result -> {
+        return store.read(stream, from, 0).map(ErrorSignals.converting(result -> {
             if (!(result instanceof StreamStore.ReadResult.Entries read)) {
                 return false;
             }
             apply(read);
             return nextOffset >= read.end();
-        });
+        }));
     }
 
     private void loadSnapshot(List<StreamStore.StoredEntry> collected, Optional<String> after, long firstEnd) {
         pending = store.readLatest(stream, after)
                 .subscribe(
-                        result -> {
+                        startingAgain(result -> {
                             if (closed) {
                                 return;
                             }
@@ -235,7 +237,7 @@
                                 return;
                             }
                             applySnapshot(collected, end);
-                        },
+                        }),
                         this::startAfterFailure);
     }
 
@@ -249,6 +251,17 @@
         }
     }
 
+    /** Returns an action that loads a new snapshot if another one fails, also by an error. */
+    private <T> Consumer<T> startingAgain(Consumer<T> action) {
+        return value -> {
+            try {
+                action.accept(value);
+            } catch (RuntimeException | Error failure) {
+                startAfterFailure(failure);
+            }
+        };
+    }
+
     /** Delivers a snapshot; if the listener fails on it, an empty one and then the entries one by one. */
     private void deliverSnapshot(List<StreamStore.StoredEntry> entries) {
         if (barrier.run("snapshot-" + stream, () -> listener.onSnapshot(entries))
@@ -297,7 +310,7 @@
     private void read() {
         pending = store.read(stream, nextOffset, poll.waitMs())
                 .subscribe(
-                        result -> {
+                        startingAgain(result -> {
                             if (closed) {
                                 return;
                             }
@@ -308,7 +321,7 @@
                                 return;
                             }
                             onResult(result);
-                        },
+                        }),
                         this::startAfterFailure);
     }
 
@@ -321,14 +334,14 @@
             probe();
             store.read(stream, nextOffset, 0)
                     .subscribe(
-                            result -> {
+                            startingAgain(result -> {
                                 if (closed || !probing || result instanceof StreamStore.ReadResult.Failed) {
                                     return;
                                 }
                                 probing = false;
                                 pending.dispose();
                                 onResult(result);
-                            },
+                            }),
                             this::startAfterFailure);
         });
     }
@@ -398,10 +411,11 @@
         if (closed) {
             return;
         }
+        Consumer<Void> guarded = startingAgain(ignored -> action.run());
         if (delayMs <= 0) {
-            pending = scheduler.schedule(action);
+            pending = scheduler.schedule(() -> guarded.accept(null));
             return;
         }
-        pending = scheduler.schedule(action, delayMs, TimeUnit.MILLISECONDS);
+        pending = scheduler.schedule(() -> guarded.accept(null), delayMs, TimeUnit.MILLISECONDS);
     }
 }
--- a/server/src/test/java/org/fuchsiawinch/server/FakeStore.java
+++ b/server/src/test/java/org/fuchsiawinch/server/FakeStore.java
@@ -34,6 +34,9 @@
     /** Error with which the next read ends; null for none. */
     RuntimeException nextReadFailure;
 
+    /** Error that the next read throws; null for none. */
+    Error nextReadError;
+
     int appends;
     int reads;
 
@@ -88,6 +91,11 @@
     @Override
     public Mono<ReadResult> read(Stream stream, long from, long waitMs) {
         reads++;
+        if (nextReadError != null) {
+            Error error = nextReadError;
+            nextReadError = null;
+            throw error;
+        }
         if (nextReadFailure != null) {
             RuntimeException failure = nextReadFailure;
             nextReadFailure = null;
--- a/server/src/test/java/org/fuchsiawinch/server/NodeFailureTest.java
+++ b/server/src/test/java/org/fuchsiawinch/server/NodeFailureTest.java
@@ -11,11 +11,15 @@
 import com.codahale.metrics.MetricRegistry;
 import org.fuchsiawinch.model.Resources;
 import org.fuchsiawinch.model.WorkerId;
+import org.fuchsiawinch.model.WorkspaceId;
+import org.fuchsiawinch.server.api.CallerRequest;
 import org.fuchsiawinch.server.owner.OwnerSession;
 import org.fuchsiawinch.server.port.EntryDecoder;
 import org.fuchsiawinch.server.port.StreamStore;
 import org.fuchsiawinch.server.port.WorkerGateway;
 import org.fuchsiawinch.workflow.cell.CellRules;
+import org.fuchsiawinch.workflow.cell.Queue;
+import org.fuchsiawinch.workflow.job.Submission;
 import org.fuchsiawinch.workflow.owner.Guarantees;
 import org.fuchsiawinch.workflow.owner.OwnerEffect;
 import org.fuchsiawinch.workflow.owner.OwnerSettings;
@@ -25,6 +29,7 @@
 import org.fuchsiawinch.workflow.record.CellRecord;
 import org.fuchsiawinch.workflow.record.RecordCodec;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import reactor.core.publisher.Mono;
 import reactor.test.scheduler.VirtualTimeScheduler;
@@ -40,6 +45,9 @@
     private static final String BAD_WORKER_KEY = "worker-bad";
     private static final WorkerReport IDLE = new WorkerReport(1, 1000, List.of(), List.of(), true);
 
+    private static final Queue QUEUE =
+            new Queue("q", "h", "/q/", "desk", new Submission.QueueRules(1, 3, 1.5, 250), false);
+
     private VirtualTimeScheduler time;
     private FakeStore store;
     private List<String> log;
@@ -49,6 +57,9 @@
 
     private int renewals;
 
+    /** Supplies what the decoder throws at the bad entry. */
+    private Supplier<Error> decoderFailure;
+
     @BeforeMethod
     public void create() {
         time = VirtualTimeScheduler.create();
@@ -58,6 +69,7 @@
         log = new ArrayList<>();
         renewal = () -> Mono.just(new WorkerGateway.RenewResult.Answered(IDLE));
         renewals = 0;
+        decoderFailure = () -> new StackOverflowError("nested too deeply");
     }
 
     private Node startNode(String name, long seed) {
@@ -100,14 +112,14 @@
         }
     }
 
-    private static final class ThrowingDecoder implements EntryDecoder {
+    private final class ThrowingDecoder implements EntryDecoder {
 
         @Override
         public Optional<WorkerListing> decodeWorker(String key, byte[] value) {
             if (key.equals(BAD_WORKER_KEY)) {
-                throw new StackOverflowError("nested too deeply");
+                throw decoderFailure.get();
             }
-            return key.equals(WORKER_KEY)
+            return key.startsWith(WORKER_KEY)
                     ? Optional.of(new WorkerListing(
                             new WorkerRegistration(
                                     new WorkerId(key),
@@ -123,7 +135,8 @@
         @Override
         public Optional<CellRules> decodeRules(String key, byte[] value) {
             return key.equals("config")
-                    ? Optional.of(new CellRules(1, List.of(), Map.of(), Guarantees.NONE, 1000))
+                    ? Optional.of(new CellRules(
+                            1, List.of(QUEUE), Map.of("key", new WorkspaceId("ws")), Guarantees.NONE, 1000))
                     : Optional.empty();
         }
     }
@@ -207,6 +220,77 @@
         }
     }
 
+    @DataProvider
+    public Object[][] errors() {
+        return new Object[][] {
+            {(Supplier<Error>) () -> new OutOfMemoryError("Java heap space")},
+            {(Supplier<Error>) () -> new NoClassDefFoundError("org/example/Missing")},
+            {(Supplier<Error>) () -> new StackOverflowError("nested too deeply")},
+        };
+    }
+
+    // Guards against an owner that stops reading the workers' list after an error at one entry.
+    @Test(dataProvider = "errors")
+    public void followsTheWorkersBeyondAnError(Supplier<Error> error) {
+        decoderFailure = error;
+        startNode("n1", 7);
+        advance(1000);
+        store.put(BAD_WORKER_KEY, "ready");
+        advance(1000);
+        store.put(WORKER_KEY + "0", "ready");
+        advance(1000);
+        assertEquals(count("worker-listed"), 2);
+        assertEquals(count("cell-given-up"), 0);
+    }
+
+    // Guards against a node that neither claims nor follows any more after an error in one call to the store.
+    @Test(dataProvider = "errors")
+    public void goesOnAfterAnErrorInACallToTheStore(Supplier<Error> error) {
+        store.appendAnswers.add(() -> {
+            throw error.get();
+        });
+        startNode("n1", 7);
+        advance(1500);
+        assertEquals(count("cell-taken"), 1);
+        store.nextReadError = error.get();
+        advance(2000);
+        int before = store.reads;
+        advance(2000);
+        assertTrue(store.reads > before + 3, "reads " + (store.reads - before));
+        assertEquals(count("cell-given-up"), 0);
+    }
+
+    // Guards against a worker that is never asked again after an error in one call to it.
+    @Test(dataProvider = "errors")
+    public void asksAWorkerAgainAfterAnErrorInACall(Supplier<Error> error) {
+        startNode("n1", 7);
+        advance(500);
+        renewal = () -> {
+            throw error.get();
+        };
+        advance(500);
+        renewal = () -> Mono.just(new WorkerGateway.RenewResult.Answered(IDLE));
+        int before = renewals;
+        advance(2000);
+        assertTrue(renewals > before + 3, "renewals " + (renewals - before));
+        assertEquals(count("cell-given-up"), 0);
+    }
+
+    // Guards against a caller without an answer, as Reactor throws such errors instead of passing them on.
+    @Test(dataProvider = "errors")
+    public void signalsAnErrorInACallersRequest(Supplier<Error> error) {
+        Node node = startNode("n1", 7);
+        advance(1000);
+        CallerRequest request = new CallerRequest("h", "/q/0123456789abcdef", Optional.of("key"), 3000);
+        Throwable[] signalled = new Throwable[1];
+        node.requestHandler()
+                .submit(request, () -> {
+                    throw error.get();
+                })
+                .subscribe(answer -> {}, failure -> signalled[0] = failure);
+        assertTrue(signalled[0] instanceof IllegalStateException, "" + signalled[0]);
+    }
+
     private CellRecord.Owner lastOwnerRecord() {
         RecordCodec codec = new RecordCodec();
         return store.entries.stream()
