Keep the appends of large submissions below the store's limit

Callers that sent large jobs at once got no answer, or 504.

Up to 64 entries went into one request, whatever their size. The request was too large for the store, or for the heap while it was encoded: the OutOfMemoryError left the batch in flight for ever, so that the node answered no submission any more.

A request of several entries now has values of 1 MB at most. BatchingAppenderTest: sendsLargeEntriesInSeveralRequests fails without the change.

--- a/server/src/main/java/org/fuchsiawinch/server/stream/BatchingAppender.java
+++ b/server/src/main/java/org/fuchsiawinch/server/stream/BatchingAppender.java
@@ -25,9 +25,12 @@
     /** Delay in ms before a failed append is retried. */
     private static final long RETRY_DELAY_MS = 120;
 
-    /** Largest number of entries in one append; keeps a request far below the size limit of the store. */
+    /** Largest number of entries in one append. */
     private static final int MAX_ENTRIES = 64;
 
+    /** Largest size in bytes of the values in one append of several entries; half of what a store takes. */
+    private static final long MAX_BYTES = 1024 * 1024;
+
     /** Number of consecutive failed appends after which entries are refused without an append. */
     private static final int CIRCUIT_BREAKER_FAILURES = 2;
 
@@ -130,7 +133,7 @@
         if (!inFlight.isEmpty() || queue.isEmpty()) {
             return;
         }
-        int count = Math.min(queue.size(), MAX_ENTRIES);
+        int count = nextBatchSize();
         List<QueuedEntry> batch = new ArrayList<>(queue.subList(0, count));
         inFlight = batch;
         queue = new ArrayList<>(queue.subList(count, queue.size()));
@@ -139,6 +142,19 @@
         store.append(entries, Optional.empty(), OptionalLong.empty()).subscribe(result -> onResult(batch, result));
     }
 
+    private int nextBatchSize() {
+        int count = 1;
+        long bytes = queue.get(0).entry.value().length;
+        while (count < Math.min(queue.size(), MAX_ENTRIES)) {
+            bytes += queue.get(count).entry.value().length;
+            if (bytes > MAX_BYTES) {
+                break;
+            }
+            count++;
+        }
+        return count;
+    }
+
     private void onResult(List<QueuedEntry> batch, AppendResult result) {
         // False if the entries were queued again when the store recovered.
         boolean current = inFlight == batch;
--- a/server/src/test/java/org/fuchsiawinch/server/BatchingAppenderTest.java
+++ b/server/src/test/java/org/fuchsiawinch/server/BatchingAppenderTest.java
@@ -15,6 +15,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
 
 /** Tests that an entry is reported as not stored only if no append of it can have been stored or still be stored. */
 public class BatchingAppenderTest {
@@ -131,4 +132,21 @@
         appender.storeRecovered();
         assertEquals(submit(300).get(), Outcome.STORED);
     }
+
+    // Guards against callers whose entries the store rejects together, as one request with them is too large for it.
+    @Test
+    public void sendsLargeEntriesInSeveralRequests() {
+        store.appendDelayMs = 10;
+        int requestBytes = 2 * 1024 * 1024;
+        int[] stored = new int[1];
+        store.beforeAppend = () ->
+                assertTrue(store.lastAppendBytes <= requestBytes, "request of " + store.lastAppendBytes + " bytes");
+        for (int i = 0; i < 40; i++) {
+            appender.store(new StreamStore.Entry("j/" + i, new byte[250_000]), nowMs() + 2000)
+                    .subscribe(outcome -> stored[0] += outcome == Outcome.STORED ? 1 : 0);
+        }
+        time.advanceTimeBy(Duration.ofMillis(1000));
+        assertEquals(stored[0], 40);
+        assertEquals(store.entries.get(39).key(), "j/39");
+    }
 }
--- a/server/src/test/java/org/fuchsiawinch/server/FakeStore.java
+++ b/server/src/test/java/org/fuchsiawinch/server/FakeStore.java
@@ -38,6 +38,10 @@
     Error nextReadError;
 
     int appends;
+
+    /** Bytes of the values of the last append. */
+    long lastAppendBytes;
+
     int reads;
 
     FakeStore(Scheduler time) {
@@ -72,6 +76,8 @@
     }
 
     private AppendResult store(List<Entry> added, Optional<Writer> writer, OptionalLong expectedEnd) {
+        lastAppendBytes =
+                added.stream().mapToLong(entry -> entry.value().length).sum();
         beforeAppend.run();
         long epoch = writer.map(Writer::epoch).orElse(highestEpoch);
         if (epoch < highestEpoch) {
