Read on without a pause while a follower is behind the end

The store answers a read with about 1 MB, and the owner paused for 0.2 s after each. StreamFollowerTest: readsOnWithoutAPauseWhileBehindTheEnd fails without the change.

--- a/server/src/main/java/org/fuchsiawinch/server/stream/StreamFollower.java
+++ b/server/src/main/java/org/fuchsiawinch/server/stream/StreamFollower.java
@@ -54,7 +54,7 @@
      * Long-polling parameters of a follower.
      *
      * @param waitMs longest time in ms that a read waits for an entry
-     * @param pauseMs pause in ms between a read that returned entries and the next one
+     * @param pauseMs pause in ms between a read that returned the last entries and the next one
      */
     public record PollSettings(long waitMs, long pauseMs) {}
 
@@ -356,7 +356,8 @@
         boolean foundEntries = !read.entries().isEmpty();
         markReachable();
         apply(read);
-        schedule(foundEntries ? poll.pauseMs() : 0, this::read);
+        boolean behind = nextOffset < read.end();
+        schedule(foundEntries && !behind ? poll.pauseMs() : 0, this::read);
     }
 
     private void apply(StreamStore.ReadResult.Entries read) {
--- a/server/src/test/java/org/fuchsiawinch/server/FakeStore.java
+++ b/server/src/test/java/org/fuchsiawinch/server/FakeStore.java
@@ -58,6 +58,9 @@
     /** Delay in ms until an append takes effect and is answered. */
     long appendDelayMs;
 
+    /** Largest number of entries in the answer to a read. */
+    int maxEntriesPerRead = Integer.MAX_VALUE;
+
     /** Highest epoch that has written; writers of lower epochs are rejected. */
     private long highestEpoch;
 
@@ -127,7 +130,7 @@
             return new ReadResult.Expired();
         }
         List<StoredEntry> stored = new ArrayList<>();
-        for (long offset = from; offset < entries.size(); offset++) {
+        for (long offset = from; offset < entries.size() && stored.size() < maxEntriesPerRead; offset++) {
             stored.add(new StoredEntry(offset, entries.get((int) offset)));
         }
         return new ReadResult.Entries(from + stored.size(), entries.size(), stored);
--- a/server/src/test/java/org/fuchsiawinch/server/StreamFollowerTest.java
+++ b/server/src/test/java/org/fuchsiawinch/server/StreamFollowerTest.java
@@ -218,4 +218,18 @@
         assertEquals(received, List.of("snapshot", "a=1", "snapshot", "a=1", "b=2"));
         assertTrue(log.contains("unexpected-failure"));
     }
+
+    // Guards against good entries that are in use seconds late, behind many large ones of another writer.
+    @Test
+    public void readsOnWithoutAPauseWhileBehindTheEnd() {
+        store.maxEntriesPerRead = 1;
+        follower.start();
+        advance(1000);
+        for (int i = 0; i < 40; i++) {
+            store.put("k", "" + i);
+        }
+        // The end of the long poll, and less than the pauses between 40 reads.
+        advance(500 + 1000);
+        assertTrue(received.contains("k=39"), received.toString());
+    }
 }
