--- a/server/src/test/java/org/fuchsiawinch/server/FakeStore.java
+++ b/server/src/test/java/org/fuchsiawinch/server/FakeStore.java
@@ -34,7 +34,14 @@
     /** Error with which the next read ends; null for none. */
     RuntimeException nextReadFailure;
 
+    /** Error that the next read throws; null for none. */
+    Error nextReadError;
+
     int appends;
+
+    /** Bytes of the values of the last append. */
+    long lastAppendBytes;
+
     int reads;
 
     FakeStore(Scheduler time) {
@@ -51,6 +58,9 @@
     /** Delay in ms until an append takes effect and is answered. */
     long appendDelayMs;
 
+    /** Largest number of entries in the answer to a read. */
+    int maxEntriesPerRead = Integer.MAX_VALUE;
+
     /** Highest epoch that has written; writers of lower epochs are rejected. */
     private long highestEpoch;
 
@@ -69,6 +79,8 @@
     }
 
     private AppendResult store(List<Entry> added, Optional<Writer> writer, OptionalLong expectedEnd) {
+        lastAppendBytes =
+                added.stream().mapToLong(entry -> entry.value().length).sum();
         beforeAppend.run();
         long epoch = writer.map(Writer::epoch).orElse(highestEpoch);
         if (epoch < highestEpoch) {
@@ -88,6 +100,11 @@
     @Override
     public Mono<ReadResult> read(Stream stream, long from, long waitMs) {
         reads++;
+        if (nextReadError != null) {
+            Error error = nextReadError;
+            nextReadError = null;
+            throw error;
+        }
         if (nextReadFailure != null) {
             RuntimeException failure = nextReadFailure;
             nextReadFailure = null;
@@ -113,7 +130,7 @@
             return new ReadResult.Expired();
         }
         List<StoredEntry> stored = new ArrayList<>();
-        for (long offset = from; offset < entries.size(); offset++) {
+        for (long offset = from; offset < entries.size() && stored.size() < maxEntriesPerRead; offset++) {
             stored.add(new StoredEntry(offset, entries.get((int) offset)));
         }
         return new ReadResult.Entries(from + stored.size(), entries.size(), stored);
