--- a/workflow/src/test/java/org/fuchsiawinch/workflow/LostWorkerHandOverTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/LostWorkerHandOverTest.java
@@ -26,11 +26,7 @@
 
     @Test
     public void startsARunOfALostWorkerAgainThoughOwnersChange() {
-        OwnerHarness harness =
-                new OwnerHarness().workers(2).takeOver().submit("job", 1, OwnerHarness.tasks(1, 8, 2000));
-        harness.run(1500);
-        FakeWorker holder = busyWorker(harness);
-        holder.silent = true;
+        OwnerHarness harness = withLostWorker(2000, 1500);
         long changedMs = harness.nowMs;
         for (int change = 0; change < 4; change++) {
             harness.takeOver().run(CHANGE_INTERVAL_MS);
@@ -44,11 +40,7 @@
     /** As above, with owners that release the cell before their successors know which workers do not answer. */
     @Test
     public void startsARunOfALostWorkerAgainThoughOwnersReleaseTheCellSoon() {
-        OwnerHarness harness =
-                new OwnerHarness().workers(2).takeOver().submit("job", 1, OwnerHarness.tasks(1, 8, 2000));
-        harness.run(1500);
-        FakeWorker holder = busyWorker(harness);
-        holder.silent = true;
+        OwnerHarness harness = withLostWorker(2000, 1500);
         long changedMs = harness.nowMs;
         harness.takeOver();
         for (int change = 0; change < 12; change++) {
@@ -61,11 +53,8 @@
     /** Guards against a successor that waits anew although the lease was about to expire at the release. */
     @Test
     public void startsARunOfALostWorkerAgainSoonAfterARelease() {
-        OwnerHarness harness =
-                new OwnerHarness().workers(2).takeOver().submit("job", 1, OwnerHarness.tasks(1, 8, 9000));
-        harness.run(4000);
+        OwnerHarness harness = withLostWorker(9000, 4000);
         FakeWorker holder = busyWorker(harness);
-        holder.silent = true;
         harness.run(4000).release().takeOver();
         assertTrue(listsUnreachedWorkers(harness));
         harness.run(2500);
@@ -81,10 +70,7 @@
     /** Guards against a bound that an owner in between, which does not know this record, has made outdated. */
     @Test(dataProvider = "uncertainPredecessors")
     public void waitsForTheLongestLeaseIfTheRecordIsNotOfTheCertainPredecessor(OptionalLong predecessorEpoch) {
-        OwnerHarness harness =
-                new OwnerHarness().workers(2).takeOver().submit("job", 1, OwnerHarness.tasks(1, 8, 9000));
-        harness.run(4000);
-        busyWorker(harness).silent = true;
+        OwnerHarness harness = withLostWorker(9000, 4000);
         harness.run(4000).release().takeOver(predecessorEpoch);
         long takenOverMs = harness.nowMs;
         harness.run(12_000);
@@ -106,11 +92,8 @@
     /** Guards against a successor that gives up a run although the owner has extended its lease in the meantime. */
     @Test
     public void grantsNoLeaseWhileTheStoreListsTheWorkerAsUnreached() {
-        OwnerHarness harness =
-                new OwnerHarness().workers(2).takeOver().submit("job", 1, OwnerHarness.tasks(1, 8, 9000));
-        harness.run(1500);
+        OwnerHarness harness = withLostWorker(9000, 1500);
         FakeWorker holder = busyWorker(harness);
-        holder.silent = true;
         harness.takeOver().run(3000);
         assertTrue(listsUnreachedWorkers(harness));
         long leaseEndMs = holder.leaseEndMs;
@@ -127,6 +110,15 @@
         assertEquals(harness.phase("job"), Optional.of(JobPhase.COMPLETED));
     }
 
+    /** Returns an owner and two workers, of which the one that runs the job's only task stops answering after a time. */
+    private static OwnerHarness withLostWorker(long runMs, long lostAfterMs) {
+        OwnerHarness harness =
+                new OwnerHarness().workers(2).takeOver().submit("job", 1, OwnerHarness.tasks(1, 8, runMs));
+        harness.run(lostAfterMs);
+        busyWorker(harness).silent = true;
+        return harness;
+    }
+
     private static FakeWorker busyWorker(OwnerHarness harness) {
         return harness.workers.values().stream()
                 .filter(worker -> !worker.running.isEmpty())
