Log why nothing of an accepted job runs

An owner now logs job-standing for a job of which nothing has run for 2 s, then at doubling intervals and with 5 lines a check at most: the cause, the first run that holds a task, its stage and the silence of its worker, and the age of the append in flight. owner-load has the number of standing jobs and the longest time. Every node logs cell-silent when no owner has written for 2 s.

The cause is found by placing the unit with no preference waived, then with one after the other waived; a placement changes nothing.

--- a/server/src/main/java/org/fuchsiawinch/server/Node.java
+++ b/server/src/main/java/org/fuchsiawinch/server/Node.java
@@ -55,6 +55,9 @@
     /** Time in ms without a claim after an ownership that failed, so that another node takes the cell. */
     private static final long FAILED_OWNER_PAUSE_MS = 3000;
 
+    /** Silence in ms of the cell's owner from which on it is logged; the next line follows after twice as long. */
+    private static final long FIRST_SILENCE_LINE_MS = 2000;
+
     private final NodeSettings settings;
     private final OwnerSession.Ports ports;
     private final FailureBarrier barrier;
@@ -90,6 +93,9 @@
     /** Time in ms before which this node does not claim the cell. */
     private long claimPauseEndMs = Long.MIN_VALUE;
 
+    /** Silence in ms of the cell's owner at which the next line is due. */
+    private long nextSilenceLineMs = FIRST_SILENCE_LINE_MS;
+
     private boolean draining;
 
     /**
@@ -211,6 +217,7 @@
     private void tick() {
         checkForSuspension();
         long nowMs = clock.getAsLong();
+        logOwnerSilence();
         if (nowMs < claimPauseEndMs) {
             return;
         }
@@ -226,6 +233,28 @@
         claim(epoch.getAsLong());
     }
 
+    /** Logs that no owner has written for long, as nothing starts meanwhile. */
+    private void logOwnerSilence() {
+        long silenceMs = election.ownerSilenceMs();
+        if (silenceMs < FIRST_SILENCE_LINE_MS) {
+            nextSilenceLineMs = FIRST_SILENCE_LINE_MS;
+        } else if (silenceMs >= nextSilenceLineMs) {
+            nextSilenceLineMs = 2 * silenceMs;
+            log.line(
+                    "cell-silent",
+                    "silentMs",
+                    silenceMs,
+                    "lastOwner",
+                    election.owner(),
+                    "epoch",
+                    election.epoch(),
+                    "owning",
+                    ownership.isPresent(),
+                    "claiming",
+                    claimInFlight);
+        }
+    }
+
     /**
      * Claims the cell on condition that the stream still ends where this node has read, so that one of several claims
      * wins. After several such claims have failed although no other node has claimed, the next one relies on the epoch
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/cell/Election.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/cell/Election.java
@@ -113,6 +113,15 @@
         return OptionalLong.of((round << NODE_BITS) | nodeSuffix);
     }
 
+    /**
+     * Returns how long the owner has been silent on the stream, as far as this node has read it without a gap.
+     *
+     * @return time in ms between the last sign of life of an owner and the last read
+     */
+    public long ownerSilenceMs() {
+        return lastReadMs - lastHeartbeatMs;
+    }
+
     /**
      * Returns the name of the current owner.
      *
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
@@ -48,6 +48,7 @@
     private final Scheduler scheduler;
     private final StallDetector stallDetector;
     private final OwnerLoad load;
+    private final StandingJobs standingJobs;
     private final long epoch;
     private final long ownedSinceMs;
     private boolean appendPending;
@@ -96,7 +97,8 @@
         this.leaseRenewer = new LeaseRenewer(state, runTracker, unreachedLeases);
         this.scheduler = new Scheduler(state, runTracker);
         this.stallDetector = new StallDetector(state, runTracker);
-        this.load = new OwnerLoad(state, nowMs);
+        this.standingJobs = new StandingJobs(state, scheduler);
+        this.load = new OwnerLoad(state, standingJobs, nowMs);
         this.ownedSinceMs = nowMs;
         this.lastAppendMs = nowMs;
         this.state.lastStoredMs = nowMs;
@@ -405,6 +407,7 @@
                 runTracker.barUnansweredStarts(worker, nowMs);
             }
         }
+        standingJobs.check(fleetKnown, load.appendAgeMs(nowMs), nowMs);
         load.tick(nowMs);
     }
 
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/OwnerLoad.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/OwnerLoad.java
@@ -11,17 +11,24 @@
     private static final long INTERVAL_MS = 2000;
 
     private final CellState state;
+    private final StandingJobs standingJobs;
     private long lastLineMs;
     private OptionalLong lastTickMs = OptionalLong.empty();
     private OptionalLong appendSentMs = OptionalLong.empty();
     private long maxTickGapMs;
     private long maxAppendMs;
 
-    OwnerLoad(CellState state, long nowMs) {
+    OwnerLoad(CellState state, StandingJobs standingJobs, long nowMs) {
         this.state = state;
+        this.standingJobs = standingJobs;
         this.lastLineMs = nowMs;
     }
 
+    /** Returns the age in ms of the append in flight; 0 if there is none. */
+    long appendAgeMs(long nowMs) {
+        return appendSentMs.isEmpty() ? 0 : nowMs - appendSentMs.getAsLong();
+    }
+
     void appendSent(long nowMs) {
         appendSentMs = OptionalLong.of(nowMs);
     }
@@ -94,7 +101,11 @@
                 "maxTickGapMs",
                 maxTickGapMs,
                 "maxAppendMs",
-                maxAppendMs);
+                maxAppendMs,
+                "standingJobs",
+                standingJobs.count(),
+                "longestStandingMs",
+                standingJobs.longestMs(nowMs));
     }
 
     /** Returns the number of tasks that wait and whose earlier steps are done. */
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Placer.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Placer.java
@@ -60,11 +60,22 @@
      */
     private static final double MAX_QUARANTINE_SHARE = 0.5;
 
+    /** Rule that restricts the workers of a unit although it could run elsewhere. */
+    enum Preference {
+        /** The tasks of a gang share a rack, if an empty rack could hold them. */
+        RACK,
+        /** Work that can wait leaves idle workers to urgent work. */
+        HEADROOM,
+        /** Workers on which runs have failed or stalled get no work for a while. */
+        QUARANTINE
+    }
+
     private final Map<WorkerState, Resources> free = new HashMap<>();
     private final Map<String, List<WorkerState>> racks = new TreeMap<>();
     private final List<WorkerState> usable = new ArrayList<>();
     private final CellState state;
     private final long nowMs;
+    private final Set<Preference> waived;
     private final Reservations reservations;
 
     /** Share of its reachable workers that is in quarantine, by service. */
@@ -83,8 +94,14 @@
     private Optional<StepPlacement> lastStep = Optional.empty();
 
     Placer(CellState state, long nowMs) {
+        this(state, nowMs, Set.of());
+    }
+
+    /** Creates a placer that ignores preferences. */
+    Placer(CellState state, long nowMs, Set<Preference> waived) {
         this.state = state;
         this.nowMs = nowMs;
+        this.waived = waived;
         this.reservations = new Reservations(state, nowMs);
         this.quarantineShares = quarantineShares();
         for (WorkerState worker : state.workers.values()) {
@@ -111,7 +128,8 @@
     }
 
     private boolean usable(WorkerState worker) {
-        boolean ignored = quarantineShares.getOrDefault(worker.registration.service(), 0.0) > MAX_QUARANTINE_SHARE;
+        boolean ignored = waived.contains(Preference.QUARANTINE)
+                || quarantineShares.getOrDefault(worker.registration.service(), 0.0) > MAX_QUARANTINE_SHARE;
         return ignored ? worker.reachable(nowMs) : worker.usable(nowMs);
     }
 
@@ -153,9 +171,15 @@
         return found;
     }
 
+    /** Returns whether the unit could be placed; takes nothing from the free capacity. */
+    boolean fits(SchedulingUnit unit) {
+        return find(unit).isPresent();
+    }
+
     private Optional<List<WorkerState>> find(SchedulingUnit unit) {
         StepPlacement step = stepPlacement(unit);
-        if (!unit.rackBound() || racks.values().stream().noneMatch(rack -> fitsEmptyRack(rack, unit))) {
+        boolean anyRack = !unit.rackBound() || waived.contains(Preference.RACK);
+        if (anyRack || racks.values().stream().noneMatch(rack -> fitsEmptyRack(rack, unit))) {
             return step.place(unit, worker -> true);
         }
         return racks.keySet().stream()
@@ -289,7 +313,10 @@
         /** Returns the fastest idle workers, which the step leaves free for urgent work; empty if it need not. */
         private Set<WorkerState> headroom() {
             long count = Math.round(usable.size() * state.settings.headroomShare());
-            if (count == 0 || !leavesHeadroom || shareInUse() < HEADROOM_MIN_USE) {
+            if (count == 0
+                    || !leavesHeadroom
+                    || waived.contains(Preference.HEADROOM)
+                    || shareInUse() < HEADROOM_MIN_USE) {
                 return Set.of();
             }
             return fastestFirst().stream()
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Scheduler.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Scheduler.java
@@ -258,6 +258,20 @@
         }
     }
 
+    /** Returns a unit of a job that could start now; empty if none is ready. */
+    Optional<SchedulingUnit> readyUnit(JobState job) {
+        for (int step = 0; step < job.submission().steps().size(); step++) {
+            if (job.dependenciesDone(step)) {
+                List<SchedulingUnit> units =
+                        readyUnits(job, step, job.submission().steps().get(step));
+                if (!units.isEmpty()) {
+                    return Optional.of(units.get(0));
+                }
+            }
+        }
+        return Optional.empty();
+    }
+
     private List<SchedulingUnit> readyUnits(JobState job, int step, StepSpec spec) {
         if (spec.gang()) {
             return Optional.of(SchedulingUnit.gang(job, step)).filter(this::ready).stream()
