Count the silence of the store from the sending of an append

What could happen: a task runs twice, on a worker that only a former owner reaches. An owner grants leases within 4 s of its last confirmed append, and a successor that does not reach the worker waits for the last of them. But the owner counted from the moment at which it handled the answer. A process that is paused for seconds, or slow, finds the answer afterwards and went on granting leases: until 13.1 s after the append was sent (StoreSilenceTest, an answer handled after 3.9 s), against the 10.2 s that successors count with. Start orders, which grant a lease too, went out on an answer of any age.

The silence counts from the sending of the append now; starts whose confirmation is too old wait for the next one; a suspension forbids leases until an append that was sent afterwards is confirmed. A heartbeat is sent at once when the permission has run out.

Evidence: three new cases of StoreSilenceTest; each fails with its part of the change taken out (lease until 13110 ms; start on an answer after 4.5 s; lease end moved by 3 s after the suspension). Simulated nodes report suspensions to their owner as the node does.

--- a/bench/src/main/java/org/fuchsiawinch/bench/owner/SimulatedCell.java
+++ b/bench/src/main/java/org/fuchsiawinch/bench/owner/SimulatedCell.java
@@ -79,7 +79,7 @@
     void takeOver() {
         epoch++;
         CellOwner taken = new CellOwner(
-                OwnerSettings.of("n" + epoch, LONGEST_LEASE_MS, 3, 60_000), epoch, (event, pairs) -> {}, nowMs);
+                OwnerSettings.of("n" + epoch, LONGEST_LEASE_MS, 3, 60_000), epoch, (event, pairs) -> {}, nowMs, nowMs);
         owner = taken;
         costs.measure(() -> taken.load(List.copyOf(stored.values()), OptionalLong.empty(), nowMs));
         Map<WorkspaceId, Integer> guarantees = new HashMap<>();
--- a/server/src/main/java/org/fuchsiawinch/server/Node.java
+++ b/server/src/main/java/org/fuchsiawinch/server/Node.java
@@ -81,6 +81,9 @@
     /** Epoch of the owner before the claim; empty if another node may have claimed the cell in between. */
     private OptionalLong predecessorEpoch = OptionalLong.empty();
 
+    /** Time in ms at which the newest claim was sent. */
+    private long claimSentMs;
+
     /** Whether a claim, or the read after a failed one, is unanswered. */
     private boolean claimInFlight;
 
@@ -210,6 +213,7 @@
         }
         metrics.counter("suspensions").inc();
         log.line("node-suspended", "suspendedMs", suspendedMs);
+        ownership.ifPresent(OwnerSession::suspended);
         operatorFollower.startAgain();
         cellFollower.startAgain();
     }
@@ -265,6 +269,7 @@
         claimedEpoch = OptionalLong.of(epoch);
         boolean conditional = movedClaims < MAX_CONDITIONAL_CLAIMS;
         predecessorEpoch = conditional ? OptionalLong.of(election.epoch()) : OptionalLong.empty();
+        claimSentMs = clock.getAsLong();
         log.line("cell-claimed", "epoch", epoch, "lastOwner", election.owner(), "at", cellFollower.nextOffset());
         CellRecord record = new CellRecord.Owner(settings.name(), epoch, false);
         List<StreamStore.Entry> entries = List.of(new StreamStore.Entry(record.key(), codec.encode(record)));
@@ -317,11 +322,13 @@
         OwnerSession session = new OwnerSession(
                 settings.owner(),
                 epoch,
+                claimSentMs,
                 predecessorEpoch,
                 rules.map(CellRules::guarantees).orElse(Guarantees.NONE),
                 ports,
                 scheduler,
                 clock,
+                this::checkForSuspension,
                 log,
                 this::endOwnership);
         ownership = Optional.of(session);
--- a/server/src/main/java/org/fuchsiawinch/server/owner/OwnerSession.java
+++ b/server/src/main/java/org/fuchsiawinch/server/owner/OwnerSession.java
@@ -59,6 +59,8 @@
     private final StreamFollower workerFollower;
     private final FencedAppender appender;
     private final OptionalLong predecessorEpoch;
+    private final long claimSentMs;
+    private final Runnable suspensionCheck;
     private final long claimStoredMs;
     private Optional<CellOwner> owner = Optional.empty();
     private Guarantees guarantees;
@@ -82,27 +84,33 @@
      *
      * @param settings settings of the owner
      * @param epoch epoch of the ownership
+     * @param claimSentMs time in ms at which the claim was sent
      * @param predecessorEpoch epoch of the previous owner; empty if it is not certain
      * @param guarantees guarantees in force
      * @param ports ports to the platform
      * @param scheduler scheduler of the node's single thread
      * @param clock supplies the present Unix time in ms
+     * @param suspensionCheck called before each input; calls {@link #suspended()} if the clock has stood still
      * @param log receives a line for each decision
      * @param onEnd called once when the ownership has ended
      */
     public OwnerSession(
             OwnerSettings settings,
             long epoch,
+            long claimSentMs,
             OptionalLong predecessorEpoch,
             Guarantees guarantees,
             Ports ports,
             Scheduler scheduler,
             LongSupplier clock,
+            Runnable suspensionCheck,
             DecisionLog log,
             Runnable onEnd) {
         this.settings = settings;
         this.epoch = epoch;
+        this.claimSentMs = claimSentMs;
         this.predecessorEpoch = predecessorEpoch;
+        this.suspensionCheck = suspensionCheck;
         this.guarantees = guarantees;
         this.ports = ports;
         this.scheduler = scheduler;
@@ -144,6 +152,11 @@
         handle(new OwnerInput.GuaranteesChanged(changed));
     }
 
+    /** Handles that the machine has been suspended together with its clock. */
+    public void suspended() {
+        handle(new OwnerInput.Suspended());
+    }
+
     /** Gives up the ownership: appends a release record once the append in flight is confirmed, then ends. */
     public void release() {
         releasing = true;
@@ -226,7 +239,7 @@
             return;
         }
         long nowMs = clock.getAsLong();
-        CellOwner loaded = new CellOwner(settings, epoch, log, nowMs);
+        CellOwner loaded = new CellOwner(settings, epoch, log, claimSentMs, nowMs);
         loaded.load(records, predecessorEpoch, nowMs);
         owner = Optional.of(loaded);
         log.line("cell-taken", "epoch", epoch, "records", records.size(), "loadMs", nowMs - claimStoredMs);
@@ -239,6 +252,7 @@
     }
 
     private void handle(OwnerInput input) {
+        suspensionCheck.run();
         if (ended || owner.isEmpty()) {
             return;
         }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
@@ -68,6 +68,10 @@
     private boolean fleetKnown;
 
     private long lastAppendMs;
+
+    /** Time in ms at which the append in flight was first sent. */
+    private long appendSentMs;
+
     private long lastRetentionCheckMs;
     private long lastLearnedRecordMs;
     private List<CellRecord> pendingRemovals = List.of();
@@ -87,9 +91,10 @@
      * @param settings the settings
      * @param epoch epoch of the ownership
      * @param log receives each decision
+     * @param claimSentMs time in ms at which the claim was sent
      * @param nowMs present time in ms
      */
-    public CellOwner(OwnerSettings settings, long epoch, DecisionLog log, long nowMs) {
+    public CellOwner(OwnerSettings settings, long epoch, DecisionLog log, long claimSentMs, long nowMs) {
         this.state = new CellState(settings, log);
         this.epoch = epoch;
         this.runTracker = new RunTracker(state);
@@ -101,7 +106,7 @@
         this.load = new OwnerLoad(state, standingJobs, nowMs);
         this.ownedSinceMs = nowMs;
         this.lastAppendMs = nowMs;
-        this.state.lastStoredMs = nowMs;
+        this.state.lastStoredMs = claimSentMs;
         this.lastLearnedRecordMs = nowMs;
     }
 
@@ -152,6 +157,9 @@
             appendStored(nowMs);
         } else if (input instanceof OwnerInput.Tick) {
             tick(nowMs);
+        } else if (input instanceof OwnerInput.Suspended) {
+            appendSentMs = CellState.NEVER_MS;
+            state.forbidLeases();
         } else if (input instanceof OwnerInput.GuaranteesChanged changed) {
             state.guarantees = changed.guarantees();
         } else {
@@ -414,7 +422,7 @@
     private void appendStored(long nowMs) {
         appendPending = false;
         lastAppendMs = nowMs;
-        state.lastStoredMs = nowMs;
+        state.lastStoredMs = appendSentMs;
         unreachedLeases.appendStored(nowMs);
         endsBeingStored.forEach((id, end) -> findWorker(id).ifPresent(worker -> {
             if (end.incarnation() == worker.incarnation && end.sequence() > worker.acknowledgedSequence) {
@@ -424,11 +432,16 @@
         }));
         List<ActiveRun> starts = startsBeingStored;
         startsBeingStored = List.of();
+        if (!state.mayGrantLeases(nowMs)) {
+            // A start grants a lease, so it waits for the next confirmation.
+            state.pendingStarts.addAll(0, starts);
+            return;
+        }
         starts.forEach(run -> runTracker.assignmentStored(run, nowMs));
     }
 
     private void append(long nowMs) {
-        boolean heartbeatDue = nowMs - lastAppendMs >= state.settings.heartbeatMs();
+        boolean heartbeatDue = nowMs - lastAppendMs >= state.settings.heartbeatMs() || !state.mayGrantLeases(nowMs);
         if (heartbeatDue || !state.changedJobs.isEmpty()) {
             state.changedJobs.addAll(state.begunJobs);
             state.begunJobs.clear();
@@ -465,6 +478,7 @@
             return;
         }
         appendPending = true;
+        appendSentMs = nowMs;
         load.appendSent(nowMs);
         state.effects.add(new OwnerEffect.Append(records));
     }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellState.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellState.java
@@ -50,11 +50,14 @@
     final DuplicateRuns duplicateRuns = new DuplicateRuns(this);
     Guarantees guarantees = Guarantees.NONE;
 
-    /** Time in ms at which the store last confirmed an append of this owner, or at which the cell was loaded. */
+    /** Time in ms at which the last append that the store has confirmed was sent, or at which the cell was loaded. */
     long lastStoredMs;
 
     List<OwnerEffect> effects = new ArrayList<>();
 
+    /** A time in ms before all others; half the minimum, so that differences do not overflow. */
+    static final long NEVER_MS = Long.MIN_VALUE / 2;
+
     /** A cancellation and the time in ms at which this owner read it. */
     record EarlyCancellation(CellRecord.CancelRequested request, long readAtMs) {}
 
@@ -69,12 +72,18 @@
 
     /**
      * Returns whether this owner may grant leases. Another owner may have taken over if the store is silent for longer,
-     * and one that does not reach a worker waits only for leases granted before.
+     * and one that does not reach a worker waits only for leases granted before. The silence counts from the sending of
+     * an append, since the answer may have waited while this process was paused.
      */
     boolean mayGrantLeases(long nowMs) {
         return nowMs - lastStoredMs <= OwnerSettings.MAX_STORE_SILENCE_MS;
     }
 
+    /** Forbids leases until the store confirms another append. */
+    void forbidLeases() {
+        lastStoredMs = NEVER_MS;
+    }
+
     /** Returns the accelerator count of the largest worker; 0 if there is none. */
     int largestWorkerAccelerators() {
         return workers.values().stream()
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/OwnerInput.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/OwnerInput.java
@@ -76,6 +76,9 @@
     /** Confirmation that the records of the last {@link OwnerEffect.Append} are stored. */
     record Appended() implements OwnerInput {}
 
+    /** Resumption of a machine that was suspended together with its clock. */
+    record Suspended() implements OwnerInput {}
+
     /** Periodic trigger of time-outs and scheduling. */
     record Tick() implements OwnerInput {}
 }
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/OwnerHarness.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/OwnerHarness.java
@@ -58,6 +58,10 @@
     long epoch;
     long nowMs = START_MS;
     boolean storeDown;
+
+    /** Time in ms from the storing of an append to its answer. */
+    long storeAnswerMs = STORE_LATENCY_MS;
+
     /** Share of the workers that is kept free for urgent work. */
     double headroomShare = 0.125;
 
@@ -101,6 +105,7 @@
                 new OwnerSettings("n" + epoch, 6000, 10_000, 3000, 1000, 2000, 400, 3, 60_000, headroomShare),
                 epoch,
                 new Recorder(),
+                nowMs,
                 nowMs);
         owner.load(List.copyOf(stored.values()), predecessorEpoch, nowMs);
         input(new OwnerInput.GuaranteesChanged(guarantees));
@@ -221,7 +226,7 @@
             return;
         }
         append.records().forEach(record -> stored.put(record.key(), record));
-        reply(caller, STORE_LATENCY_MS, new OwnerInput.Appended());
+        reply(caller, storeAnswerMs, new OwnerInput.Appended());
     }
 
     void answer(CellOwner caller, long delayMs, OwnerInput input) {
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/SimulatedNode.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/SimulatedNode.java
@@ -135,10 +135,14 @@
 
         private final long epoch;
         private final Map<WorkerId, WorkerRegistration> listed = new TreeMap<>();
+        private final long claimSentMs = nowMs();
         private CellOwner owner;
         private boolean ended;
         private long appendSequence;
 
+        /** Lag in ms of the node's clock that the owner knows of. */
+        private long knownClockLagMs = clockLagMs;
+
         private Session(long epoch) {
             this.epoch = epoch;
         }
@@ -165,6 +169,7 @@
                     OwnerSettings.of(name, SimulatedWorker.MAX_LEASE_MS, 3, 60_000),
                     epoch,
                     (event, pairs) -> simulation.log(name + " " + event + " " + List.of(pairs)),
+                    claimSentMs,
                     nowMs());
             // All nodes know the records of unreached workers, so those of any earlier owner hold.
             owner.load(records, OptionalLong.of(0), nowMs());
@@ -206,10 +211,16 @@
             if (ended || owner == null) {
                 return;
             }
-            for (OwnerEffect effect : owner.handle(input, nowMs())) {
-                if (!ended) {
-                    execute(effect);
-                }
+            if (clockLagMs != knownClockLagMs) {
+                knownClockLagMs = clockLagMs;
+                owner.handle(new OwnerInput.Suspended(), nowMs()).forEach(this::executeUnlessEnded);
+            }
+            owner.handle(input, nowMs()).forEach(this::executeUnlessEnded);
+        }
+
+        private void executeUnlessEnded(OwnerEffect effect) {
+            if (!ended) {
+                execute(effect);
             }
         }
 
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/StoreSilenceTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/StoreSilenceTest.java
@@ -3,6 +3,8 @@
 import java.util.Optional;
 
 import org.fuchsiawinch.workflow.job.JobPhase;
+import org.fuchsiawinch.workflow.owner.OwnerInput;
+import org.fuchsiawinch.workflow.owner.OwnerSettings;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -73,4 +75,48 @@
         harness.run(3000);
         assertEquals(harness.startCount(), 2);
     }
+
+    /** Guards against leases beyond the bound of a successor because an answer of the store was handled late. */
+    @Test
+    public void ownerCountsTheSilenceOfTheStoreFromTheSendingOfAnAppend() {
+        OwnerHarness harness = harnessWithOneRun();
+        FakeWorker holder = holder(harness);
+        long sentMs = harness.nowMs + OwnerSettings.of("n", 10_000, 3, 0).heartbeatMs();
+        harness.storeAnswerMs = 3900;
+        harness.run(4500);
+        harness.storeDown = true;
+        harness.run(8000);
+        long leaseEndMs = holder.startedMs + holder.leaseEndMs;
+        assertTrue(
+                leaseEndMs <= sentMs + LAST_LEASE_MS,
+                "lease until " + (leaseEndMs - sentMs) + " ms after the last confirmed append was sent");
+    }
+
+    /** Guards against start orders, which grant a lease, on the late answer to an append. */
+    @Test
+    public void startsWaitForAPromptAnswerOfTheStore() {
+        OwnerHarness harness = new OwnerHarness().workers(1).takeOver().run(3500);
+        harness.storeAnswerMs = 4500;
+        harness.submit("job", 1, OwnerHarness.tasks(1, 8, 30_000)).run(4600);
+        assertEquals(harness.startCount(), 0, "starts on an answer after 4.5 s");
+        harness.storeAnswerMs = OwnerHarness.STORE_LATENCY_MS;
+        harness.run(5000);
+        assertEquals(harness.startCount(), 1);
+    }
+
+    /** Guards against leases on the permission of before a suspension in which the owner's clock stood still. */
+    @Test
+    public void suspendedOwnerGrantsNoLeaseBeforeTheStoreConfirmsAnotherAppend() {
+        OwnerHarness harness = harnessWithOneRun();
+        FakeWorker holder = holder(harness);
+        harness.storeDown = true;
+        harness.run(450);
+        long leaseEndMs = holder.leaseEndMs;
+        harness.input(new OwnerInput.Suspended());
+        harness.run(3000);
+        assertEquals(holder.leaseEndMs, leaseEndMs, "lease after the suspension");
+        harness.storeDown = false;
+        harness.run(2500);
+        assertTrue(holder.leaseEndMs > leaseEndMs, "lease after another append");
+    }
 }
