Send heartbeats from the claim on

Callers saw accepted jobs stand still after the store had been away: nodes claimed the cell one after the other and none of them started anything.

An owner stored nothing between its claim and the end of its load, while the other nodes take the cell after 1.2 to 1.6 s of silence. So an owner whose load took longer was replaced before it had begun, and the next one began from nothing.

The session now appends the owner's record at once and every heartbeat interval until the loaded owner does so itself. Appends queue in the fenced appender, since the store accepts sequence numbers only in order. The record is the one of an idle owner under the same epoch, so election, claims and the leases of unreached workers read it as before.

--- a/server/src/main/java/org/fuchsiawinch/server/owner/FencedAppender.java
+++ b/server/src/main/java/org/fuchsiawinch/server/owner/FencedAppender.java
@@ -1,5 +1,7 @@
 package org.fuchsiawinch.server.owner;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -11,9 +13,9 @@
 import reactor.core.scheduler.Scheduler;
 
 /**
- * Appends the records of one ownership under its epoch, one append at a time. An append is retried with exponential
- * backoff until the store confirms or fences it; its sequence number prevents duplicates. One instance serves one
- * ownership. Not thread-safe: all calls and callbacks run on the node's single thread.
+ * Appends the records of one ownership under its epoch, one append at a time and in order. An append is retried with
+ * exponential backoff until the store confirms or fences it; its sequence number prevents duplicates. One instance
+ * serves one ownership. Not thread-safe: all calls and callbacks run on the node's single thread.
  */
 final class FencedAppender {
 
@@ -25,7 +27,10 @@
     private final long epoch;
     private final DecisionLog log;
     private final Runnable onFenced;
-    private Optional<PendingAppend> pending = Optional.empty();
+
+    /** Unconfirmed appends in the order of their sequence numbers; only the first one has been sent. */
+    private final Deque<PendingAppend> pending = new ArrayDeque<>();
+
     private long sequence = 1;
     private boolean closed;
 
@@ -62,21 +67,23 @@
         }
     }
 
-    /** Returns whether an append is in flight. */
+    /** Returns whether an append is unconfirmed. */
     boolean busy() {
-        return pending.isPresent();
+        return !pending.isEmpty();
     }
 
-    /** Appends entries and calls {@code onStored} once the store confirms them; no other append may be in flight. */
+    /** Appends entries after all earlier ones and calls {@code onStored} once the store confirms them. */
     void append(List<StreamStore.Entry> entries, Runnable onStored) {
         PendingAppend next = new PendingAppend(entries, sequence++, onStored);
-        pending = Optional.of(next);
+        pending.add(next);
         send(next);
     }
 
     /** Retries the append in flight at once. Call after the store recovered: the last try may never be answered. */
     void storeRecovered() {
-        pending.ifPresent(this::send);
+        if (busy()) {
+            send(pending.element());
+        }
     }
 
     /** Stops sending and ignores later results. */
@@ -94,7 +101,7 @@
     }
 
     private boolean isCurrent(PendingAppend append) {
-        return pending.filter(append::equals).isPresent();
+        return append.equals(pending.peek());
     }
 
     private void onResult(PendingAppend append, int tryNumber, AppendResult result) {
@@ -102,8 +109,9 @@
             return;
         }
         if (result instanceof AppendResult.Stored) {
-            pending = Optional.empty();
+            pending.remove();
             append.onStored.run();
+            sendNext();
             return;
         }
         if (result instanceof AppendResult.Fenced) {
@@ -128,6 +136,13 @@
         }
     }
 
+    /** Sends the first append unless that has been done when it was added. */
+    private void sendNext() {
+        if (busy() && pending.element().tries == 0) {
+            send(pending.element());
+        }
+    }
+
     private void retry(PendingAppend append, int tryNumber) {
         if (tryNumber == append.tries) {
             send(append);
--- a/server/src/main/java/org/fuchsiawinch/server/owner/OwnerSession.java
+++ b/server/src/main/java/org/fuchsiawinch/server/owner/OwnerSession.java
@@ -63,6 +63,10 @@
     private Optional<CellOwner> owner = Optional.empty();
     private Guarantees guarantees;
     private Disposable ticker = () -> {};
+
+    /** Appends heartbeats until the owner does so itself. */
+    private Disposable loadHeartbeat = () -> {};
+
     private final FailureBarrier barrier;
     private boolean releasing;
     private boolean failed;
@@ -116,8 +120,10 @@
         this.appender = new FencedAppender(ports.store(), scheduler, epoch, log, () -> end("fenced-by-store"));
     }
 
-    /** Loads the stored state and starts to schedule. */
+    /** Loads the stored state and starts to schedule. Other nodes see heartbeats from now on. */
     public void start() {
+        loadHeartbeat =
+                scheduler.schedulePeriodically(this::appendHeartbeat, 0, settings.heartbeatMs(), TimeUnit.MILLISECONDS);
         load(new ArrayList<>(), Optional.empty());
     }
 
@@ -144,9 +150,10 @@
         handle(new OwnerInput.GuaranteesChanged(changed));
     }
 
-    /** Gives up the ownership: appends a release record once the append in flight is confirmed, then ends. */
+    /** Gives up the ownership: appends a release record once all appends are confirmed, then ends. */
     public void release() {
         releasing = true;
+        loadHeartbeat.dispose();
         if (!appender.busy()) {
             storeRelease();
         }
@@ -229,6 +236,7 @@
         CellOwner loaded = new CellOwner(settings, epoch, log, nowMs);
         loaded.load(records, predecessorEpoch, nowMs);
         owner = Optional.of(loaded);
+        loadHeartbeat.dispose();
         log.line("cell-taken", "epoch", epoch, "records", records.size(), "loadMs", nowMs - claimStoredMs);
         handle(new OwnerInput.GuaranteesChanged(guarantees));
         handle(new OwnerInput.RecordsRead(List.copyOf(recordsBeforeLoad)));
@@ -297,15 +305,26 @@
     }
 
     private void append(List<CellRecord> records) {
+        append(records, () -> handle(new OwnerInput.Appended()));
+    }
+
+    private void append(List<CellRecord> records, Runnable onStored) {
         appender.append(entries(records), () -> {
-            if (releasing) {
+            if (!releasing) {
+                onStored.run();
+            } else if (!appender.busy()) {
                 storeRelease();
-            } else {
-                handle(new OwnerInput.Appended());
             }
         });
     }
 
+    /** Appends a sign of life unless another append is about to be one. */
+    private void appendHeartbeat() {
+        if (!appender.busy()) {
+            append(List.of(new CellRecord.Owner(settings.node(), epoch, false)), () -> {});
+        }
+    }
+
     private List<StreamStore.Entry> entries(List<CellRecord> records) {
         return records.stream()
                 .map(record -> new StreamStore.Entry(record.key(), codec.encode(record)))
@@ -327,6 +346,7 @@
         ended = true;
         owner = Optional.empty();
         ticker.dispose();
+        loadHeartbeat.dispose();
         workerFollower.close();
         appender.close();
         log.line("cell-given-up", "epoch", epoch, "cause", cause, "heldMs", clock.getAsLong() - claimStoredMs);
--- a/server/src/test/java/org/fuchsiawinch/server/FakeStore.java
+++ b/server/src/test/java/org/fuchsiawinch/server/FakeStore.java
@@ -3,11 +3,12 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 import org.fuchsiawinch.server.port.Stream;
@@ -61,9 +62,21 @@
     /** Largest number of entries in the answer to a read. */
     int maxEntriesPerRead = Integer.MAX_VALUE;
 
+    /** Largest number of entries in a page of the latest entries; pages are in the order of the keys. */
+    int maxEntriesPerPage = Integer.MAX_VALUE;
+
+    /** Delay in ms of a page of the latest entries, in addition to that of other answers. */
+    long pageDelayMs;
+
+    /** Returns whether the next page of the latest entries stays unanswered and ends with its time-out. */
+    BooleanSupplier nextPageUnanswered = () -> false;
+
     /** Highest epoch that has written; writers of lower epochs are rejected. */
     private long highestEpoch;
 
+    /** Sequence number of the last append of the highest epoch; an append that does not follow it is rejected. */
+    private long lastSequence = -1;
+
     /** Time-out in ms of an unanswered call. */
     static final long TIMEOUT_MS = 1200;
 
@@ -92,6 +105,16 @@
         if (!appendAnswers.isEmpty()) {
             return appendAnswers.remove(0).get();
         }
+        if (writer.isPresent()) {
+            long sequence = writer.get().sequence();
+            if (epoch == highestEpoch && sequence <= lastSequence) {
+                return new AppendResult.Stored(entries.size());
+            }
+            if (epoch == highestEpoch && sequence != lastSequence + 1) {
+                return new AppendResult.Fenced();
+            }
+            lastSequence = sequence;
+        }
         highestEpoch = epoch;
         entries.addAll(added);
         return new AppendResult.Stored(entries.size());
@@ -141,15 +164,26 @@
         if (down) {
             return Mono.just(new PageResult.Failed("down"));
         }
-        Map<String, StoredEntry> latest = new LinkedHashMap<>();
+        if (nextPageUnanswered.getAsBoolean()) {
+            return Mono.delay(Duration.ofMillis(TIMEOUT_MS), time).map(ended -> new PageResult.Failed("unanswered"));
+        }
+        long delayMs = answerDelayMs + pageDelayMs;
+        return delayMs == 0
+                ? Mono.just(page(after))
+                : Mono.delay(Duration.ofMillis(delayMs), time).map(waited -> page(after));
+    }
+
+    private PageResult page(Optional<String> after) {
+        Map<String, StoredEntry> latest = new TreeMap<>();
         for (int offset = 0; offset < entries.size(); offset++) {
             latest.put(entries.get(offset).key(), new StoredEntry(offset, entries.get(offset)));
         }
         latest.values().removeIf(stored -> stored.entry().value().length == 0);
+        List<StoredEntry> following = latest.values().stream()
+                .filter(stored -> after.isEmpty() || stored.entry().key().compareTo(after.get()) > 0)
+                .toList();
+        boolean more = following.size() > maxEntriesPerPage;
         long end = snapshotEnd < 0 ? entries.size() : snapshotEnd;
-        PageResult page = new PageResult.Page(List.copyOf(latest.values()), false, end);
-        return answerDelayMs == 0
-                ? Mono.just(page)
-                : Mono.delay(Duration.ofMillis(answerDelayMs), time).map(waited -> page);
+        return new PageResult.Page(more ? following.subList(0, maxEntriesPerPage) : following, more, end);
     }
 }
--- /dev/null
+++ b/server/src/test/java/org/fuchsiawinch/server/TakeoverTest.java
@@ -0,0 +1,205 @@
+package org.fuchsiawinch.server;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
+
+import com.codahale.metrics.MetricRegistry;
+import org.fuchsiawinch.server.owner.OwnerSession;
+import org.fuchsiawinch.server.port.EntryDecoder;
+import org.fuchsiawinch.server.port.StreamStore;
+import org.fuchsiawinch.workflow.cell.CellRules;
+import org.fuchsiawinch.workflow.owner.Guarantees;
+import org.fuchsiawinch.workflow.owner.OwnerSettings;
+import org.fuchsiawinch.workflow.record.CellRecord;
+import org.fuchsiawinch.workflow.record.RecordCodec;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import reactor.core.publisher.Mono;
+import reactor.test.scheduler.VirtualTimeScheduler;
+
+import static org.testng.Assert.assertEquals;
+
+/** Tests that a node that takes the cell slowly keeps it, and that a dead owner is still replaced quickly. */
+public class TakeoverTest {
+
+    private static final int NODES = 8;
+
+    /** Epoch of an owner that writes nothing any more. */
+    private static final long DEAD_OWNER_EPOCH = 70_000;
+
+    private final RecordCodec codec = new RecordCodec();
+    private VirtualTimeScheduler time;
+    private FakeStore store;
+    private List<String> log;
+    private Set<String> deadNodes;
+
+    /** Time in ms after which the owner of the cell handles an answer of the store; other nodes do so at once. */
+    private long ownerDelayMs;
+
+    @BeforeMethod
+    public void create() {
+        time = VirtualTimeScheduler.create();
+        store = new FakeStore(time);
+        store.appendDelayMs = 10;
+        store.answerDelayMs = 10;
+        store.put("config", "rules");
+        log = new ArrayList<>();
+        deadNodes = new HashSet<>();
+        ownerDelayMs = 0;
+    }
+
+    /** Store as seen by one node. */
+    private final class NodeStore implements StreamStore {
+
+        private final String node;
+
+        private NodeStore(String node) {
+            this.node = node;
+        }
+
+        /** Delivers an answer when the node handles it. */
+        private <T> Mono<T> delivered(Supplier<Mono<T>> call) {
+            if (deadNodes.contains(node)) {
+                return Mono.never();
+            }
+            return call.get().flatMap(answer -> {
+                long delayMs = node.equals(currentOwner()) ? ownerDelayMs : 0;
+                return delayMs == 0
+                        ? Mono.just(answer)
+                        : Mono.delay(Duration.ofMillis(delayMs), time).map(waited -> answer);
+            });
+        }
+
+        @Override
+        public Mono<AppendResult> append(List<Entry> entries, Optional<Writer> writer, OptionalLong expectedEnd) {
+            return delivered(() -> store.append(entries, writer, expectedEnd));
+        }
+
+        @Override
+        public Mono<ReadResult> read(org.fuchsiawinch.server.port.Stream stream, long from, long waitMs) {
+            return delivered(() -> store.read(stream, from, waitMs));
+        }
+
+        @Override
+        public Mono<PageResult> readLatest(org.fuchsiawinch.server.port.Stream stream, Optional<String> after) {
+            return delivered(() -> store.readLatest(stream, after));
+        }
+    }
+
+    private static final class SingleDocumentDecoder implements EntryDecoder {
+
+        @Override
+        public Optional<WorkerListing> decodeWorker(String key, byte[] value) {
+            return Optional.empty();
+        }
+
+        @Override
+        public Optional<CellRules> decodeRules(String key, byte[] value) {
+            return key.equals("config")
+                    ? Optional.of(new CellRules(1, List.of(), Map.of(), Guarantees.NONE, 1000))
+                    : Optional.empty();
+        }
+    }
+
+    private void startNode(String name, long seed) {
+        Node node = new Node(
+                new NodeSettings(name, seed, 1, OwnerSettings.of(name, 6000, 3, 120_000)),
+                new OwnerSession.Ports(new NodeStore(name), new UnresponsiveWorkers(), new SingleDocumentDecoder()),
+                time,
+                () -> time.now(TimeUnit.MILLISECONDS),
+                () -> 0,
+                (event, pairs) -> log.add(event),
+                new MetricRegistry());
+        node.start();
+    }
+
+    private void startNodes(long seed) {
+        Random seeds = new Random(seed);
+        for (int i = 1; i <= NODES; i++) {
+            startNode("n" + i, Integer.toUnsignedLong(seeds.nextInt()));
+        }
+    }
+
+    private void advance(long ms) {
+        time.advanceTimeBy(Duration.ofMillis(ms));
+    }
+
+    private void append(CellRecord record) {
+        store.entries.add(new StreamStore.Entry(record.key(), codec.encode(record)));
+    }
+
+    /** Stores a number of entries, so that the state of the cell takes several pages. */
+    private void putEntries(int count) {
+        for (int i = 0; i < count; i++) {
+            store.put(String.format("c/%016x", i), "?");
+        }
+    }
+
+    private long count(String event) {
+        return log.stream().filter(event::equals).count();
+    }
+
+    private Stream<CellRecord.Owner> ownerRecords() {
+        return store.entries.stream()
+                .filter(entry -> entry.key().equals(CellRecord.OWNER_KEY))
+                .map(entry -> (CellRecord.Owner) codec.decode(entry.key(), entry.value()));
+    }
+
+    private String currentOwner() {
+        return ownerRecords()
+                .reduce((earlier, later) -> later)
+                .map(CellRecord.Owner::node)
+                .orElse("");
+    }
+
+    /** Returns the epochs under which a node other than the dead owner has claimed the cell, in order. */
+    private List<Long> claimedEpochs() {
+        return ownerRecords()
+                .map(CellRecord.Owner::epoch)
+                .filter(epoch -> epoch != DEAD_OWNER_EPOCH)
+                .distinct()
+                .toList();
+    }
+
+    @DataProvider
+    public Object[][] seeds() {
+        return new Object[][] {{1L}, {2L}, {3L}, {4L}, {5L}};
+    }
+
+    // Guards against nodes that claim one after the other as none of them can load the cell before the next one claims.
+    @Test(dataProvider = "seeds")
+    public void aNodeThatLoadsTheCellSlowlyIsNotReplaced(long seed) {
+        append(new CellRecord.Owner("n0", DEAD_OWNER_EPOCH, false));
+        putEntries(50);
+        startNodes(seed);
+        advance(1000);
+        store.maxEntriesPerPage = 10;
+        store.pageDelayMs = 700;
+        advance(9000);
+        assertEquals(claimedEpochs().size(), 1, "claims " + claimedEpochs());
+        assertEquals(count("cell-taken"), 1);
+    }
+
+    // Guards against a time-out that grows without need: a dead owner is replaced at once on a calm system.
+    @Test(dataProvider = "seeds")
+    public void aDeadOwnerIsReplacedQuicklyOnACalmSystem(long seed) {
+        startNodes(seed);
+        advance(30_000);
+        assertEquals(claimedEpochs().size(), 1);
+        deadNodes.add(currentOwner());
+        advance(2100);
+        assertEquals(claimedEpochs().size(), 2, "claims " + claimedEpochs());
+        assertEquals(count("cell-taken"), 2);
+    }
+}
--- a/server/src/test/java/org/fuchsiawinch/server/owner/FencedAppenderTest.java
+++ b/server/src/test/java/org/fuchsiawinch/server/owner/FencedAppenderTest.java
@@ -115,6 +115,21 @@
         assertEquals(store.unanswered.size(), 2);
     }
 
+    // Guards against a sequence number that reaches the store before the one that it follows.
+    @Test
+    public void sendsAnAppendOnceTheEarlierOneIsStored() {
+        append("a");
+        append("b");
+        store.answer(0, UNKNOWN);
+        advance(50);
+        assertEquals(store.sequences, List.of(1L, 1L));
+        store.answer(1, STORED);
+        assertEquals(store.sequences, List.of(1L, 1L, 2L));
+        store.answer(2, STORED);
+        assertEquals(events, List.of("a", "b"));
+        assertFalse(appender.busy());
+    }
+
     @Test
     public void reportsFencingByAHigherEpoch() {
         append("a");
