Resume a load at the page that failed

Callers saw accepted jobs stand still while the store was slow: an owner held the cell and started nothing.

One failed page of the newest entries discarded all pages before it, so on a store where many calls time out a load of several pages hardly ever ended.

Only the failed page is read again, after 100 ms and up to 800 ms. Pages of different times fit together: keys of one page never appear on another, lower epochs cannot write after the claim, and what other nodes store is queued from the stream. As the page with the claim may now be old when the last one arrives, the load counts only with an answer within 0.5 s that proves the claim, and otherwise with the next stored heartbeat; leases of the workers depend on it. A node that stores 20 heartbeats without reading one page releases the cell, since heartbeats would keep it for ever.

--- a/server/src/main/java/org/fuchsiawinch/server/owner/OwnerSession.java
+++ b/server/src/main/java/org/fuchsiawinch/server/owner/OwnerSession.java
@@ -40,8 +40,16 @@
     /** Interval between ticks in ms; well below every time-out that ticks check. */
     private static final long TICK_MS = 100;
 
-    /** Delay in ms before the stored state is requested again after a failure. */
-    private static final long LOAD_RETRY_DELAY_MS = 400;
+    /** Delays in ms before a page of the stored state is requested again; doubled with each failure in a row. */
+    private static final long MIN_LOAD_RETRY_DELAY_MS = 100;
+
+    private static final long MAX_LOAD_RETRY_DELAY_MS = 800;
+
+    /** Number of heartbeats stored without a page read in between after which the load counts as failed. */
+    private static final int MAX_HEARTBEATS_WITHOUT_PAGE = 20;
+
+    /** Longest time in ms since the last proof that no other node had claimed the cell for a load to be valid. */
+    private static final long MAX_PROOF_AGE_MS = 500;
 
     /** Workers write about once a second; the pause lets one read return several entries. */
     private static final StreamFollower.PollSettings WORKERS_POLL = new StreamFollower.PollSettings(1000, 200);
@@ -64,6 +72,15 @@
     private Guarantees guarantees;
     private Disposable ticker = () -> {};
 
+    /** Time in ms of the last answer of the store which shows that no other node had claimed the cell. */
+    private long provenMs;
+
+    private long loadRetryDelayMs = MIN_LOAD_RETRY_DELAY_MS;
+    private int heartbeatsWithoutPage;
+
+    /** Loaded entries that wait for such an answer. */
+    private Optional<List<StreamStore.StoredEntry>> unproven = Optional.empty();
+
     /** Appends heartbeats until the owner does so itself. */
     private Disposable loadHeartbeat = () -> {};
 
@@ -115,6 +132,7 @@
         this.barrier = new FailureBarrier(log);
         this.onEnd = onEnd;
         this.claimStoredMs = clock.getAsLong();
+        this.provenMs = Long.MIN_VALUE / 2;
         this.workerFollower = new StreamFollower(
                 Stream.WORKERS, ports.store(), WORKERS_POLL, scheduler, clock, epoch, new WorkersListener(), log);
         this.appender = new FencedAppender(ports.store(), scheduler, epoch, log, () -> end("fenced-by-store"));
@@ -191,23 +209,42 @@
         return epoch;
     }
 
+    /**
+     * Loads the page after a key and all that follow. Pages that were read before a failure stay valid: records of the
+     * owner change only under its own epoch, and all others that are stored meanwhile are queued.
+     */
     private void load(List<StreamStore.StoredEntry> collected, Optional<String> after) {
         ports.store().readLatest(Stream.CELL, after).subscribe(result -> barrier.run(
-                        "owner-load", () -> pageRead(collected, result))
+                        "owner-load", () -> pageRead(collected, after, result))
                 .ifPresent(this::releaseAfterFailure));
     }
 
-    private void pageRead(List<StreamStore.StoredEntry> collected, StreamStore.PageResult result) {
-        if (ended) {
+    private void pageRead(
+            List<StreamStore.StoredEntry> collected, Optional<String> after, StreamStore.PageResult result) {
+        if (ended || releasing) {
             return;
         }
         if (result instanceof StreamStore.PageResult.Failed failed) {
-            log.line("owner-load-failed", "epoch", epoch, "problem", failed.problem());
-            scheduler.schedule(
-                    () -> load(new ArrayList<>(), Optional.empty()), LOAD_RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
+            log.line(
+                    "owner-load-failed",
+                    "epoch",
+                    epoch,
+                    "entries",
+                    collected.size(),
+                    "loadMs",
+                    clock.getAsLong() - claimStoredMs,
+                    "problem",
+                    failed.problem());
+            scheduler.schedule(() -> load(collected, after), loadRetryDelayMs, TimeUnit.MILLISECONDS);
+            loadRetryDelayMs = Math.min(MAX_LOAD_RETRY_DELAY_MS, 2 * loadRetryDelayMs);
             return;
         }
         StreamStore.PageResult.Page page = (StreamStore.PageResult.Page) result;
+        loadRetryDelayMs = MIN_LOAD_RETRY_DELAY_MS;
+        heartbeatsWithoutPage = 0;
+        if (page.entries().stream().anyMatch(stored -> stored.entry().key().equals(CellRecord.OWNER_KEY))) {
+            provenMs = clock.getAsLong();
+        }
         collected.addAll(page.entries());
         if (page.more() && !page.entries().isEmpty()) {
             load(
@@ -218,7 +255,26 @@
                             .key()));
             return;
         }
-        initialize(collected);
+        unproven = Optional.of(collected);
+        initializeIfProven();
+    }
+
+    /** Initializes the owner with the loaded entries, once it is certain that they were current a moment ago. */
+    private void initializeIfProven() {
+        if (unproven.isPresent() && clock.getAsLong() - provenMs <= MAX_PROOF_AGE_MS) {
+            List<StreamStore.StoredEntry> entries = unproven.get();
+            unproven = Optional.empty();
+            initialize(entries);
+        }
+    }
+
+    private void heartbeatStored() {
+        provenMs = clock.getAsLong();
+        if (unproven.isPresent()) {
+            initializeIfProven();
+        } else if (owner.isEmpty() && ++heartbeatsWithoutPage >= MAX_HEARTBEATS_WITHOUT_PAGE) {
+            releaseAfterFailure(new IllegalStateException("the store takes appends but returns no page"));
+        }
     }
 
     private void initialize(List<StreamStore.StoredEntry> entries) {
@@ -321,7 +377,7 @@
     /** Appends a sign of life unless another append is about to be one. */
     private void appendHeartbeat() {
         if (!appender.busy()) {
-            append(List.of(new CellRecord.Owner(settings.node(), epoch, false)), () -> {});
+            append(List.of(new CellRecord.Owner(settings.node(), epoch, false)), this::heartbeatStored);
         }
     }
 
--- a/server/src/test/java/org/fuchsiawinch/server/TakeoverTest.java
+++ b/server/src/test/java/org/fuchsiawinch/server/TakeoverTest.java
@@ -44,6 +44,9 @@
     private List<String> log;
     private Set<String> deadNodes;
 
+    /** Nodes whose reads of the latest entries end with a time-out. */
+    private Set<String> nodesWithoutPages;
+
     /** Time in ms after which the owner of the cell handles an answer of the store; other nodes do so at once. */
     private long ownerDelayMs;
 
@@ -56,6 +59,7 @@
         store.put("config", "rules");
         log = new ArrayList<>();
         deadNodes = new HashSet<>();
+        nodesWithoutPages = new HashSet<>();
         ownerDelayMs = 0;
     }
 
@@ -93,7 +97,10 @@
 
         @Override
         public Mono<PageResult> readLatest(org.fuchsiawinch.server.port.Stream stream, Optional<String> after) {
-            return delivered(() -> store.readLatest(stream, after));
+            return nodesWithoutPages.contains(node)
+                    ? Mono.delay(Duration.ofMillis(FakeStore.TIMEOUT_MS), time)
+                            .map(ended -> new PageResult.Failed("unanswered"))
+                    : delivered(() -> store.readLatest(stream, after));
         }
     }
 
@@ -191,6 +198,36 @@
         assertEquals(count("cell-taken"), 1);
     }
 
+    // Guards against a load that begins anew with each page that gets no answer, and never ends on a slow store.
+    @Test(dataProvider = "seeds")
+    public void loadingGoesOnAtThePageThatFailed(long seed) {
+        append(new CellRecord.Owner("n0", DEAD_OWNER_EPOCH, false));
+        putEntries(100);
+        startNodes(seed);
+        advance(1000);
+        Random failures = new Random(seed);
+        store.maxEntriesPerPage = 10;
+        store.nextPageUnanswered = () -> failures.nextDouble() < 0.4;
+        advance(25_000);
+        assertEquals(claimedEpochs().size(), 1, "claims " + claimedEpochs());
+        assertEquals(count("cell-taken"), 1);
+    }
+
+    // Guards against a cell that stays with a node which never gets the stored state although others would.
+    @Test(dataProvider = "seeds")
+    public void aNodeThatReadsNoPageLeavesTheCellToOthers(long seed) {
+        append(new CellRecord.Owner("n0", DEAD_OWNER_EPOCH, false));
+        startNodes(seed);
+        advance(1000);
+        store.nextPageUnanswered = () -> true;
+        advance(1500);
+        nodesWithoutPages.add(currentOwner());
+        store.nextPageUnanswered = () -> false;
+        advance(12_000);
+        assertEquals(claimedEpochs().size(), 2, "claims " + claimedEpochs());
+        assertEquals(count("cell-taken"), 1);
+    }
+
     // Guards against a time-out that grows without need: a dead owner is replaced at once on a calm system.
     @Test(dataProvider = "seeds")
     public void aDeadOwnerIsReplacedQuicklyOnACalmSystem(long seed) {
