End an ownership at a higher claim also during its load

Two nodes worked on one cell at a time: a former owner went on with its load beside the new one, for as long as the load took.

Claims in the stream were only queued until the load had ended.

Nothing else is read or stored for an ownership that has ended.

--- a/server/src/main/java/org/fuchsiawinch/server/owner/OwnerSession.java
+++ b/server/src/main/java/org/fuchsiawinch/server/owner/OwnerSession.java
@@ -146,16 +146,23 @@
     }
 
     /**
-     * Handles records read from the cell's stream. Records that arrive before the stored state is loaded are queued.
+     * Handles records read from the cell's stream. A higher claim ends the ownership; records that arrive before the
+     * stored state is loaded are queued.
      *
      * @param records the records in the order of their offsets
      */
     public void recordsRead(List<CellRecord> records) {
-        if (owner.isEmpty()) {
+        if (owner.isPresent()) {
+            handle(new OwnerInput.RecordsRead(records));
+        } else if (records.stream().anyMatch(this::supersedes)) {
+            end("claim-superseded");
+        } else {
             recordsBeforeLoad.addAll(records);
-            return;
         }
-        handle(new OwnerInput.RecordsRead(records));
+    }
+
+    private boolean supersedes(CellRecord record) {
+        return record instanceof CellRecord.Owner claim && claim.epoch() > epoch;
     }
 
     /**
--- a/server/src/test/java/org/fuchsiawinch/server/TakeoverTest.java
+++ b/server/src/test/java/org/fuchsiawinch/server/TakeoverTest.java
@@ -228,6 +228,23 @@
         assertEquals(count("cell-taken"), 1);
     }
 
+    // Guards against an owner that goes on loading the cell although another node has claimed it.
+    @Test
+    public void aSupersededNodeStopsLoading() {
+        append(new CellRecord.Owner("n0", DEAD_OWNER_EPOCH, false));
+        putEntries(50);
+        startNode("n1", 7);
+        advance(1000);
+        store.maxEntriesPerPage = 10;
+        store.pageDelayMs = 700;
+        advance(2000);
+        assertEquals(claimedEpochs().size(), 1);
+        append(new CellRecord.Owner("n2", 1 << 30, false));
+        advance(600);
+        assertEquals(count("cell-taken"), 0);
+        assertEquals(count("cell-given-up"), 1);
+    }
+
     // Guards against a time-out that grows without need: a dead owner is replaced at once on a calm system.
     @Test(dataProvider = "seeds")
     public void aDeadOwnerIsReplacedQuicklyOnACalmSystem(long seed) {
