--- a/server/src/main/java/org/fuchsiawinch/server/stream/StreamFollower.java
+++ b/server/src/main/java/org/fuchsiawinch/server/stream/StreamFollower.java
@@ -16,6 +16,7 @@
 import org.fuchsiawinch.workflow.owner.DecisionLog;
 import reactor.core.Disposable;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
 import reactor.core.scheduler.Scheduler;
 
 /**
@@ -100,6 +101,9 @@
     /** Read in flight or scheduled action. */
     private Disposable pending = () -> {};
 
+    /** Signals the end of the probes that are in flight. */
+    private Sinks.Empty<Void> endOfProbes = Sinks.empty();
+
     /**
      * Creates a follower; it reads nothing before {@link #start()}.
      *
@@ -146,15 +150,14 @@
             return;
         }
         lastAnswerMs = NEVER_MS;
-        probing = false;
-        pending.dispose();
+        endProbing();
         start();
     }
 
     /** Stops permanently. */
     public void close() {
         closed = true;
-        pending.dispose();
+        endProbing();
     }
 
     /**
@@ -222,7 +225,7 @@
                                 return;
                             }
                             if (result instanceof StreamStore.PageResult.Failed failed) {
-                                retry(failed.problem(), this::start);
+                                retry(failed.problem(), () -> loadSnapshot(collected, after, firstEnd));
                                 return;
                             }
                             StreamStore.PageResult.Page page = (StreamStore.PageResult.Page) result;
@@ -245,8 +248,7 @@
     private void startAfterFailure(Throwable failure) {
         barrier.report("follow-" + stream, failure);
         if (!closed) {
-            probing = false;
-            pending.dispose();
+            endProbing();
             retry(failure.toString(), this::start);
         }
     }
@@ -333,19 +335,28 @@
         schedule(PROBE_INTERVAL_MS + jitterSeed % (PROBE_INTERVAL_MS / 2), () -> {
             probe();
             store.read(stream, nextOffset, 0)
+                    .takeUntilOther(endOfProbes.asMono())
                     .subscribe(
                             startingAgain(result -> {
                                 if (closed || !probing || result instanceof StreamStore.ReadResult.Failed) {
                                     return;
                                 }
-                                probing = false;
-                                pending.dispose();
+                                endProbing();
                                 onResult(result);
                             }),
                             this::startAfterFailure);
         });
     }
 
+    /** Gives up the other probes: under load, the store would answer all of them. */
+    private void endProbing() {
+        probing = false;
+        pending.dispose();
+        Sinks.Empty<Void> ended = endOfProbes;
+        endOfProbes = Sinks.empty();
+        ended.tryEmitEmpty();
+    }
+
     private void onResult(StreamStore.ReadResult result) {
         if (result instanceof StreamStore.ReadResult.Expired) {
             log.line("stream-expired", "stream", stream, "offset", nextOffset);
--- a/server/src/test/java/org/fuchsiawinch/server/FakeStore.java
+++ b/server/src/test/java/org/fuchsiawinch/server/FakeStore.java
@@ -44,6 +44,18 @@
 
     int reads;
 
+    /** Reads that were given up before their answer. */
+    int cancelledReads;
+
+    /** Pages of latest entries that have been asked for. */
+    int pages;
+
+    /** Number of the page of latest entries that fails, from 1; 0 for none. */
+    int failingPage;
+
+    /** Largest number of entries in a page of latest entries. */
+    int maxEntriesPerPage = Integer.MAX_VALUE;
+
     FakeStore(Scheduler time) {
         this.time = time;
     }
@@ -119,7 +131,9 @@
         Mono<ReadResult> result = Mono.fromSupplier(() -> answer(from));
         return answerDelayMs == 0
                 ? result
-                : Mono.delay(Duration.ofMillis(answerDelayMs), time).flatMap(waited -> result);
+                : Mono.delay(Duration.ofMillis(answerDelayMs), time)
+                        .flatMap(waited -> result)
+                        .doOnCancel(() -> cancelledReads++);
     }
 
     private ReadResult answer(long from) {
@@ -138,7 +152,8 @@
 
     @Override
     public Mono<PageResult> readLatest(Stream stream, Optional<String> after) {
-        if (down) {
+        pages++;
+        if (down || pages == failingPage) {
             return Mono.just(new PageResult.Failed("down"));
         }
         Map<String, StoredEntry> latest = new LinkedHashMap<>();
@@ -147,7 +162,11 @@
         }
         latest.values().removeIf(stored -> stored.entry().value().length == 0);
         long end = snapshotEnd < 0 ? entries.size() : snapshotEnd;
-        PageResult page = new PageResult.Page(List.copyOf(latest.values()), false, end);
+        List<StoredEntry> items = new ArrayList<>(latest.values());
+        after.ifPresent(key ->
+                items.subList(0, List.copyOf(latest.keySet()).indexOf(key) + 1).clear());
+        boolean more = items.size() > maxEntriesPerPage;
+        PageResult page = new PageResult.Page(more ? items.subList(0, maxEntriesPerPage) : items, more, end);
         return answerDelayMs == 0
                 ? Mono.just(page)
                 : Mono.delay(Duration.ofMillis(answerDelayMs), time).map(waited -> page);
--- a/server/src/test/java/org/fuchsiawinch/server/StreamFollowerTest.java
+++ b/server/src/test/java/org/fuchsiawinch/server/StreamFollowerTest.java
@@ -232,4 +232,32 @@
         advance(500 + 1000);
         assertTrue(received.contains("k=39"), received.toString());
     }
+
+    // Guards against a follower that never loads a large cell from a store under load, as one failed page costs all.
+    @Test
+    public void loadsOnlyAFailedPageAgain() {
+        for (int i = 0; i < 6; i++) {
+            store.put("k" + i, "" + i);
+        }
+        store.maxEntriesPerPage = 2;
+        store.failingPage = 3;
+        follower.start();
+        advance(1000);
+        assertEquals(received, List.of("snapshot", "k0=0", "k1=1", "k2=2", "k3=3", "k4=4", "k5=5"));
+        assertEquals(store.pages, 4);
+    }
+
+    // Guards against a store that answers, right after its outage, each of the reads that have found it silent.
+    @Test
+    public void givesUpTheOtherProbesOnceTheStoreAnswers() {
+        follower.start();
+        advance(1000);
+        store.down = true;
+        advance(600);
+        store.down = false;
+        store.answerDelayMs = 1000;
+        advance(1300);
+        assertTrue(log.contains("dependency-regained"), log.toString());
+        assertTrue(store.cancelledReads >= 3, "reads given up " + store.cancelledReads);
+    }
 }
