--- a/server/src/test/java/org/fuchsiawinch/server/FakeStore.java
+++ b/server/src/test/java/org/fuchsiawinch/server/FakeStore.java
@@ -45,6 +45,18 @@
 
     int reads;
 
+    /** Reads that were given up before their answer. */
+    int cancelledReads;
+
+    /** Pages of latest entries that have been asked for. */
+    int pages;
+
+    /** Number of the page of latest entries that fails, from 1; 0 for none. */
+    int failingPage;
+
+    /** Largest number of entries in a page of latest entries. */
+    int maxEntriesPerPage = Integer.MAX_VALUE;
+
     FakeStore(Scheduler time) {
         this.time = time;
     }
@@ -142,7 +154,9 @@
         Mono<ReadResult> result = Mono.fromSupplier(() -> answer(from));
         return answerDelayMs == 0
                 ? result
-                : Mono.delay(Duration.ofMillis(answerDelayMs), time).flatMap(waited -> result);
+                : Mono.delay(Duration.ofMillis(answerDelayMs), time)
+                        .flatMap(waited -> result)
+                        .doOnCancel(() -> cancelledReads++);
     }
 
     private ReadResult answer(long from) {
@@ -161,7 +175,8 @@
 
     @Override
     public Mono<PageResult> readLatest(Stream stream, Optional<String> after) {
-        if (down) {
+        pages++;
+        if (down || pages == failingPage) {
             return Mono.just(new PageResult.Failed("down"));
         }
         if (nextPageUnanswered.getAsBoolean()) {
