Bound the time for which a job waits for better workers

One cause is the placement: a gang that prefers one rack waited for as long as no single rack had room for it, and the headroom, the reservation for another unit or the quarantine of workers could hold a job back in the same way. The class: a preference that is treated as a rule without a bound in time.

A unit of which nothing has run for 1 s is now placed without headroom and reservations, after 1.5 s across racks, and after 1.75 s on workers in quarantine if all others do not hold it, the cheapest waiver that suffices. It goes before less urgent work, after work inside guarantees, so other jobs cannot take the capacity again. This holds while under half of the service's capacity is in use and free capacity would hold the unit twice, as the users' rule says; otherwise the preferences stand as before.

--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Placer.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Placer.java
@@ -12,7 +12,9 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Predicate;
+import java.util.function.ToIntFunction;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import org.fuchsiawinch.model.Resources;
 import org.fuchsiawinch.workflow.job.JobState;
@@ -60,12 +62,14 @@
      */
     private static final double MAX_QUARANTINE_SHARE = 0.5;
 
-    /** Rule that restricts the workers of a unit although it could run elsewhere. */
+    /** Rule that restricts the workers of a unit although it could run elsewhere; the cheapest to waive comes first. */
     enum Preference {
-        /** The tasks of a gang share a rack, if an empty rack could hold them. */
-        RACK,
         /** Work that can wait leaves idle workers to urgent work. */
         HEADROOM,
+        /** Work that would delay a large waiting unit leaves the workers that are reserved for that unit. */
+        RESERVATION,
+        /** The tasks of a gang share a rack, if an empty rack could hold them. */
+        RACK,
         /** Workers on which runs have failed or stalled get no work for a while. */
         QUARANTINE
     }
@@ -73,9 +77,12 @@
     private final Map<WorkerState, Resources> free = new HashMap<>();
     private final Map<String, List<WorkerState>> racks = new TreeMap<>();
     private final List<WorkerState> usable = new ArrayList<>();
+
+    /** The usable workers and those in quarantine. */
+    private final List<WorkerState> reachable = new ArrayList<>();
+
     private final CellState state;
     private final long nowMs;
-    private final Set<Preference> waived;
     private final Reservations reservations;
 
     /** Share of its reachable workers that is in quarantine, by service. */
@@ -94,14 +101,8 @@
     private Optional<StepPlacement> lastStep = Optional.empty();
 
     Placer(CellState state, long nowMs) {
-        this(state, nowMs, Set.of());
-    }
-
-    /** Creates a placer that ignores preferences. */
-    Placer(CellState state, long nowMs, Set<Preference> waived) {
         this.state = state;
         this.nowMs = nowMs;
-        this.waived = waived;
         this.reservations = new Reservations(state, nowMs);
         this.quarantineShares = quarantineShares();
         for (WorkerState worker : state.workers.values()) {
@@ -109,6 +110,9 @@
                 continue;
             }
             free.put(worker, worker.free());
+            if (worker.reachable(nowMs)) {
+                reachable.add(worker);
+            }
             if (usable(worker)) {
                 usable.add(worker);
                 acceleratorCapacity += worker.registration.capacity().accelerators();
@@ -128,8 +132,7 @@
     }
 
     private boolean usable(WorkerState worker) {
-        boolean ignored = waived.contains(Preference.QUARANTINE)
-                || quarantineShares.getOrDefault(worker.registration.service(), 0.0) > MAX_QUARANTINE_SHARE;
+        boolean ignored = quarantineShares.getOrDefault(worker.registration.service(), 0.0) > MAX_QUARANTINE_SHARE;
         return ignored ? worker.reachable(nowMs) : worker.usable(nowMs);
     }
 
@@ -158,9 +161,57 @@
         }
     }
 
+    /**
+     * Returns the largest of the shares of accelerators, processor time and memory that runs hold on the workers of a
+     * service that can be reached, those of this pass included; 1 if there are no such workers.
+     */
+    double shareInUse(String service) {
+        List<WorkerState> workers = reachable.stream()
+                .filter(worker -> worker.registration.service().equals(service))
+                .toList();
+        return Stream.<ToIntFunction<Resources>>of(Resources::accelerators, Resources::cpuMillis, Resources::memoryMb)
+                .mapToDouble(kind -> shareInUse(workers, kind))
+                .max()
+                .orElse(1);
+    }
+
+    private double shareInUse(List<WorkerState> workers, ToIntFunction<Resources> kind) {
+        double capacity = workers.stream()
+                .mapToDouble(worker -> kind.applyAsInt(worker.registration.capacity()))
+                .sum();
+        double left = workers.stream()
+                .mapToDouble(worker -> kind.applyAsInt(worker.free()))
+                .sum();
+        if (workers.isEmpty()) {
+            return 1;
+        }
+        return capacity == 0 ? 0 : 1 - left / capacity;
+    }
+
+    /** Returns whether the workers that can be reached have free capacity for the unit twice, claimed or not. */
+    boolean holdsTwice(SchedulingUnit unit) {
+        Resources need = unit.spec().perTask();
+        int limit = unit.spec().maxPerWorker();
+        int left = 2 * unit.indexes().size();
+        for (WorkerState worker : reachable) {
+            Resources available = worker.free();
+            int max = eligible(worker, unit) ? limit == 0 ? left : 2 * limit : 0;
+            for (int i = 0; i < max && left > 0 && need.fitsIn(available); i++) {
+                available = available.minus(need);
+                left--;
+            }
+        }
+        return left <= 0;
+    }
+
     /** Places all tasks of the unit or none, and deducts their resources; returns one worker per task, or empty. */
     Optional<List<WorkerState>> place(SchedulingUnit unit) {
-        Optional<List<WorkerState>> found = find(unit);
+        return place(unit, Set.of());
+    }
+
+    /** Places all tasks of the unit or none as if preferences did not exist. */
+    Optional<List<WorkerState>> place(SchedulingUnit unit, Set<Preference> waived) {
+        Optional<List<WorkerState>> found = find(unit, waived);
         found.ifPresent(workers -> workers.forEach(worker -> {
             take(worker, unit.spec().perTask());
             reservations.started(
@@ -171,13 +222,13 @@
         return found;
     }
 
-    /** Returns whether the unit could be placed; takes nothing from the free capacity. */
-    boolean fits(SchedulingUnit unit) {
-        return find(unit).isPresent();
+    /** Returns whether the unit could be placed if preferences did not exist; takes nothing from the free capacity. */
+    boolean fits(SchedulingUnit unit, Set<Preference> waived) {
+        return find(unit, waived).isPresent();
     }
 
-    private Optional<List<WorkerState>> find(SchedulingUnit unit) {
-        StepPlacement step = stepPlacement(unit);
+    private Optional<List<WorkerState>> find(SchedulingUnit unit, Set<Preference> waived) {
+        StepPlacement step = stepPlacement(unit, waived);
         boolean anyRack = !unit.rackBound() || waived.contains(Preference.RACK);
         if (anyRack || racks.values().stream().noneMatch(rack -> fitsEmptyRack(rack, unit))) {
             return step.place(unit, worker -> true);
@@ -189,9 +240,10 @@
                 .min(Comparator.comparingDouble(step::slowestRunMs));
     }
 
-    private StepPlacement stepPlacement(SchedulingUnit unit) {
-        StepPlacement step = lastStep.filter(last -> last.job == unit.job() && last.step == unit.step())
-                .orElseGet(() -> new StepPlacement(unit));
+    private StepPlacement stepPlacement(SchedulingUnit unit, Set<Preference> waived) {
+        StepPlacement step = lastStep.filter(
+                        last -> last.job == unit.job() && last.step == unit.step() && last.waived.equals(waived))
+                .orElseGet(() -> new StepPlacement(unit, waived));
         lastStep = Optional.of(step);
         return step;
     }
@@ -231,10 +283,11 @@
 
         private final JobState job;
         private final int step;
+        private final Set<Preference> waived;
         private final double referenceRunMs;
         private final Map<WorkerState, Double> runMs = new HashMap<>();
 
-        /** The eligible workers, those with the shortest run time first. */
+        /** The eligible workers, those in quarantine last, then those with the shortest run time first. */
         private final List<WorkerState> byRunMs = new ArrayList<>();
 
         private final boolean leavesHeadroom;
@@ -247,12 +300,13 @@
         /** Worker of the last single task; the best choice until it is full, as each task lowers its score. */
         private Optional<WorkerState> lastChoice = Optional.empty();
 
-        private StepPlacement(SchedulingUnit unit) {
+        private StepPlacement(SchedulingUnit unit, Set<Preference> waived) {
             this.job = unit.job();
             this.step = unit.step();
+            this.waived = waived;
             this.referenceRunMs = state.predictor.referenceRunMs(job, unit.spec());
             double factor = state.predictor.correctionFactor(job);
-            for (WorkerState worker : usable) {
+            for (WorkerState worker : waived.contains(Preference.QUARANTINE) ? reachable : usable) {
                 if (eligible(worker, unit)) {
                     runMs.put(
                             worker, state.predictor.runMs(unit.spec(), worker, state.settings.remoteFactor(), factor));
@@ -260,6 +314,9 @@
                 }
             }
             byRunMs.sort(Comparator.<WorkerState, Double>comparing(runMs::get).thenComparing(worker -> worker.id));
+            if (waived.contains(Preference.QUARANTINE)) {
+                byRunMs.sort(Comparator.comparing(worker -> worker.health.quarantined(nowMs)));
+            }
             this.leavesHeadroom = !unit.urgent() && mayWait();
         }
 
@@ -287,8 +344,7 @@
         /** Places a unit on workers that match a condition; returns one worker per task, or empty. */
         private Optional<List<WorkerState>> place(SchedulingUnit unit, Predicate<WorkerState> condition) {
             boolean single = unit.indexes().size() == 1 && !unit.lastAttempt();
-            Optional<WorkerState> again =
-                    lastChoice.filter(worker -> single && startableTasks(worker, unit, runMs.get(worker)) > 0);
+            Optional<WorkerState> again = lastChoice.filter(worker -> single && startableTasks(worker, unit) > 0);
             if (again.isPresent()) {
                 return again.map(List::of);
             }
@@ -336,7 +392,7 @@
             Predicate<WorkerState> candidate = worker -> need.fitsIn(free.get(worker)) && allowed.test(worker);
             Optional<List<WorkerState>> fastest =
                     fill(unit, byRunMs.stream().filter(candidate).iterator());
-            if (fastest.isEmpty()) {
+            if (fastest.isEmpty() || waived.contains(Preference.QUARANTINE)) {
                 return fastest;
             }
             double bestMs = slowestRunMs(fastest.get());
@@ -396,13 +452,31 @@
             List<WorkerState> chosen = new ArrayList<>(count);
             while (chosen.size() < count && workers.hasNext()) {
                 WorkerState worker = workers.next();
-                int max = Math.min(count - chosen.size(), startableTasks(worker, unit, runMs.get(worker)));
+                int max = Math.min(count - chosen.size(), startableTasks(worker, unit));
                 for (int i = 0; i < max; i++) {
                     chosen.add(worker);
                 }
             }
             return chosen.size() < count ? Optional.empty() : Optional.of(chosen);
         }
+
+        /** Returns the number of the unit's tasks that may start on a worker now. */
+        private int startableTasks(WorkerState worker, SchedulingUnit unit) {
+            Resources need = unit.spec().perTask();
+            int limit = unit.spec().maxPerWorker();
+            int max = limit == 0 ? unit.indexes().size() : limit - runsOnWorker(worker, unit);
+            Resources taken = need;
+            int tasks = 0;
+            while (tasks < max && taken.fitsIn(free.get(worker)) && mayStart(worker, taken)) {
+                tasks++;
+                taken = taken.plus(need);
+            }
+            return tasks;
+        }
+
+        private boolean mayStart(WorkerState worker, Resources taken) {
+            return waived.contains(Preference.RESERVATION) || reservations.mayStart(worker, taken, runMs.get(worker));
+        }
     }
 
     /** A worker with its score; of equal scores the lower id is chosen. */
@@ -415,20 +489,6 @@
         }
     }
 
-    /** Returns the number of the unit's tasks that may start on a worker now. */
-    private int startableTasks(WorkerState worker, SchedulingUnit unit, double runMs) {
-        Resources need = unit.spec().perTask();
-        int limit = unit.spec().maxPerWorker();
-        int max = limit == 0 ? unit.indexes().size() : limit - runsOnWorker(worker, unit);
-        Resources taken = need;
-        int tasks = 0;
-        while (tasks < max && taken.fitsIn(free.get(worker)) && reservations.mayStart(worker, taken, runMs)) {
-            tasks++;
-            taken = taken.plus(need);
-        }
-        return tasks;
-    }
-
     /** Reserves workers for a unit that could not be placed; returns false if no unit of its shape can get any. */
     boolean reserve(SchedulingUnit unit) {
         return reservations.reserve(unit, usable, racks.values());
--- /dev/null
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/PreferenceWaiver.java
@@ -0,0 +1,110 @@
+package org.fuchsiawinch.workflow.owner;
+
+import java.util.Comparator;
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.fuchsiawinch.workflow.job.JobState;
+
+/**
+ * Bounds the time for which a job waits for better workers: if nothing of it has run for a while although a unit is
+ * ready, and much capacity is free, the preferences are waived for one unit, the cheapest ones first. While most
+ * capacity is in use the preferences stand, since better workers soon become free and waived ones cost other work. Not
+ * thread-safe.
+ */
+final class PreferenceWaiver {
+
+    /** Time in ms for which a job stands before preferences are waived. */
+    private static final long FIRST_WAIVER_MS = 1000;
+
+    /** Time in ms for which a job stands before its preference for one rack is waived too. */
+    private static final long RACK_WAIVER_MS = 1500;
+
+    /** Time in ms for which a job stands before the quarantine of workers is waived too. */
+    private static final long QUARANTINE_WAIVER_MS = 1750;
+
+    /** Share of a service's capacity in use from which on no preference is waived for it. */
+    private static final double MAX_USE = 0.5;
+
+    /** Time in ms after which a unit that did not fit is tried again. */
+    private static final long RETRY_MS = 200;
+
+    /** Maximum number of jobs for which a pass waives preferences; those that are due for longest come first. */
+    private static final int MAX_JOBS_PER_PASS = 20;
+
+    private final CellState state;
+
+    /** Jobs of which a unit is ready and nothing runs. */
+    private final Map<JobState, Wait> waits = new LinkedHashMap<>();
+
+    PreferenceWaiver(CellState state) {
+        this.state = state;
+    }
+
+    private static final class Wait {
+
+        private final long sinceMs;
+        private long dueMs;
+
+        private Wait(long sinceMs) {
+            this.sinceMs = sinceMs;
+            this.dueMs = sinceMs + FIRST_WAIVER_MS;
+        }
+    }
+
+    /** Updates the jobs that wait, of those with a unit that is ready. */
+    void startPass(Set<JobState> ready, long nowMs) {
+        waits.keySet().retainAll(ready);
+        for (JobState job : ready) {
+            if (state.runIndex.anyRun(job, run -> !run.stopping && !run.worker.silent(nowMs))) {
+                waits.remove(job);
+            } else {
+                waits.computeIfAbsent(job, added -> new Wait(nowMs));
+            }
+        }
+    }
+
+    /** Returns the jobs for which the pass may waive preferences. */
+    List<JobState> due(Placer placer, long nowMs) {
+        Map<String, Double> uses = new HashMap<>();
+        return waits.entrySet().stream()
+                .filter(entry -> nowMs >= entry.getValue().dueMs)
+                .filter(entry ->
+                        uses.computeIfAbsent(entry.getKey().submission().service(), placer::shareInUse) < MAX_USE)
+                .sorted(Comparator.comparingLong(entry -> entry.getValue().dueMs))
+                .limit(MAX_JOBS_PER_PASS)
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
+    /** Returns whether a unit of a job that is due may be placed with preferences waived. */
+    boolean mayWaive(SchedulingUnit unit, Placer placer) {
+        return placer.shareInUse(unit.job().submission().service()) < MAX_USE && placer.holdsTwice(unit);
+    }
+
+    /** Returns the sets of preferences to waive for a job that is due, in the order in which to try them. */
+    List<Set<Placer.Preference>> waivers(JobState job, long nowMs) {
+        long standingMs = nowMs - waits.get(job).sinceMs;
+        return EnumSet.allOf(Placer.Preference.class).stream()
+                .filter(last -> standingMs >= waiverMs(last))
+                .<Set<Placer.Preference>>map(last -> EnumSet.range(Placer.Preference.HEADROOM, last))
+                .toList();
+    }
+
+    private static long waiverMs(Placer.Preference preference) {
+        return switch (preference) {
+            case HEADROOM, RESERVATION -> FIRST_WAIVER_MS;
+            case RACK -> RACK_WAIVER_MS;
+            case QUARANTINE -> QUARANTINE_WAIVER_MS;
+        };
+    }
+
+    /** Records that no unit of a job that is due could be placed. */
+    void failed(JobState job, long nowMs) {
+        waits.get(job).dueMs = nowMs + RETRY_MS;
+    }
+}
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunIndex.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunIndex.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.fuchsiawinch.workflow.job.JobState;
 import org.fuchsiawinch.workflow.job.TaskRef;
@@ -33,6 +34,11 @@
         return List.copyOf(runsByJob.getOrDefault(job, Set.of()));
     }
 
+    /** Returns whether any run of a job that holds capacity matches a condition. */
+    boolean anyRun(JobState job, Predicate<ActiveRun> condition) {
+        return runsByJob.getOrDefault(job, Set.of()).stream().anyMatch(condition);
+    }
+
     /** Returns whether any run of a task holds capacity, also one from which the task has been released. */
     boolean holds(TaskRef task) {
         return runsByTask.containsKey(task);
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Scheduler.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Scheduler.java
@@ -4,10 +4,12 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.fuchsiawinch.model.Resources;
 import org.fuchsiawinch.model.WorkspaceId;
@@ -39,10 +41,12 @@
 
     private final CellState state;
     private final Preemptor preemptor;
+    private final PreferenceWaiver waiver;
 
     Scheduler(CellState state, RunTracker runTracker) {
         this.state = state;
         this.preemptor = new Preemptor(state, runTracker);
+        this.waiver = new PreferenceWaiver(state);
     }
 
     /**
@@ -107,12 +111,23 @@
         Set<JobState> guaranteed = guaranteedJobs();
         List<Candidate> candidates = candidates(guaranteed, nowMs);
         preemptor.startPass(candidates.stream().flatMap(candidate -> candidate.units().stream()), guaranteed, nowMs);
+        waiver.startPass(
+                candidates.stream()
+                        .map(candidate -> candidate.unit().job())
+                        .collect(Collectors.toCollection(LinkedHashSet::new)),
+                nowMs);
         if (candidates.isEmpty()) {
             return true;
         }
         Pass pass = new Pass(new Placer(state, nowMs), nowMs);
         for (Candidate candidate : candidates) {
-            if (!pass.schedule(candidate)) {
+            if (candidate.guaranteed() && !pass.schedule(candidate)) {
+                return false;
+            }
+        }
+        pass.scheduleStanding(candidates);
+        for (Candidate candidate : candidates) {
+            if (!candidate.guaranteed() && !pass.schedule(candidate)) {
                 return false;
             }
         }
@@ -133,6 +148,36 @@
             this.nowMs = nowMs;
         }
 
+        /**
+         * Places a unit of each job that has stood for too long, if need be with preferences waived, before work that
+         * is more urgent takes the capacity again.
+         */
+        private void scheduleStanding(List<Candidate> candidates) {
+            List<JobState> due = waiver.due(placer, nowMs);
+            if (due.isEmpty()) {
+                return;
+            }
+            Map<JobState, List<Candidate>> candidatesByJob = candidates.stream()
+                    .collect(Collectors.groupingBy(candidate -> candidate.unit().job()));
+            for (JobState job : due) {
+                if (starts >= MAX_WORK_PER_PASS) {
+                    return;
+                }
+                if (candidatesByJob.get(job).stream().noneMatch(this::placeStanding)) {
+                    waiver.failed(job, nowMs);
+                }
+            }
+        }
+
+        private boolean placeStanding(Candidate candidate) {
+            SchedulingUnit unit = candidate.unit();
+            if (!unit.ready() || place(unit, candidate, Set.of())) {
+                return true;
+            }
+            return waiver.mayWaive(unit, placer)
+                    && waiver.waivers(unit.job(), nowMs).stream().anyMatch(waived -> place(unit, candidate, waived));
+        }
+
         /** Schedules the units of a candidate; returns false if the pass has assigned enough. */
         private boolean schedule(Candidate candidate) {
             boolean placeable = !unplaceable.contains(candidate.shape());
@@ -142,7 +187,7 @@
                 if (starts + preemptor.newClaims() >= MAX_WORK_PER_PASS) {
                     return false;
                 }
-                if (placeable && place(unit, candidate)) {
+                if (!unit.ready() || placeable && place(unit, candidate, Set.of())) {
                     continue;
                 }
                 placeable = false;
@@ -159,8 +204,8 @@
             return true;
         }
 
-        private boolean place(SchedulingUnit unit, Candidate candidate) {
-            Optional<List<WorkerState>> workers = placer.place(unit);
+        private boolean place(SchedulingUnit unit, Candidate candidate, Set<Placer.Preference> waived) {
+            Optional<List<WorkerState>> workers = placer.place(unit, waived);
             workers.ifPresent(chosen -> {
                 preemptor.removeClaim(unit);
                 assign(unit, chosen, candidate, nowMs);
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/StandingJobs.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/StandingJobs.java
@@ -134,13 +134,14 @@
         if (unit.isEmpty()) {
             return "held-by-runs";
         }
-        if (new Placer(state, nowMs).fits(unit.get())) {
+        Placer placer = new Placer(state, nowMs);
+        if (placer.fits(unit.get(), Set.of())) {
             return "after-other-work";
         }
         Set<Placer.Preference> waived = EnumSet.noneOf(Placer.Preference.class);
         for (Placer.Preference preference : Placer.Preference.values()) {
             waived.add(preference);
-            if (new Placer(state, nowMs, waived).fits(unit.get())) {
+            if (placer.fits(unit.get(), EnumSet.copyOf(waived))) {
                 return preference.toString().toLowerCase(Locale.ROOT);
             }
         }
