--- a/standin/src/main/java/org/fuchsiawinch/standin/userplatform/UserPlatformServer.java
+++ b/standin/src/main/java/org/fuchsiawinch/standin/userplatform/UserPlatformServer.java
@@ -11,8 +11,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
-import java.util.function.Supplier;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -33,7 +36,8 @@
 public final class UserPlatformServer implements AutoCloseable {
 
     private static final ObjectMapper JSON = new ObjectMapper();
-    private static final Duration POLL_INTERVAL = Duration.ofMillis(5);
+    private static final long CHECK_INTERVAL_MS = 5;
+    private static final int DEFAULT_READ_KB = 1024;
     private static final String EXPECTED_INSTANCE_HEADER = "X-Fuchsiawinch-Expected-Instance";
     private static final int MAX_PAGE_ITEMS = 500;
     private static final int NOT_FOUND = 404;
@@ -46,9 +50,19 @@
     private final LongSupplier clock;
     private final Map<String, KeyedLog> topics = new LinkedHashMap<>();
     private final Map<String, UserPlatformWorker> workers = new LinkedHashMap<>();
+    private final HeldCalls heldReads = new HeldCalls();
+    private final HeldCalls heldRenewals = new HeldCalls();
     private final DisposableServer server;
+    private final List<DisposableServer> workerServers = new ArrayList<>();
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(task -> {
+        Thread thread = new Thread(task, "standin-timer");
+        thread.setDaemon(true);
+        return thread;
+    });
     private boolean storeDown;
     private boolean storeSilent;
+    private long storeDelayMs;
+    private BooleanSupplier losesAnswer = () -> false;
 
     /**
      * Binds a free port and starts to listen.
@@ -57,20 +71,50 @@
      */
     public UserPlatformServer(LongSupplier clock) {
         this.clock = clock;
-        this.server = HttpServer.create()
+        this.server = bind();
+        timer.scheduleWithFixedDelay(this::advance, CHECK_INTERVAL_MS, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private DisposableServer bind() {
+        return HttpServer.create()
                 .host("127.0.0.1")
                 .port(0)
                 .handle(this::handle)
                 .bindNow();
     }
 
+    /** Ends runs whose time is over, and answers held calls. */
+    private void advance() {
+        synchronized (this) {
+            long nowMs = clock.getAsLong();
+            workers.values().forEach(worker -> worker.advance(nowMs));
+        }
+        heldReads.check();
+        heldRenewals.check();
+    }
+
     /**
      * Returns the address that serves the topics and the workers.
      *
      * @return IP address and port, separated by a colon
      */
     public String address() {
-        return "127.0.0.1:" + server.port();
+        return address(server);
+    }
+
+    /**
+     * Binds another free port, for a worker that has to be reached over connections of its own.
+     *
+     * @return IP address and port, separated by a colon
+     */
+    public synchronized String addAddress() {
+        DisposableServer added = bind();
+        workerServers.add(added);
+        return address(added);
+    }
+
+    private static String address(DisposableServer listening) {
+        return "127.0.0.1:" + listening.port();
     }
 
     /**
@@ -103,12 +147,42 @@
     }
 
     /**
-     * Lets new calls on the topics go unanswered, or ends this.
+     * Lets calls on the topics go unanswered, or ends this. Reads that are held at that time are never answered.
      *
-     * @param silent whether new calls on the topics are neither carried out nor answered
+     * @param silent whether calls on the topics are neither carried out nor answered
      */
     public synchronized void setStoreSilent(boolean silent) {
         storeSilent = silent;
+        if (silent) {
+            heldReads.drop();
+        }
+    }
+
+    /**
+     * Delays each answer to a call on the topics.
+     *
+     * @param delayMs delay in ms; 0 for none
+     */
+    public synchronized void setStoreDelayMs(long delayMs) {
+        storeDelayMs = delayMs;
+    }
+
+    /**
+     * Sets which calls on the topics are carried out and never answered.
+     *
+     * @param decision asked once for each call
+     */
+    public synchronized void setLostAnswers(BooleanSupplier decision) {
+        losesAnswer = decision;
+    }
+
+    /**
+     * Returns whether the store carries out and answers calls.
+     *
+     * @return false while it refuses calls or is silent
+     */
+    public synchronized boolean storeAvailable() {
+        return !storeDown && !storeSilent;
     }
 
     private synchronized boolean storeSilent() {
@@ -126,25 +200,15 @@
 
     @Override
     public void close() {
+        timer.shutdownNow();
         server.disposeNow();
+        workerServers.forEach(DisposableServer::disposeNow);
     }
 
     private KeyedLog topic(String name) {
         return topics.computeIfAbsent(name, added -> new KeyedLog());
     }
 
-    /** HTTP status and body of an answer. */
-    private record Reply(int status, byte[] body) {
-
-        static Reply json(int status, JsonNode body) {
-            return new Reply(status, body.toString().getBytes(StandardCharsets.UTF_8));
-        }
-
-        static Reply empty(int status) {
-            return new Reply(status, new byte[0]);
-        }
-    }
-
     private Mono<Void> handle(HttpServerRequest request, HttpServerResponse response) {
         return request.receive()
                 .aggregate()
@@ -171,18 +235,22 @@
             return Mono.never();
         }
         long untilMs = clock.getAsLong() + Long.parseLong(query.getOrDefault("waitMs", "0"));
-        return switch (path) {
-            case "/-/log-append" -> Mono.fromSupplier(() -> append(query, body));
-            case "/-/log-read" -> pollUntilPresent(() -> read(query, clock.getAsLong() >= untilMs));
-            case "/-/log-newest" -> Mono.fromSupplier(() -> latest(query));
-            default -> Mono.just(Reply.empty(NOT_FOUND));
-        };
+        Mono<Reply> reply =
+                switch (path) {
+                    case "/-/log-append" -> Mono.fromSupplier(() -> append(query, body));
+                    case "/-/log-read" -> heldReads.answer(() -> read(query, clock.getAsLong() >= untilMs));
+                    case "/-/log-newest" -> Mono.fromSupplier(() -> latest(query));
+                    default -> Mono.just(Reply.empty(NOT_FOUND));
+                };
+        return reply.flatMap(this::underway);
     }
 
-    /** Calls {@code attempt} until it returns a reply; null means that the call still waits. */
-    private Mono<Reply> pollUntilPresent(Supplier<Reply> attempt) {
-        return Mono.defer(() -> Mono.justOrEmpty(attempt.get()))
-                .repeatWhenEmpty(tries -> tries.delayElements(POLL_INTERVAL));
+    /** Returns the answer as it reaches the caller: at once, late or never. */
+    private synchronized Mono<Reply> underway(Reply reply) {
+        if (storeSilent || losesAnswer.getAsBoolean()) {
+            return Mono.never();
+        }
+        return storeDelayMs == 0 ? Mono.just(reply) : Mono.just(reply).delayElement(Duration.ofMillis(storeDelayMs));
     }
 
     private synchronized Reply append(Map<String, String> query, byte[] body) {
@@ -240,7 +308,11 @@
                 .putLong(log.endOffset())
                 .putLong(log.firstOffset())
                 .array());
+        int maxBytes = 1024 * Integer.parseInt(query.getOrDefault("maxKb", "" + DEFAULT_READ_KB));
         for (KeyedLog.KeyedRecord record : records) {
+            if (out.size() >= maxBytes) {
+                break;
+            }
             byte[] key = record.key().getBytes(StandardCharsets.UTF_8);
             out.writeBytes(ByteBuffer.allocate(Integer.BYTES)
                     .putInt(1 + key.length + record.value().length)
@@ -257,14 +329,15 @@
             return Reply.empty(UNAVAILABLE);
         }
         KeyedLog log = topic(query.get("topic"));
-        List<String> keys = log.latestOffsets().keySet().stream()
+        Map<String, Long> offsets = log.latestOffsets();
+        List<String> keys = offsets.keySet().stream()
                 .sorted()
                 .filter(key -> key.compareTo(query.getOrDefault("after", "")) > 0)
                 .toList();
         ObjectNode answer = JSON.createObjectNode();
         ArrayNode items = answer.putArray("items");
         keys.stream().limit(MAX_PAGE_ITEMS).forEach(key -> {
-            long offset = log.latestOffsets().get(key);
+            long offset = offsets.get(key);
             items.addObject()
                     .put("key", key)
                     .put(
@@ -286,7 +359,7 @@
         }
         long untilMs = clock.getAsLong() + order.path("waitMs").asLong();
         if (path.equals("/-/hold")) {
-            return pollUntilPresent(() -> hold(id, order, clock.getAsLong() >= untilMs));
+            return hold(id, order, untilMs);
         }
         return Mono.fromSupplier(() -> execute(path, id, order));
     }
@@ -311,27 +384,35 @@
         return reason.isEmpty() ? Reply.json(200, answer) : Reply.json(CONFLICT, answer.put("reason", reason));
     }
 
-    /** Renews a worker's lease; null if no end of a run is unacknowledged and the wait is not over. */
-    private synchronized Reply hold(String id, JsonNode order, boolean timedOut) {
+    /** Renews a worker's lease; the answer waits for an end of a run, for a higher epoch or for the given time. */
+    private synchronized Mono<Reply> hold(String id, JsonNode order, long untilMs) {
         UserPlatformWorker worker = workers.get(id);
         if (worker == null) {
-            return Reply.empty(MISDIRECTED_REQUEST);
+            return Mono.just(Reply.empty(MISDIRECTED_REQUEST));
         }
-        long nowMs = clock.getAsLong();
+        long epoch = order.path("fencingToken").asLong();
+        worker.renewLease(
+                epoch, order.path("deadlineMs").asLong(), order.path("observed").asLong(), clock.getAsLong());
+        return heldRenewals.answer(() -> {
+            synchronized (this) {
+                long nowMs = clock.getAsLong();
+                return nowMs >= untilMs || worker.answersHeldRenewal(epoch) ? renewalReply(worker, epoch, nowMs) : null;
+            }
+        });
+    }
+
+    private static Reply renewalReply(UserPlatformWorker worker, long epoch, long nowMs) {
         ObjectNode answer =
                 JSON.createObjectNode().put("clockMs", worker.clockMs(nowMs)).put("born", worker.startTimeMs());
-        long epoch = order.path("fencingToken").asLong();
-        if (!worker.renewLease(
-                epoch, order.path("deadlineMs").asLong(), order.path("observed").asLong(), nowMs)) {
+        if (worker.fenced(epoch)) {
             return Reply.json(CONFLICT, answer.put("reason", "fence"));
         }
-        if (worker.endedRuns().isEmpty() && !timedOut) {
-            return null;
-        }
         ArrayNode running = answer.putArray("running");
-        worker.running()
-                .forEach((task, run) ->
-                        running.addArray().add(task).add(run.number()).add("").add(worker.progressPercent(run, nowMs)));
+        worker.running().forEach((task, run) -> running.addArray()
+                .add(task)
+                .add(run.number())
+                .add("")
+                .add(worker.progressPercent(task, nowMs)));
         ArrayNode finished = answer.putArray("finished");
         worker.endedRuns().forEach(end -> finished.addArray()
                 .add(end.sequence())
--- a/standin/src/main/java/org/fuchsiawinch/standin/userplatform/UserPlatformWorker.java
+++ b/standin/src/main/java/org/fuchsiawinch/standin/userplatform/UserPlatformWorker.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Stand-in worker of the users' platform. It rejects orders below its fence (the highest epoch seen), starts runs
@@ -14,7 +15,7 @@
 
     private final String id;
     private final long startTimeMs;
-    private final long runMs;
+    private final RunModel model;
     private final Map<String, Run> running = new LinkedHashMap<>();
     private final Map<String, Integer> highestEndedRun = new HashMap<>();
     private final List<EndedRun> endedRuns = new ArrayList<>();
@@ -37,8 +38,8 @@
      * @param sequence number of the end on this worker, by which it is acknowledged
      * @param task id of the task
      * @param run number of the run
-     * @param outcome the platform's outcome code: {@code done} (run time is over), {@code stopped}
-     *     (by an order) or {@code lapsed} (lease expired)
+     * @param outcome the platform's outcome code: {@code stopped} (by an order), {@code lapsed} (lease
+     *     expired) or an outcome of the worker's model, such as {@code done}
      */
     public record EndedRun(long sequence, String task, int run, String outcome) {}
 
@@ -50,9 +51,20 @@
      * @param runMs run time in ms of every task; above 0
      */
     public UserPlatformWorker(String id, long startTimeMs, long runMs) {
+        this(id, startTimeMs, RunModel.lasting(runMs));
+    }
+
+    /**
+     * Creates a worker without runs.
+     *
+     * @param id id of the worker
+     * @param startTimeMs start time of the worker in ms since the Unix epoch, the origin of its clock
+     * @param model decides how runs end
+     */
+    public UserPlatformWorker(String id, long startTimeMs, RunModel model) {
         this.id = id;
         this.startTimeMs = startTimeMs;
-        this.runMs = runMs;
+        this.model = model;
     }
 
     /**
@@ -118,6 +130,7 @@
         }
         if (!running.containsKey(task)) {
             running.put(task, new Run(run, clockMs(nowMs)));
+            model.started(runId(task, run), nowMs);
             startedRuns++;
         }
         return "";
@@ -141,7 +154,7 @@
         highestEndedRun.merge(task, run, Math::max);
         Run current = running.get(task);
         if (current != null && current.number() == run) {
-            endRun(task, current, "stopped");
+            endRun(task, current, "stopped", nowMs);
         }
         return true;
     }
@@ -162,28 +175,57 @@
         }
         fence = epoch;
         leaseEndMs = Math.max(leaseEndMs, newLeaseEndMs);
+        endedRuns.stream()
+                .filter(end -> end.sequence() <= acknowledgedSequence)
+                .forEach(end -> model.acknowledged(runId(end.task(), end.run()), end.outcome()));
         endedRuns.removeIf(end -> end.sequence() <= acknowledgedSequence);
         return true;
     }
 
+    /**
+     * Returns whether a held renewal has to be answered.
+     *
+     * @param epoch epoch of the renewal
+     * @return whether an end is unacknowledged or the epoch is below the fence
+     */
+    boolean answersHeldRenewal(long epoch) {
+        return fenced(epoch) || !endedRuns.isEmpty();
+    }
+
+    /**
+     * Returns whether orders of an epoch are rejected.
+     *
+     * @param epoch the epoch
+     * @return whether it is below the fence
+     */
+    boolean fenced(long epoch) {
+        return epoch < fence;
+    }
+
     /**
      * Ends the runs that are complete and, once the lease has expired, all runs.
      *
      * @param nowMs present time in ms since the Unix epoch
      */
     public void advance(long nowMs) {
-        long clockMs = clockMs(nowMs);
+        if (running.isEmpty()) {
+            return;
+        }
+        boolean leaseExpired = clockMs(nowMs) > leaseEndMs;
         Map.copyOf(running).forEach((task, run) -> {
-            if (clockMs > leaseEndMs) {
-                endRun(task, run, "lapsed");
-            } else if (clockMs - run.startedMs() >= runMs) {
-                endRun(task, run, "done");
-            }
+            Optional<String> outcome =
+                    leaseExpired ? Optional.of("lapsed") : model.outcome(runId(task, run.number()), nowMs);
+            outcome.ifPresent(how -> endRun(task, run, how, nowMs));
         });
     }
 
-    private void endRun(String task, Run run, String outcome) {
+    private RunModel.RunId runId(String task, int number) {
+        return new RunModel.RunId(id, task, number);
+    }
+
+    private void endRun(String task, Run run, String outcome, long nowMs) {
         running.remove(task);
+        model.ended(runId(task, run.number()), outcome, nowMs);
         highestEndedRun.merge(task, run.number(), Math::max);
         endedRuns.add(new EndedRun(++lastEndSequence, task, run.number(), outcome));
     }
@@ -209,11 +251,11 @@
     /**
      * Returns the progress of a run.
      *
-     * @param run the run
+     * @param task id of a task that is running
      * @param nowMs present time in ms since the Unix epoch
      * @return progress in percent, at most 100
      */
-    public int progressPercent(Run run, long nowMs) {
-        return (int) Math.min(100, 100 * (clockMs(nowMs) - run.startedMs()) / runMs);
+    public int progressPercent(String task, long nowMs) {
+        return model.percent(runId(task, running.get(task).number()), nowMs);
     }
 }
