--- a/standin/src/main/java/org/fuchsiawinch/standin/userplatform/CheckIns.java
+++ b/standin/src/main/java/org/fuchsiawinch/standin/userplatform/CheckIns.java
@@ -9,8 +9,8 @@
 import java.util.function.LongSupplier;
 
 /**
- * Check-ins of workers: each writes its entry once an interval, and the platform removes the entry after three intervals
- * of silence, also while the store serves nobody. Thread-safe; runs until it is closed.
+ * Check-ins of workers: each writes its entry once an interval, and the platform removes the entry after three
+ * intervals of silence, also while the store serves nobody. Thread-safe; runs until it is closed.
  */
 public final class CheckIns implements AutoCloseable {
 
