--- a/server/src/test/java/org/fuchsiawinch/server/FakeStore.java
+++ b/server/src/test/java/org/fuchsiawinch/server/FakeStore.java
@@ -54,9 +54,6 @@
     /** Number of the page of latest entries that fails, from 1; 0 for none. */
     int failingPage;
 
-    /** Largest number of entries in a page of latest entries. */
-    int maxEntriesPerPage = Integer.MAX_VALUE;
-
     FakeStore(Scheduler time) {
         this.time = time;
     }
