Adapt the time-out of an owner to what a node observes

Callers saw accepted jobs stand still after the store had been away, on busy machines: up to 5 ownerships in 10 s, and no start for 12 s.

An owner counted as dead after a fixed 1.2 to 1.6 s of silence, though a take-over slows its machine for longer than that: the next node claimed, and met the same.

The time-out now doubles while owners are missed in quick succession, and until the first sign of life after a claim or an outage of the store. It covers the intervals between signs of life and the node's own delays, the latter so that slower nodes claim after faster ones. Store and workers fence as they did.

--- a/server/src/main/java/org/fuchsiawinch/server/Node.java
+++ b/server/src/main/java/org/fuchsiawinch/server/Node.java
@@ -93,6 +93,9 @@
     /** Time in ms before which this node does not claim the cell. */
     private long claimPauseEndMs = Long.MIN_VALUE;
 
+    /** Time in ms of the last check whether to claim the cell. */
+    private long lastTickMs;
+
     /** Silence in ms of the cell's owner at which the next line is due. */
     private long nextSilenceLineMs = FIRST_SILENCE_LINE_MS;
 
@@ -144,6 +147,7 @@
 
     /** Starts to follow the streams and to claim the cell when it has no owner. */
     public void start() {
+        lastTickMs = clock.getAsLong();
         operatorFollower.start();
         cellFollower.start();
         scheduler.schedulePeriodically(() -> barrier.run("tick", this::tick), TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
@@ -217,6 +221,8 @@
     private void tick() {
         checkForSuspension();
         long nowMs = clock.getAsLong();
+        election.delayed(Math.max(0, nowMs - lastTickMs - TICK_MS), nowMs);
+        lastTickMs = nowMs;
         logOwnerSilence();
         if (nowMs < claimPauseEndMs) {
             return;
@@ -265,7 +271,18 @@
         claimedEpoch = OptionalLong.of(epoch);
         boolean conditional = movedClaims < MAX_CONDITIONAL_CLAIMS;
         predecessorEpoch = conditional ? OptionalLong.of(election.epoch()) : OptionalLong.empty();
-        log.line("cell-claimed", "epoch", epoch, "lastOwner", election.owner(), "at", cellFollower.nextOffset());
+        log.line(
+                "cell-claimed",
+                "epoch",
+                epoch,
+                "lastOwner",
+                election.owner(),
+                "at",
+                cellFollower.nextOffset(),
+                "silentMs",
+                election.ownerSilenceMs(),
+                "timeoutMs",
+                election.timeoutMs(clock.getAsLong()));
         CellRecord record = new CellRecord.Owner(settings.name(), epoch, false);
         List<StreamStore.Entry> entries = List.of(new StreamStore.Entry(record.key(), codec.encode(record)));
         ports.store()
--- a/server/src/test/java/org/fuchsiawinch/server/TakeoverTest.java
+++ b/server/src/test/java/org/fuchsiawinch/server/TakeoverTest.java
@@ -29,6 +29,7 @@
 import reactor.test.scheduler.VirtualTimeScheduler;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 /** Tests that a node that takes the cell slowly keeps it, and that a dead owner is still replaced quickly. */
 public class TakeoverTest {
@@ -228,6 +229,25 @@
         assertEquals(count("cell-taken"), 1);
     }
 
+    @DataProvider
+    public Object[][] delaysMsAndSeeds() {
+        return new Object[][] {{1800, 1}, {1800, 2}, {1800, 3}, {3500, 1}, {3500, 2}, {3500, 3}};
+    }
+
+    // Guards against owners in quick succession where each one is slow in its first seconds, as a take-over costs time.
+    @Test(dataProvider = "delaysMsAndSeeds")
+    public void anOwnerThatIsSlowAfterItsClaimIsKeptInTheEnd(long delayMs, long seed) {
+        append(new CellRecord.Owner("n0", DEAD_OWNER_EPOCH, false));
+        startNodes(seed);
+        advance(1000);
+        ownerDelayMs = delayMs;
+        advance(15_000);
+        int claims = claimedEpochs().size();
+        assertTrue(claims <= 3, "claims " + claimedEpochs());
+        advance(20_000);
+        assertEquals(claimedEpochs().size(), claims, "claims " + claimedEpochs());
+    }
+
     // Guards against an owner that goes on loading the cell although another node has claimed it.
     @Test
     public void aSupersededNodeStopsLoading() {
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/cell/Election.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/cell/Election.java
@@ -6,29 +6,26 @@
 
 /**
  * Decides when this node claims the ownership of the cell. The owner's records serve as its heartbeat. Silence counts
- * towards the time-out only while this node reads the stream without a gap, so that an outage of the store triggers no
- * takeover. The cell counts as vacant after a claim by this node itself: that claim was made before a restart, or its
- * ownership ends before the next claim. Not thread-safe.
+ * towards the {@linkplain OwnerTimeout time-out} only while this node reads the stream without a gap, so that an outage
+ * of the store triggers no takeover. The cell counts as vacant after a claim by this node itself: that claim was made
+ * before a restart, or its ownership ends before the next claim. Not thread-safe.
  */
 public final class Election {
 
-    /** Silence in ms after which the owner counts as dead: three missed heartbeats. */
-    private static final long OWNER_TIMEOUT_MS = 1200;
-
     /** Longest gap in ms between two reads for which silence still counts; one read waits up to 0.5 s. */
     private static final long MAX_READ_GAP_MS = 1200;
 
-    /** Range in ms over which the nodes spread their claims after silence; over ten times the delay of a claim. */
-    private static final long TIMEOUT_SPREAD_MS = 400;
+    /** Part of the time-out over which the nodes spread their claims after silence; over ten times a claim's delay. */
+    private static final int TIMEOUT_SPREAD_DIVISOR = 3;
 
     /** Range in ms over which the nodes spread their claims of a vacant cell: released, or never owned. */
     private static final long VACANT_SPREAD_MS = 80;
 
     /**
-     * Extra time in ms that a small node waits before it claims; longer than the spread and the delay until a node has
-     * read the claim of a larger one.
+     * Time in ms beyond the spread of claims that a small node waits before it claims; longer than the delay until a
+     * node has read the claim of a larger one.
      */
-    private static final long SMALL_NODE_DELAY_MS = 1200;
+    private static final long SMALL_NODE_DELAY_MS = 800;
 
     /** Number of low bits of an epoch that differ by node, so that concurrent claims of a round are distinct. */
     private static final int NODE_BITS = 16;
@@ -40,10 +37,16 @@
     /** Low bits of this node's epochs. */
     private final int nodeSuffix;
 
-    private final long extraDelayMs;
+    private final boolean small;
+    private final OwnerTimeout timeout;
     private long epoch;
     private String owner = "";
     private boolean vacant = true;
+    private boolean released;
+
+    /** Whether this node has read the stream to its end, so that later records are news. */
+    private boolean following;
+
     private long lastHeartbeatMs;
     private long lastReadMs;
 
@@ -57,7 +60,8 @@
      */
     public Election(String node, long seed, boolean small, long nowMs) {
         this.node = node;
-        this.extraDelayMs = small ? SMALL_NODE_DELAY_MS : 0;
+        this.small = small;
+        this.timeout = new OwnerTimeout(nowMs);
         this.delayPerMille = Math.floorMod(seed, 1000L);
         this.nodeSuffix = (int) Math.floorMod(seed, 1L << NODE_BITS);
         this.lastHeartbeatMs = nowMs;
@@ -71,18 +75,48 @@
      * @param nowMs present time in ms
      */
     public void apply(CellRecord record, long nowMs) {
-        if (record instanceof CellRecord.Owner claim) {
-            if (claim.epoch() >= epoch) {
-                epoch = claim.epoch();
-                owner = claim.node();
-                vacant = claim.released() || claim.node().equals(node);
-                lastHeartbeatMs = nowMs;
+        if (record instanceof CellRecord.Progress) {
+            signOfLife(nowMs);
+        } else if (record instanceof CellRecord.Owner claim && claim.epoch() >= epoch) {
+            if (claim.epoch() > epoch) {
+                ownerChanges(claim.node(), nowMs);
+            } else {
+                signOfLife(nowMs);
             }
-        } else if (record instanceof CellRecord.Progress) {
-            lastHeartbeatMs = nowMs;
+            epoch = claim.epoch();
+            owner = claim.node();
+            released = claim.released();
+            vacant = released || owner.equals(node);
         }
     }
 
+    private void ownerChanges(String claimant, long nowMs) {
+        if (following) {
+            timeout.awaitSignOfLife();
+            if (!released && !owner.isEmpty() && !owner.equals(claimant)) {
+                timeout.ownerMissed(nowMs);
+            }
+        }
+        lastHeartbeatMs = nowMs;
+    }
+
+    private void signOfLife(long nowMs) {
+        boolean observed = following && nowMs - lastReadMs <= MAX_READ_GAP_MS;
+        timeout.signOfLife(observed ? nowMs - lastHeartbeatMs : 0, nowMs);
+        lastHeartbeatMs = nowMs;
+    }
+
+    /**
+     * Records by how much an action of this node was late. A node on a loaded machine waits longer for the owner, which
+     * may run on the same one.
+     *
+     * @param delayMs the delay in ms, not negative
+     * @param nowMs present time in ms
+     */
+    public void delayed(long delayMs, long nowMs) {
+        timeout.delayed(delayMs, nowMs);
+    }
+
     /**
      * Records that this node has read the stream to its end. After too long a gap between two reads, the owner's
      * silence is counted from now.
@@ -92,7 +126,11 @@
     public void streamEndReached(long nowMs) {
         if (nowMs - lastReadMs > MAX_READ_GAP_MS) {
             lastHeartbeatMs = nowMs;
+            if (following) {
+                timeout.awaitSignOfLife();
+            }
         }
+        following = true;
         lastReadMs = nowMs;
     }
 
@@ -103,16 +141,30 @@
      * @return the epoch, higher than any seen; empty if the node should not claim the cell
      */
     public OptionalLong epochToClaim(long nowMs) {
-        long waitMs = vacant
-                ? delayPerMille * VACANT_SPREAD_MS / 1000
-                : OWNER_TIMEOUT_MS + delayPerMille * TIMEOUT_SPREAD_MS / 1000;
-        if (lastReadMs - lastHeartbeatMs < waitMs + extraDelayMs || nowMs - lastReadMs > MAX_READ_GAP_MS) {
+        if (lastReadMs - lastHeartbeatMs < waitMs(nowMs) || nowMs - lastReadMs > MAX_READ_GAP_MS) {
             return OptionalLong.empty();
         }
         long round = (epoch >> NODE_BITS) + 1;
         return OptionalLong.of((round << NODE_BITS) | nodeSuffix);
     }
 
+    private long waitMs(long nowMs) {
+        long silenceMs = vacant ? 0 : timeout.valueMs(nowMs);
+        long spreadMs = vacant ? VACANT_SPREAD_MS : silenceMs / TIMEOUT_SPREAD_DIVISOR;
+        long smallNodeMs = small ? SMALL_NODE_DELAY_MS + timeout.valueMs(nowMs) / TIMEOUT_SPREAD_DIVISOR : 0;
+        return silenceMs + delayPerMille * spreadMs / 1000 + smallNodeMs;
+    }
+
+    /**
+     * Returns the silence after which the owner counts as dead for this node, without the spread of claims.
+     *
+     * @param nowMs present time in ms
+     * @return the time-out in ms
+     */
+    public long timeoutMs(long nowMs) {
+        return timeout.valueMs(nowMs);
+    }
+
     /**
      * Returns how long the owner has been silent on the stream, as far as this node has read it without a gap.
      *
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/ElectionTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/ElectionTest.java
@@ -100,4 +100,111 @@
         readEvery(small, 100, 2300, 2900);
         assertTrue(small.epochToClaim(2900).isPresent());
     }
+
+    /** Reads the stream every 100 ms in a range and applies a heartbeat of the owner at given intervals. */
+    private static void heartbeats(
+            Election election, String owner, long epoch, long intervalMs, long fromMs, long toMs) {
+        for (long ms = fromMs; ms <= toMs; ms += 100) {
+            if ((ms - fromMs) % intervalMs == 0) {
+                election.apply(new CellRecord.Owner(owner, epoch, false), ms);
+            }
+            election.streamEndReached(ms);
+        }
+    }
+
+    /** Returns after how many ms of silence from a time on the node claims, reading every 100 ms. */
+    private static long claimDelayMs(Election election, long fromMs) {
+        long ms = fromMs;
+        while (election.epochToClaim(ms).isEmpty()) {
+            ms += 100;
+            election.streamEndReached(ms);
+        }
+        return ms - fromMs;
+    }
+
+    private static Election following() {
+        Election election = new Election("me", 0, false, 0);
+        election.apply(new CellRecord.Owner("other", 70_000, false), 0);
+        election.streamEndReached(0);
+        return election;
+    }
+
+    /** Guards against a time-out that stays long on a calm system. */
+    @Test
+    public void claimsAfterTheShortestTimeoutOnACalmSystem() {
+        Election election = following();
+        heartbeats(election, "other", 70_000, 500, 100, 5100);
+        assertEquals(claimDelayMs(election, 5100), 1200);
+    }
+
+    /** Guards against claims in quick succession on machines where each owner is slow. */
+    @Test
+    public void waitsLongerForAnOwnerWithLongIntervals() {
+        Election election = following();
+        heartbeats(election, "other", 70_000, 1100, 100, 4500);
+        assertEquals(claimDelayMs(election, 4500), 1700);
+        heartbeats(election, "other", 70_000, 400, 4500, 26_900);
+        assertEquals(claimDelayMs(election, 26_900), 1200);
+    }
+
+    /** Guards against a claim of a cell whose new owner has not had the time to load it. */
+    @Test
+    public void givesANewOwnerTimeForItsFirstSignOfLife() {
+        Election election = following();
+        heartbeats(election, "other", 70_000, 400, 100, 2100);
+        election.apply(new CellRecord.Owner("third", 140_000, false), 2200);
+        assertEquals(claimDelayMs(election, 2200), 2400);
+        heartbeats(election, "third", 140_000, 400, 4600, 8600);
+        assertTrue(claimDelayMs(election, 8600) > 1200);
+        heartbeats(election, "third", 140_000, 400, 11_000, 34_200);
+        assertEquals(claimDelayMs(election, 34_200), 1200);
+    }
+
+    /** Guards against owners that are each missed before the load of a take-over has passed. */
+    @Test
+    public void waitsLongerWhileOwnersAreMissedInQuickSuccession() {
+        Election election = following();
+        long epoch = 70_000;
+        for (long ms = 2000; ms <= 12_000; ms += 2000) {
+            epoch += 70_000;
+            heartbeats(election, "n" + ms, epoch, 400, ms, ms + 400);
+        }
+        assertEquals(claimDelayMs(election, 12_400), 4800);
+        heartbeats(election, "n12000", epoch, 400, 17_200, 40_000);
+        assertEquals(claimDelayMs(election, 40_000), 1200);
+    }
+
+    /** Guards against planned stops of one owner after the other that lengthen the time-out. */
+    @Test
+    public void releasesDoNotLengthenTheTimeout() {
+        Election election = following();
+        long epoch = 70_000;
+        for (long ms = 2000; ms <= 8000; ms += 2000) {
+            election.apply(new CellRecord.Owner(election.owner(), epoch, true), ms - 100);
+            epoch += 70_000;
+            heartbeats(election, "n" + ms, epoch, 400, ms, ms + 1600);
+        }
+        assertEquals(claimDelayMs(election, 9600), 1200);
+    }
+
+    /** Guards against a slow node that takes the cell although a faster one would. */
+    @Test
+    public void aNodeThatIsLateClaimsLater() {
+        Election election = following();
+        heartbeats(election, "other", 70_000, 400, 100, 2100);
+        election.delayed(900, 2100);
+        assertEquals(claimDelayMs(election, 2100), 2100);
+        election.delayed(60_000, 4200);
+        heartbeats(election, "other", 70_000, 400, 4200, 5000);
+        assertEquals(claimDelayMs(election, 5000), 4800);
+    }
+
+    /** Guards against a claim right after an outage of the store, while the owner regains its connection. */
+    @Test
+    public void givesTheOwnerTimeAfterAnOutageOfTheStore() {
+        Election election = following();
+        heartbeats(election, "other", 70_000, 400, 100, 2100);
+        election.streamEndReached(6000);
+        assertEquals(claimDelayMs(election, 6000), 2400);
+    }
 }
