Release the cell if a load fails at a stored heartbeat

A cell could stay with a node that starts nothing.

A load that waits for its proof is completed when a heartbeat has been stored, and a failure there ended in the subscriber of that append: the node kept storing heartbeats and never loaded again.

The callback now runs in the failure barrier of the load, as pages do.

--- a/server/src/main/java/org/fuchsiawinch/server/owner/OwnerSession.java
+++ b/server/src/main/java/org/fuchsiawinch/server/owner/OwnerSession.java
@@ -384,7 +384,9 @@
     /** Appends a sign of life unless another append is about to be one. */
     private void appendHeartbeat() {
         if (!appender.busy()) {
-            append(List.of(new CellRecord.Owner(settings.node(), epoch, false)), this::heartbeatStored);
+            append(
+                    List.of(new CellRecord.Owner(settings.node(), epoch, false)),
+                    () -> barrier.run("owner-load", this::heartbeatStored).ifPresent(this::releaseAfterFailure));
         }
     }
 
--- a/server/src/test/java/org/fuchsiawinch/server/TakeoverTest.java
+++ b/server/src/test/java/org/fuchsiawinch/server/TakeoverTest.java
@@ -43,6 +43,10 @@
     private VirtualTimeScheduler time;
     private FakeStore store;
     private List<String> log;
+
+    /** Event whose next line fails. */
+    private String failingEvent;
+
     private Set<String> deadNodes;
 
     /** Nodes whose reads of the latest entries end with a time-out. */
@@ -62,6 +66,7 @@
         deadNodes = new HashSet<>();
         nodesWithoutPages = new HashSet<>();
         ownerDelayMs = 0;
+        failingEvent = "";
     }
 
     /** Store as seen by one node. */
@@ -127,11 +132,19 @@
                 time,
                 () -> time.now(TimeUnit.MILLISECONDS),
                 () -> 0,
-                (event, pairs) -> log.add(event),
+                this::logged,
                 new MetricRegistry());
         node.start();
     }
 
+    private void logged(String event, Object... pairs) {
+        log.add(event);
+        if (event.equals(failingEvent)) {
+            failingEvent = "";
+            throw new IllegalStateException("the log fails at " + event);
+        }
+    }
+
     private void startNodes(long seed) {
         Random seeds = new Random(seed);
         for (int i = 1; i <= NODES; i++) {
@@ -234,6 +247,25 @@
         return new Object[][] {{1800, 1}, {1800, 2}, {1800, 3}, {3500, 1}, {3500, 2}, {3500, 3}};
     }
 
+    // Guards against an owner that neither schedules nor leaves the cell after a failure at the end of its load.
+    @Test(dataProvider = "seeds")
+    public void leavesTheCellIfTheLoadFailsAfterItsProof(long seed) {
+        append(new CellRecord.Owner("n0", DEAD_OWNER_EPOCH, false));
+        for (int i = 0; i < 30; i++) {
+            store.put(String.format("t/%016x", i), "?");
+        }
+        startNodes(seed);
+        advance(1000);
+        store.maxEntriesPerPage = 10;
+        store.pageDelayMs = 420;
+        store.appendDelayMs = 1000;
+        failingEvent = "cell-loaded";
+        advance(14_000);
+        assertEquals(count("owner-failed"), 1);
+        assertEquals(count("cell-taken"), 1);
+        assertEquals(claimedEpochs().size(), 2, "claims " + claimedEpochs());
+    }
+
     // Guards against owners in quick succession where each one is slow in its first seconds, as a take-over costs time.
     @Test(dataProvider = "delaysMsAndSeeds")
     public void anOwnerThatIsSlowAfterItsClaimIsKeptInTheEnd(long delayMs, long seed) {
