--- a/server/src/main/java/org/fuchsiawinch/server/Node.java
+++ b/server/src/main/java/org/fuchsiawinch/server/Node.java
@@ -97,6 +97,9 @@
     /** Time in ms before which this node does not claim the cell. */
     private long claimPauseEndMs = Long.MIN_VALUE;
 
+    /** Time in ms of the last check whether to claim the cell. */
+    private long lastTickMs;
+
     /** Silence in ms of the cell's owner at which the next line is due. */
     private long nextSilenceLineMs = FIRST_SILENCE_LINE_MS;
 
@@ -148,6 +151,7 @@
 
     /** Starts to follow the streams and to claim the cell when it has no owner. */
     public void start() {
+        lastTickMs = clock.getAsLong();
         operatorFollower.start();
         cellFollower.start();
         scheduler.schedulePeriodically(() -> barrier.run("tick", this::tick), TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
@@ -222,6 +226,8 @@
     private void tick() {
         checkForSuspension();
         long nowMs = clock.getAsLong();
+        election.delayed(Math.max(0, nowMs - lastTickMs - TICK_MS), nowMs);
+        lastTickMs = nowMs;
         logOwnerSilence();
         if (nowMs < claimPauseEndMs) {
             return;
@@ -271,7 +277,18 @@
         boolean conditional = movedClaims < MAX_CONDITIONAL_CLAIMS;
         predecessor = conditional ? Optional.of(election.predecessor()) : Optional.empty();
         claimSentMs = clock.getAsLong();
-        log.line("cell-claimed", "epoch", epoch, "lastOwner", election.owner(), "at", cellFollower.nextOffset());
+        log.line(
+                "cell-claimed",
+                "epoch",
+                epoch,
+                "lastOwner",
+                election.owner(),
+                "at",
+                cellFollower.nextOffset(),
+                "silentMs",
+                election.ownerSilenceMs(),
+                "timeoutMs",
+                election.timeoutMs(claimSentMs));
         CellRecord record = new CellRecord.Owner(settings.name(), epoch, false);
         List<StreamStore.Entry> entries = List.of(new StreamStore.Entry(record.key(), codec.encode(record)));
         ports.store()
