Count the wait for better workers only while much capacity is free

With the first form of the bound a gang that had waited for a rack on a busy fleet lost its preference at the first moment at which less than half of the capacity was in use, although its rack became free milliseconds later and across racks it runs three times as long. PreferenceWaiverTest.gangWaitsForARackWhileHalfOfTheCapacityIsInUse failed so ("expected [r0] but got [r3, r0]").

Workers that cannot be reached count with their capacity, as in the rule. run-assigned names the last preference that was waived. The other three tests of PreferenceWaiverTest fail without the bound: a gang beside urgent work, work inside a guarantee that reclaims what a gang took across racks, and a job that only a worker in quarantine can run.

--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Placer.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Placer.java
@@ -162,30 +162,32 @@
     }
 
     /**
-     * Returns the largest of the shares of accelerators, processor time and memory that runs hold on the workers of a
-     * service that can be reached, those of this pass included; 1 if there are no such workers.
+     * Returns the share of a service's capacity that runs hold, those of this pass included: the largest of the shares
+     * of accelerators, processor time and memory; 1 without any listed worker. Workers that cannot be reached count
+     * with their capacity only, since what they run is not known.
      */
     double shareInUse(String service) {
-        List<WorkerState> workers = reachable.stream()
-                .filter(worker -> worker.registration.service().equals(service))
+        List<WorkerState> listed = state.workers.values().stream()
+                .filter(worker -> worker.listed && worker.registration.service().equals(service))
                 .toList();
         return Stream.<ToIntFunction<Resources>>of(Resources::accelerators, Resources::cpuMillis, Resources::memoryMb)
-                .mapToDouble(kind -> shareInUse(workers, kind))
+                .mapToDouble(kind -> shareInUse(listed, kind))
                 .max()
                 .orElse(1);
     }
 
-    private double shareInUse(List<WorkerState> workers, ToIntFunction<Resources> kind) {
-        double capacity = workers.stream()
+    private double shareInUse(List<WorkerState> listed, ToIntFunction<Resources> kind) {
+        double capacity = listed.stream()
                 .mapToDouble(worker -> kind.applyAsInt(worker.registration.capacity()))
                 .sum();
-        double left = workers.stream()
-                .mapToDouble(worker -> kind.applyAsInt(worker.free()))
+        double used = listed.stream()
+                .filter(worker -> worker.reachable(nowMs))
+                .mapToDouble(worker -> kind.applyAsInt(worker.used))
                 .sum();
-        if (workers.isEmpty()) {
+        if (listed.isEmpty()) {
             return 1;
         }
-        return capacity == 0 ? 0 : 1 - left / capacity;
+        return capacity == 0 ? 0 : used / capacity;
     }
 
     /** Returns whether the workers that can be reached have free capacity for the unit twice, claimed or not. */
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/PreferenceWaiver.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/PreferenceWaiver.java
@@ -18,7 +18,7 @@
  */
 final class PreferenceWaiver {
 
-    /** Time in ms for which a job stands before preferences are waived. */
+    /** Time in ms for which a job stands, while much capacity is free, before preferences are waived. */
     private static final long FIRST_WAIVER_MS = 1000;
 
     /** Time in ms for which a job stands before its preference for one rack is waived too. */
@@ -45,37 +45,52 @@
         this.state = state;
     }
 
+    /** The wait of a job for better workers. */
     private static final class Wait {
 
-        private final long sinceMs;
-        private long dueMs;
+        private long updatedMs;
 
-        private Wait(long sinceMs) {
-            this.sinceMs = sinceMs;
-            this.dueMs = sinceMs + FIRST_WAIVER_MS;
+        /** Time in ms for which the job has stood while much capacity was free. */
+        private long standingMs;
+
+        /** Time in ms before which the job is not tried again. */
+        private long retryMs;
+
+        private Wait(long nowMs) {
+            this.updatedMs = nowMs;
+        }
+
+        private void update(boolean muchIsFree, long nowMs) {
+            standingMs += muchIsFree ? nowMs - updatedMs : 0;
+            updatedMs = nowMs;
         }
     }
 
     /** Updates the jobs that wait, of those with a unit that is ready. */
-    void startPass(Set<JobState> ready, long nowMs) {
+    void startPass(Set<JobState> ready, Placer placer, long nowMs) {
         waits.keySet().retainAll(ready);
+        Map<String, Boolean> muchIsFree = new HashMap<>();
         for (JobState job : ready) {
             if (state.runIndex.anyRun(job, run -> !run.stopping && !run.worker.silent(nowMs))) {
                 waits.remove(job);
             } else {
-                waits.computeIfAbsent(job, added -> new Wait(nowMs));
+                boolean free = muchIsFree.computeIfAbsent(
+                        job.submission().service(), service -> placer.shareInUse(service) < MAX_USE);
+                waits.computeIfAbsent(job, added -> new Wait(nowMs)).update(free, nowMs);
             }
         }
     }
 
+    /** Forgets all waits, as no job has a unit that is ready. */
+    void clear() {
+        waits.clear();
+    }
+
     /** Returns the jobs for which the pass may waive preferences. */
-    List<JobState> due(Placer placer, long nowMs) {
-        Map<String, Double> uses = new HashMap<>();
+    List<JobState> due(long nowMs) {
         return waits.entrySet().stream()
-                .filter(entry -> nowMs >= entry.getValue().dueMs)
-                .filter(entry ->
-                        uses.computeIfAbsent(entry.getKey().submission().service(), placer::shareInUse) < MAX_USE)
-                .sorted(Comparator.comparingLong(entry -> entry.getValue().dueMs))
+                .filter(entry -> entry.getValue().standingMs >= FIRST_WAIVER_MS && nowMs >= entry.getValue().retryMs)
+                .sorted(Comparator.comparingLong(entry -> entry.getValue().retryMs))
                 .limit(MAX_JOBS_PER_PASS)
                 .map(Map.Entry::getKey)
                 .toList();
@@ -87,8 +102,8 @@
     }
 
     /** Returns the sets of preferences to waive for a job that is due, in the order in which to try them. */
-    List<Set<Placer.Preference>> waivers(JobState job, long nowMs) {
-        long standingMs = nowMs - waits.get(job).sinceMs;
+    List<Set<Placer.Preference>> waivers(JobState job) {
+        long standingMs = waits.get(job).standingMs;
         return EnumSet.allOf(Placer.Preference.class).stream()
                 .filter(last -> standingMs >= waiverMs(last))
                 .<Set<Placer.Preference>>map(last -> EnumSet.range(Placer.Preference.HEADROOM, last))
@@ -105,6 +120,6 @@
 
     /** Records that no unit of a job that is due could be placed. */
     void failed(JobState job, long nowMs) {
-        waits.get(job).dueMs = nowMs + RETRY_MS;
+        waits.get(job).retryMs = nowMs + RETRY_MS;
     }
 }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Scheduler.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Scheduler.java
@@ -111,15 +111,18 @@
         Set<JobState> guaranteed = guaranteedJobs();
         List<Candidate> candidates = candidates(guaranteed, nowMs);
         preemptor.startPass(candidates.stream().flatMap(candidate -> candidate.units().stream()), guaranteed, nowMs);
+        if (candidates.isEmpty()) {
+            waiver.clear();
+            return true;
+        }
+        Placer placer = new Placer(state, nowMs);
         waiver.startPass(
                 candidates.stream()
                         .map(candidate -> candidate.unit().job())
                         .collect(Collectors.toCollection(LinkedHashSet::new)),
+                placer,
                 nowMs);
-        if (candidates.isEmpty()) {
-            return true;
-        }
-        Pass pass = new Pass(new Placer(state, nowMs), nowMs);
+        Pass pass = new Pass(placer, nowMs);
         for (Candidate candidate : candidates) {
             if (candidate.guaranteed() && !pass.schedule(candidate)) {
                 return false;
@@ -153,7 +156,7 @@
          * is more urgent takes the capacity again.
          */
         private void scheduleStanding(List<Candidate> candidates) {
-            List<JobState> due = waiver.due(placer, nowMs);
+            List<JobState> due = waiver.due(nowMs);
             if (due.isEmpty()) {
                 return;
             }
@@ -171,11 +174,12 @@
 
         private boolean placeStanding(Candidate candidate) {
             SchedulingUnit unit = candidate.unit();
-            if (!unit.ready() || place(unit, candidate, Set.of())) {
+            if (!unit.ready()) {
                 return true;
             }
             return waiver.mayWaive(unit, placer)
-                    && waiver.waivers(unit.job(), nowMs).stream().anyMatch(waived -> place(unit, candidate, waived));
+                    && (place(unit, candidate, Set.of())
+                            || waiver.waivers(unit.job()).stream().anyMatch(waived -> place(unit, candidate, waived)));
         }
 
         /** Schedules the units of a candidate; returns false if the pass has assigned enough. */
@@ -208,7 +212,7 @@
             Optional<List<WorkerState>> workers = placer.place(unit, waived);
             workers.ifPresent(chosen -> {
                 preemptor.removeClaim(unit);
-                assign(unit, chosen, candidate, nowMs);
+                assign(unit, chosen, candidate, waived, nowMs);
                 starts += chosen.size();
             });
             return workers.isPresent();
@@ -339,7 +343,12 @@
         return unit.ready() && unit.indexes().stream().noneMatch(index -> state.runIndex.holds(unit.ref(index)));
     }
 
-    private void assign(SchedulingUnit unit, List<WorkerState> workers, Candidate candidate, long nowMs) {
+    private void assign(
+            SchedulingUnit unit,
+            List<WorkerState> workers,
+            Candidate candidate,
+            Set<Placer.Preference> waived,
+            long nowMs) {
         int number = unit.nextRun();
         long racks = workers.stream()
                 .map(worker -> worker.registration.rack())
@@ -358,12 +367,12 @@
                             .isPresent();
             worker.add(run);
             state.pendingStarts.add(run);
-            logAssignment(run, candidate, nowMs);
+            logAssignment(run, candidate, waived, nowMs);
         }
         state.changedJobs.add(unit.job());
     }
 
-    private void logAssignment(ActiveRun run, Candidate candidate, long nowMs) {
+    private void logAssignment(ActiveRun run, Candidate candidate, Set<Placer.Preference> waived, long nowMs) {
         Resources free = run.worker.free();
         state.log.line(
                 "run-assigned",
@@ -380,6 +389,11 @@
                 "workerSeenMsAgo",
                 nowMs - run.worker.lastContactMs,
                 "freeAccelerators",
-                free.accelerators());
+                free.accelerators(),
+                "waived",
+                waived.stream()
+                        .max(Comparator.naturalOrder())
+                        .map(Enum::toString)
+                        .orElse("none"));
     }
 }
