Let no job's limit of tasks per worker hold back other jobs

A unit that could not be placed marked its shape for the rest of the pass, and units of the same shape of other jobs were not tried. With a limit of tasks per worker (maxPerWorker) the reason may be the job's own runs: once a wide step had its tasks on all workers, no other job of that shape started until it ended, however many workers were idle.

A step with such a limit marks its shape only if none of its job's runs hold capacity.

--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Scheduler.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Scheduler.java
@@ -195,7 +195,9 @@
                     continue;
                 }
                 placeable = false;
-                unplaceable.add(candidate.shape());
+                if (unit.spec().maxPerWorker() == 0 || !state.runIndex.anyRun(unit.job(), run -> true)) {
+                    unplaceable.add(candidate.shape());
+                }
                 boolean claimed = candidate.mayPreempt() && preemptor.claim(unit, candidate.shape(), placer, nowMs);
                 if (!claimed && reservable && !placer.reserve(unit)) {
                     reservable = false;
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/PlacementTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/PlacementTest.java
@@ -1,10 +1,13 @@
 package org.fuchsiawinch.workflow;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
+import org.fuchsiawinch.model.Resources;
 import org.fuchsiawinch.model.WorkspaceId;
 import org.fuchsiawinch.workflow.job.JobPhase;
+import org.fuchsiawinch.workflow.job.StepSpec;
 import org.fuchsiawinch.workflow.owner.Guarantees;
 import org.testng.annotations.Test;
 
@@ -92,4 +95,26 @@
         harness.submit("urgent", 0, OwnerHarness.tasks(4, 8, 4000)).run(300);
         assertEquals(onFastWorkers(harness, "urgent"), 4);
     }
+
+    /** Guards against a job that waits because another one of its shape has all the tasks a worker may run of a step. */
+    @Test
+    public void limitOnTasksPerWorkerHoldsBackNoOtherJob() {
+        OwnerHarness harness = new OwnerHarness().workers(4);
+        harness.headroomShare = 0;
+        harness.takeOver().run(500);
+        StepSpec spread = new StepSpec(
+                8,
+                new Resources(1000, 1000, 3, 0, 0),
+                20_000,
+                List.of(),
+                false,
+                false,
+                false,
+                1,
+                Optional.empty(),
+                Optional.empty());
+        harness.submit("first", 1, spread).run(200);
+        harness.submit("second", 1, spread).run(200);
+        assertEquals(harness.runningCount(), 8, "four tasks of each job");
+    }
 }
