List the workers of a large fleet in several turns of the event loop

Cause, read from the nodes' lines: a new owner gets the list of workers in one answer. Each entry is decoded, logged, and its worker renewed over a new connection, 3 to 6 ms each in a JVM that has just started. For 246 workers the event loop is busy for 1.0 to 1.8 s: the answer to the owner's heartbeat waits, the next one is not sent, and the other nodes miss the owner after 1.2 to 1.6 s. The next owner does the same. So the recovery itself makes the signs of life late.

The entries are applied eight at a time now, with a pause in which the event loop serves its sockets and timers. The owner does not schedule on the first few workers while others are about to be listed. The listener is a class of its own, with the entries' failures contained one by one as before.

--- a/server/src/main/java/org/fuchsiawinch/server/owner/OwnerSession.java
+++ b/server/src/main/java/org/fuchsiawinch/server/owner/OwnerSession.java
@@ -1,16 +1,11 @@
 package org.fuchsiawinch.server.owner;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
-import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
-import org.fuchsiawinch.model.WorkerId;
 import org.fuchsiawinch.server.failure.FailureBarrier;
 import org.fuchsiawinch.server.port.EntryDecoder;
 import org.fuchsiawinch.server.port.Stream;
@@ -62,8 +57,8 @@
     private final DecisionLog log;
     private final Runnable onEnd;
     private final RecordCodec codec = new RecordCodec();
-    private final Map<WorkerId, String> addresses = new HashMap<>();
     private final List<CellRecord> recordsBeforeLoad = new ArrayList<>();
+    private final WorkerList workerList;
     private final StreamFollower workerFollower;
     private final FencedAppender appender;
     private final Optional<Predecessor> predecessor;
@@ -141,8 +136,9 @@
         this.onEnd = onEnd;
         this.claimStoredMs = clock.getAsLong();
         this.provenMs = Long.MIN_VALUE / 2;
+        this.workerList = new WorkerList(ports.entryDecoder(), scheduler, barrier, this::handle);
         this.workerFollower = new StreamFollower(
-                Stream.WORKERS, ports.store(), WORKERS_POLL, scheduler, clock, epoch, new WorkersListener(), log);
+                Stream.WORKERS, ports.store(), WORKERS_POLL, scheduler, clock, epoch, workerList, log);
         this.appender = new FencedAppender(ports.store(), scheduler, epoch, log, () -> end("fenced-by-store"));
     }
 
@@ -354,11 +350,11 @@
             renew(renew);
         } else if (effect instanceof OwnerEffect.Start start) {
             ports.gateway()
-                    .start(address(start.worker()), epoch, start)
+                    .start(workerList.address(start.worker()), epoch, start)
                     .subscribe(outcome -> handle(new OwnerInput.StartAnswered(start.worker(), start.run(), outcome)));
         } else if (effect instanceof OwnerEffect.Stop stop) {
             ports.gateway()
-                    .stop(address(stop.worker()), epoch, stop)
+                    .stop(workerList.address(stop.worker()), epoch, stop)
                     .subscribe(accepted -> handle(new OwnerInput.StopAnswered(stop.worker(), stop.run(), accepted)));
         } else if (effect instanceof OwnerEffect.StepDown stepDown) {
             end(stepDown.reason());
@@ -367,7 +363,7 @@
 
     private void renew(OwnerEffect.Renew renew) {
         long sentMs = clock.getAsLong();
-        ports.gateway().renew(address(renew.worker()), epoch, renew).subscribe(result -> {
+        ports.gateway().renew(workerList.address(renew.worker()), epoch, renew).subscribe(result -> {
             if (result instanceof WorkerGateway.RenewResult.Answered answered) {
                 handle(new OwnerInput.Renewed(renew.worker(), sentMs, answered.report()));
             } else {
@@ -377,10 +373,6 @@
         });
     }
 
-    private String address(WorkerId worker) {
-        return addresses.getOrDefault(worker, "");
-    }
-
     private void append(List<CellRecord> records) {
         append(records, () -> handle(new OwnerInput.Appended()));
     }
@@ -427,52 +419,9 @@
         ticker.dispose();
         loadHeartbeat.dispose();
         workerFollower.close();
+        workerList.close();
         appender.close();
         log.line("cell-given-up", "epoch", epoch, "cause", cause, "heldMs", clock.getAsLong() - claimStoredMs);
         onEnd.run();
     }
-
-    /** Converts entries of the workers' stream into inputs of the owner. */
-    private final class WorkersListener implements StreamFollower.Listener {
-
-        private final Map<String, WorkerId> idsByKey = new HashMap<>();
-
-        @Override
-        public void onSnapshot(List<StreamStore.StoredEntry> entries) {
-            Set<String> missing = new TreeSet<>(idsByKey.keySet());
-            for (StreamStore.StoredEntry stored : entries) {
-                missing.remove(stored.entry().key());
-            }
-            missing.forEach(this::remove);
-            onEntries(entries);
-        }
-
-        @Override
-        public void onEntries(List<StreamStore.StoredEntry> entries) {
-            for (StreamStore.StoredEntry stored : entries) {
-                String key = stored.entry().key();
-                if (stored.entry().value().length == 0) {
-                    remove(key);
-                    continue;
-                }
-                ports.entryDecoder().decodeWorker(key, stored.entry().value()).ifPresent(listing -> {
-                    idsByKey.put(key, listing.registration().id());
-                    addresses.put(listing.registration().id(), listing.address());
-                    handle(new OwnerInput.WorkerListed(listing.registration()));
-                });
-            }
-        }
-
-        @Override
-        public void onCaughtUp() {
-            // A stale list does no harm: a worker that does not answer lease renewals gets no work.
-        }
-
-        private void remove(String key) {
-            WorkerId id = idsByKey.remove(key);
-            if (id != null) {
-                handle(new OwnerInput.WorkerUnlisted(id));
-            }
-        }
-    }
 }
--- /dev/null
+++ b/server/src/main/java/org/fuchsiawinch/server/owner/WorkerList.java
@@ -0,0 +1,145 @@
+package org.fuchsiawinch.server.owner;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import org.fuchsiawinch.model.WorkerId;
+import org.fuchsiawinch.server.failure.FailureBarrier;
+import org.fuchsiawinch.server.port.EntryDecoder;
+import org.fuchsiawinch.server.port.StreamStore;
+import org.fuchsiawinch.server.stream.StreamFollower;
+import org.fuchsiawinch.workflow.owner.OwnerInput;
+import reactor.core.scheduler.Scheduler;
+
+/**
+ * Converts entries of the workers' stream into inputs of the owner, a few at a time: the owner's heartbeats and the
+ * answers to them must not wait behind hundreds of new workers, each of which is contacted at once. Not thread-safe.
+ */
+final class WorkerList implements StreamFollower.Listener {
+
+    /** Number of entries after which other events get their turn. */
+    private static final int ENTRIES_PER_TURN = 8;
+
+    /** Pause in ms between two turns; the event loop looks at its sockets only if it is idle for a moment. */
+    private static final long TURN_PAUSE_MS = 1;
+
+    private final EntryDecoder decoder;
+    private final Scheduler scheduler;
+    private final FailureBarrier barrier;
+    private final Consumer<OwnerInput> owner;
+    private final Map<String, WorkerId> idsByKey = new HashMap<>();
+    private final Map<WorkerId, String> addresses = new HashMap<>();
+    private final Deque<StreamStore.StoredEntry> waiting = new ArrayDeque<>();
+    private boolean closed;
+
+    /**
+     * Creates an empty list.
+     *
+     * @param decoder decodes the entries
+     * @param scheduler scheduler of the node's single thread
+     * @param barrier contains failures on single entries
+     * @param owner receives the inputs
+     */
+    WorkerList(EntryDecoder decoder, Scheduler scheduler, FailureBarrier barrier, Consumer<OwnerInput> owner) {
+        this.decoder = decoder;
+        this.scheduler = scheduler;
+        this.barrier = barrier;
+        this.owner = owner;
+    }
+
+    /** Returns the address of a worker; an empty text if it has never been listed. */
+    String address(WorkerId worker) {
+        return addresses.getOrDefault(worker, "");
+    }
+
+    /** Discards the entries that wait for their turn. */
+    void close() {
+        closed = true;
+        waiting.clear();
+    }
+
+    @Override
+    public void onSnapshot(List<StreamStore.StoredEntry> entries) {
+        Set<String> missing = new TreeSet<>(idsByKey.keySet());
+        for (StreamStore.StoredEntry stored : entries) {
+            missing.remove(stored.entry().key());
+        }
+        missing.forEach(this::remove);
+        // The snapshot is newer than the entries that wait.
+        boolean inProgress = !waiting.isEmpty();
+        waiting.clear();
+        waiting.addAll(entries);
+        if (!inProgress) {
+            applyFirst();
+        }
+    }
+
+    @Override
+    public void onEntries(List<StreamStore.StoredEntry> entries) {
+        boolean inProgress = !waiting.isEmpty();
+        waiting.addAll(entries);
+        if (!inProgress) {
+            applyFirst();
+        }
+    }
+
+    @Override
+    public void onCaughtUp() {
+        // A stale list does no harm: a worker that does not answer lease renewals gets no work.
+    }
+
+    private void applyFirst() {
+        if (waiting.size() <= ENTRIES_PER_TURN) {
+            applySome();
+            return;
+        }
+        owner.accept(new OwnerInput.WorkersPending(true));
+        applyInTurns();
+    }
+
+    private void applyInTurns() {
+        applySome();
+        if (closed) {
+            return;
+        }
+        if (waiting.isEmpty()) {
+            owner.accept(new OwnerInput.WorkersPending(false));
+            return;
+        }
+        scheduler.schedule(() -> barrier.run("workers", this::applyInTurns), TURN_PAUSE_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void applySome() {
+        for (int i = 0; i < ENTRIES_PER_TURN && !waiting.isEmpty(); i++) {
+            StreamStore.StoredEntry stored = waiting.remove();
+            barrier.run("worker-entry", () -> apply(stored));
+        }
+    }
+
+    private void apply(StreamStore.StoredEntry stored) {
+        String key = stored.entry().key();
+        if (stored.entry().value().length == 0) {
+            remove(key);
+            return;
+        }
+        decoder.decodeWorker(key, stored.entry().value()).ifPresent(listing -> {
+            idsByKey.put(key, listing.registration().id());
+            addresses.put(listing.registration().id(), listing.address());
+            owner.accept(new OwnerInput.WorkerListed(listing.registration()));
+        });
+    }
+
+    private void remove(String key) {
+        WorkerId id = idsByKey.remove(key);
+        if (id != null) {
+            owner.accept(new OwnerInput.WorkerUnlisted(id));
+        }
+    }
+}
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
@@ -63,6 +63,9 @@
 
     private long lastPassMs;
 
+    /** Whether further workers are about to be listed. */
+    private boolean workersPending;
+
     /** Whether enough workers have answered to schedule; stays true. */
     private boolean fleetKnown;
 
@@ -161,6 +164,8 @@
         } else if (input instanceof OwnerInput.Suspended) {
             appendSentMs = CellState.NEVER_MS;
             state.forbidLeases();
+        } else if (input instanceof OwnerInput.WorkersPending list) {
+            workersPending = list.pending();
         } else if (input instanceof OwnerInput.GuaranteesChanged changed) {
             state.guarantees = changed.guarantees();
         } else {
@@ -224,8 +229,8 @@
             long answered = state.workers.values().stream()
                     .filter(worker -> worker.listed && worker.contacted)
                     .count();
-            fleetKnown = listed > 0
-                    && (answered >= MIN_ANSWERED_SHARE * listed || nowMs - ownedSinceMs >= MAX_FLEET_WAIT_MS);
+            boolean enoughAnswered = !workersPending && answered >= MIN_ANSWERED_SHARE * listed;
+            fleetKnown = listed > 0 && (enoughAnswered || nowMs - ownedSinceMs >= MAX_FLEET_WAIT_MS);
         }
         return fleetKnown;
     }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/OwnerInput.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/OwnerInput.java
@@ -37,6 +37,13 @@
      */
     record WorkerUnlisted(WorkerId worker) implements OwnerInput {}
 
+    /**
+     * Begin or end of the delivery of a list of workers that is delivered in parts.
+     *
+     * @param pending whether further parts follow
+     */
+    record WorkersPending(boolean pending) implements OwnerInput {}
+
     /**
      * Answer of a worker to a renewal.
      *
