Look at the waiting jobs at intervals, not in each pass

The waits are now updated every 50 ms, a twentieth of the shortest bound, and units are only compared with those that the pass has placed out of order if there are any.

--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/PreferenceWaiver.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/PreferenceWaiver.java
@@ -36,11 +36,16 @@
     /** Maximum number of jobs for which a pass waives preferences; those that are due for longest come first. */
     private static final int MAX_JOBS_PER_PASS = 20;
 
+    /** Minimum time in ms between two looks at the jobs; far below the bounds. */
+    private static final long LOOK_INTERVAL_MS = 50;
+
     private final CellState state;
 
     /** Jobs of which a unit is ready and nothing runs. */
     private final Map<JobState, Wait> waits = new LinkedHashMap<>();
 
+    private long lastLookMs = Long.MIN_VALUE / 2;
+
     PreferenceWaiver(CellState state) {
         this.state = state;
     }
@@ -66,8 +71,19 @@
         }
     }
 
-    /** Updates the jobs that wait, of those with a unit that is ready. */
-    void startPass(Set<JobState> ready, Placer placer, long nowMs) {
+    /** Forgets all waits, as no job has a unit that is ready. */
+    void clear() {
+        waits.clear();
+    }
+
+    /** Returns whether enough time has passed since the last look at the jobs. */
+    boolean lookDue(long nowMs) {
+        return nowMs - lastLookMs >= LOOK_INTERVAL_MS;
+    }
+
+    /** Returns the jobs for which the pass may waive preferences, of those with a unit that is ready. */
+    List<JobState> due(Set<JobState> ready, Placer placer, long nowMs) {
+        lastLookMs = nowMs;
         waits.keySet().retainAll(ready);
         Map<String, Boolean> muchIsFree = new HashMap<>();
         for (JobState job : ready) {
@@ -79,15 +95,6 @@
                 waits.computeIfAbsent(job, added -> new Wait(nowMs)).update(free, nowMs);
             }
         }
-    }
-
-    /** Forgets all waits, as no job has a unit that is ready. */
-    void clear() {
-        waits.clear();
-    }
-
-    /** Returns the jobs for which the pass may waive preferences. */
-    List<JobState> due(long nowMs) {
         return waits.entrySet().stream()
                 .filter(entry -> entry.getValue().standingMs >= FIRST_WAIVER_MS && nowMs >= entry.getValue().retryMs)
                 .sorted(Comparator.comparingLong(entry -> entry.getValue().retryMs))
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Scheduler.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Scheduler.java
@@ -4,7 +4,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -115,14 +115,7 @@
             waiver.clear();
             return true;
         }
-        Placer placer = new Placer(state, nowMs);
-        waiver.startPass(
-                candidates.stream()
-                        .map(candidate -> candidate.unit().job())
-                        .collect(Collectors.toCollection(LinkedHashSet::new)),
-                placer,
-                nowMs);
-        Pass pass = new Pass(placer, nowMs);
+        Pass pass = new Pass(new Placer(state, nowMs), nowMs);
         for (Candidate candidate : candidates) {
             if (candidate.guaranteed() && !pass.schedule(candidate)) {
                 return false;
@@ -144,6 +137,10 @@
         private final long nowMs;
         private final Set<UnitShape> unplaceable = new HashSet<>();
         private final Set<UnitShape> unreservable = new HashSet<>();
+
+        /** Units of jobs that had stood for too long, which this pass has placed. */
+        private final Set<SchedulingUnit> standing = new HashSet<>();
+
         private int starts;
 
         private Pass(Placer placer, long nowMs) {
@@ -156,12 +153,13 @@
          * is more urgent takes the capacity again.
          */
         private void scheduleStanding(List<Candidate> candidates) {
-            List<JobState> due = waiver.due(nowMs);
-            if (due.isEmpty()) {
+            if (!waiver.lookDue(nowMs)) {
                 return;
             }
             Map<JobState, List<Candidate>> candidatesByJob = candidates.stream()
-                    .collect(Collectors.groupingBy(candidate -> candidate.unit().job()));
+                    .collect(Collectors.groupingBy(
+                            candidate -> candidate.unit().job(), LinkedHashMap::new, Collectors.toList()));
+            List<JobState> due = waiver.due(candidatesByJob.keySet(), placer, nowMs);
             for (JobState job : due) {
                 if (starts >= MAX_WORK_PER_PASS) {
                     return;
@@ -177,9 +175,17 @@
             if (!unit.ready()) {
                 return true;
             }
-            return waiver.mayWaive(unit, placer)
+            boolean found = waiver.mayWaive(unit, placer)
                     && (place(unit, candidate, Set.of())
                             || waiver.waivers(unit.job()).stream().anyMatch(waived -> place(unit, candidate, waived)));
+            if (found) {
+                standing.add(unit);
+            }
+            return found;
+        }
+
+        private boolean placedStanding(SchedulingUnit unit) {
+            return !standing.isEmpty() && standing.contains(unit);
         }
 
         /** Schedules the units of a candidate; returns false if the pass has assigned enough. */
@@ -191,7 +197,7 @@
                 if (starts + preemptor.newClaims() >= MAX_WORK_PER_PASS) {
                     return false;
                 }
-                if (!unit.ready() || placeable && place(unit, candidate, Set.of())) {
+                if (placedStanding(unit) || placeable && place(unit, candidate, Set.of())) {
                     continue;
                 }
                 placeable = false;
@@ -352,6 +358,10 @@
             Set<Placer.Preference> waived,
             long nowMs) {
         int number = unit.nextRun();
+        String lastWaived = waived.stream()
+                .max(Comparator.naturalOrder())
+                .map(Placer.Preference::toString)
+                .orElse("none");
         long racks = workers.stream()
                 .map(worker -> worker.registration.rack())
                 .distinct()
@@ -369,12 +379,12 @@
                             .isPresent();
             worker.add(run);
             state.pendingStarts.add(run);
-            logAssignment(run, candidate, waived, nowMs);
+            logAssignment(run, candidate, lastWaived, nowMs);
         }
         state.changedJobs.add(unit.job());
     }
 
-    private void logAssignment(ActiveRun run, Candidate candidate, Set<Placer.Preference> waived, long nowMs) {
+    private void logAssignment(ActiveRun run, Candidate candidate, String lastWaived, long nowMs) {
         Resources free = run.worker.free();
         state.log.line(
                 "run-assigned",
@@ -393,9 +403,6 @@
                 "freeAccelerators",
                 free.accelerators(),
                 "waived",
-                waived.stream()
-                        .max(Comparator.naturalOrder())
-                        .map(Enum::toString)
-                        .orElse("none"));
+                lastWaived);
     }
 }
