Count removals of ended jobs as signs of life of the owner

A node could claim the cell of a live owner.

The owner stores no heartbeat with an append that only removes ended jobs, and the other nodes did not count removals, although only owners store them. On a store that answers late, the silence then lasted for two appends and a heartbeat interval. ElectionTest: a claim 0.3 s after a removal that came 1 s after a heartbeat.

--- a/workflow/src/main/java/org/fuchsiawinch/workflow/cell/Election.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/cell/Election.java
@@ -75,7 +75,7 @@
      * @param nowMs present time in ms
      */
     public void apply(CellRecord record, long nowMs) {
-        if (record instanceof CellRecord.Progress) {
+        if (record instanceof CellRecord.Progress || record instanceof CellRecord.Removed) {
             signOfLife(nowMs);
         } else if (record instanceof CellRecord.Owner claim && claim.epoch() >= epoch) {
             if (claim.epoch() > epoch) {
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/ElectionTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/ElectionTest.java
@@ -207,4 +207,15 @@
         election.streamEndReached(6000);
         assertEquals(claimDelayMs(election, 6000), 2400);
     }
+
+    /** Guards against a claim of a live owner whose last records only remove ended jobs. */
+    @Test
+    public void removalsAreSignsOfLifeOfTheOwner() {
+        Election election = following();
+        heartbeats(election, "other", 70_000, 400, 100, 2100);
+        election.apply(new CellRecord.Removed("s/0123456789abcdef"), 3100);
+        election.streamEndReached(3100);
+        election.streamEndReached(3400);
+        assertTrue(election.epochToClaim(3400).isEmpty());
+    }
 }
