--- a/server/src/main/java/org/fuchsiawinch/server/owner/OwnerSession.java
+++ b/server/src/main/java/org/fuchsiawinch/server/owner/OwnerSession.java
@@ -136,7 +136,7 @@
         this.onEnd = onEnd;
         this.claimStoredMs = clock.getAsLong();
         this.provenMs = Long.MIN_VALUE / 2;
-        this.workerList = new WorkerList(ports.entryDecoder(), scheduler, barrier, this::handle);
+        this.workerList = new WorkerList(ports.entryDecoder(), scheduler, clock, barrier, this::handle);
         this.workerFollower = new StreamFollower(
                 Stream.WORKERS, ports.store(), WORKERS_POLL, scheduler, clock, epoch, workerList, log);
         this.appender = new FencedAppender(ports.store(), scheduler, epoch, log, () -> end("fenced-by-store"));
--- a/server/src/main/java/org/fuchsiawinch/server/owner/WorkerList.java
+++ b/server/src/main/java/org/fuchsiawinch/server/owner/WorkerList.java
@@ -9,6 +9,7 @@
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 import org.fuchsiawinch.model.WorkerId;
 import org.fuchsiawinch.server.failure.FailureBarrier;
@@ -19,19 +20,20 @@
 import reactor.core.scheduler.Scheduler;
 
 /**
- * Converts entries of the workers' stream into inputs of the owner, a few at a time: the owner's heartbeats and the
- * answers to them must not wait behind hundreds of new workers, each of which is contacted at once. Not thread-safe.
+ * Converts entries of the workers' stream into inputs of the owner, for a limited time in one go: the owner's heartbeats
+ * and the answers to them must not wait behind hundreds of new workers. Not thread-safe.
  */
 final class WorkerList implements StreamFollower.Listener {
 
-    /** Number of entries after which other events get their turn. */
-    private static final int ENTRIES_PER_TURN = 8;
+    /** Time in ms after which other events get their turn; a fraction of the silence after which an owner is missed. */
+    private static final long TURN_MS = 200;
 
     /** Pause in ms between two turns; the event loop looks at its sockets only if it is idle for a moment. */
     private static final long TURN_PAUSE_MS = 1;
 
     private final EntryDecoder decoder;
     private final Scheduler scheduler;
+    private final LongSupplier clock;
     private final FailureBarrier barrier;
     private final Consumer<OwnerInput> owner;
     private final Map<String, WorkerId> idsByKey = new HashMap<>();
@@ -44,12 +46,19 @@
      *
      * @param decoder decodes the entries
      * @param scheduler scheduler of the node's single thread
+     * @param clock supplies the present time in ms
      * @param barrier contains failures on single entries
      * @param owner receives the inputs
      */
-    WorkerList(EntryDecoder decoder, Scheduler scheduler, FailureBarrier barrier, Consumer<OwnerInput> owner) {
+    WorkerList(
+            EntryDecoder decoder,
+            Scheduler scheduler,
+            LongSupplier clock,
+            FailureBarrier barrier,
+            Consumer<OwnerInput> owner) {
         this.decoder = decoder;
         this.scheduler = scheduler;
+        this.clock = clock;
         this.barrier = barrier;
         this.owner = owner;
     }
@@ -96,30 +105,36 @@
     }
 
     private void applyFirst() {
-        if (waiting.size() <= ENTRIES_PER_TURN) {
-            applySome();
-            return;
+        applyFor(clock.getAsLong() + TURN_MS);
+        if (!waiting.isEmpty()) {
+            owner.accept(new OwnerInput.WorkersPending(true));
+            scheduleNext();
         }
-        owner.accept(new OwnerInput.WorkersPending(true));
-        applyInTurns();
     }
 
-    private void applyInTurns() {
-        applySome();
+    private void scheduleNext() {
+        scheduler.schedule(() -> barrier.run("workers", this::applyNext), TURN_PAUSE_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void applyNext() {
         if (closed) {
             return;
         }
+        applyFor(clock.getAsLong() + TURN_MS);
         if (waiting.isEmpty()) {
             owner.accept(new OwnerInput.WorkersPending(false));
             return;
         }
-        scheduler.schedule(() -> barrier.run("workers", this::applyInTurns), TURN_PAUSE_MS, TimeUnit.MILLISECONDS);
+        scheduleNext();
     }
 
-    private void applySome() {
-        for (int i = 0; i < ENTRIES_PER_TURN && !waiting.isEmpty(); i++) {
+    private void applyFor(long endMs) {
+        while (!waiting.isEmpty()) {
             StreamStore.StoredEntry stored = waiting.remove();
             barrier.run("worker-entry", () -> apply(stored));
+            if (clock.getAsLong() >= endMs) {
+                return;
+            }
         }
     }
 
