Send the first renewals of a new owner 32 at a time

With 246 workers a new owner had ticks 1.4 to 5.1 s late and appends of 1.6 to 8.6 s in its first seconds, had reached no worker, and was missed by the other nodes after 1.2 to 1.6 s without a record.

Cause: it sent the first renewals of all workers in one turn of its event loop, which then sent and read nothing else, not even the heartbeat.

At most 32 first renewals are in flight now. One without an answer holds back others for 0.3 s only. Workers that have not been asked come before those that did not answer, and those with recorded runs before others, so that their runs are adopted first.

The effect on a real process with 246 workers was not measured: the machine was too busy for its stand-ins.

--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
@@ -1,5 +1,7 @@
 package org.fuchsiawinch.workflow.owner;
 
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -25,6 +27,15 @@
     /** Delay in ms between renewals of a worker that may get no lease yet. */
     private static final long NO_LEASE_DELAY_MS = 100;
 
+    /**
+     * Largest number of first renewals in flight. A new owner of many workers would send nothing else while it sends
+     * them all, not even its heartbeat.
+     */
+    private static final int MAX_FIRST_RENEWALS = 32;
+
+    /** Time in ms after which a first renewal without an answer no longer holds back others. */
+    private static final long FIRST_RENEWAL_HOLD_MS = 300;
+
     /** Minimum time in ms between two observations of a run's speed. */
     private static final long MIN_SPEED_INTERVAL_MS = 700;
 
@@ -40,16 +51,35 @@
         this.unreachedLeases = unreachedLeases;
     }
 
+    /**
+     * Sends the renewals that are due; of the first ones as many as may be in flight, those to workers that were asked
+     * longest ago or never before others, and those to workers with runs before others of these.
+     */
     void sendDueRenewals(long nowMs) {
+        int firstInFlight = 0;
+        List<WorkerState> firstDue = new ArrayList<>();
         for (WorkerState worker : state.workers.values()) {
-            boolean needed = worker.listed
-                    || !worker.runs.isEmpty()
-                    || worker.hasUnacknowledgedEnds()
-                    || !worker.unansweredStarts.settled(nowMs);
-            if (needed && worker.registration != null && !worker.renewing && nowMs >= worker.nextRenewalMs) {
+            if (!worker.contacted && worker.renewing && nowMs - worker.renewalSentMs < FIRST_RENEWAL_HOLD_MS) {
+                firstInFlight++;
+            } else if (due(worker, nowMs) && worker.contacted) {
                 send(worker, nowMs);
+            } else if (due(worker, nowMs)) {
+                firstDue.add(worker);
             }
         }
+        firstDue.stream()
+                .sorted(Comparator.<WorkerState>comparingLong(worker -> worker.renewalSentMs)
+                        .thenComparing(worker -> worker.runs.isEmpty()))
+                .limit(Math.max(0, MAX_FIRST_RENEWALS - firstInFlight))
+                .forEach(worker -> send(worker, nowMs));
+    }
+
+    private static boolean due(WorkerState worker, long nowMs) {
+        boolean needed = worker.listed
+                || !worker.runs.isEmpty()
+                || worker.hasUnacknowledgedEnds()
+                || !worker.unansweredStarts.settled(nowMs);
+        return needed && worker.registration != null && !worker.renewing && nowMs >= worker.nextRenewalMs;
     }
 
     /** Sends a renewal. It does not extend the lease of a worker that does not answer, so that the lease can expire. */
