Answer callers in time while an append lasts

An entry's outcome is now reported at the latest 0.7 s after its deadline, which is as late as before: as unknown if it has been sent, otherwise as not stored, and then it is not sent any more.

Evidence: BatchingAppenderTest.reportsInTimeWhileAnAppendLasts.

--- a/server/src/main/java/org/fuchsiawinch/server/stream/BatchingAppender.java
+++ b/server/src/main/java/org/fuchsiawinch/server/stream/BatchingAppender.java
@@ -25,6 +25,9 @@
     /** Delay in ms before a failed append is retried. */
     private static final long RETRY_DELAY_MS = 120;
 
+    /** Time in ms after the deadline of an entry at which its caller is answered although an append is in flight. */
+    private static final long LAST_APPEND_MS = 700;
+
     /** Largest number of entries in one append. */
     private static final int MAX_ENTRIES = 64;
 
@@ -91,19 +94,28 @@
      *
      * @param entry the entry
      * @param deadlineMs time in ms by the appender's clock after which a failed append is not retried; does not end an
-     *     append in flight
+     *     append in flight, whose outcome is awaited for 700 ms more
      * @return the outcome; never an error
      */
     public Mono<Outcome> store(StreamStore.Entry entry, long deadlineMs) {
-        if (circuitOpen(clock.getAsLong())) {
+        long nowMs = clock.getAsLong();
+        if (circuitOpen(nowMs)) {
             return Mono.just(Outcome.NOT_STORED);
         }
         QueuedEntry queued = new QueuedEntry(entry, deadlineMs);
         queue.add(queued);
         sendNext();
+        scheduler.schedule(() -> expire(queued), deadlineMs + LAST_APPEND_MS - nowMs, TimeUnit.MILLISECONDS);
         return queued.result.asMono();
     }
 
+    /** Reports an entry whose outcome is not known in time, and appends it no more. */
+    private void expire(QueuedEntry queued) {
+        queue.remove(queued);
+        boolean maybeStored = queued.maybeStored || inFlight.contains(queued);
+        queued.result.tryEmitValue(maybeStored ? Outcome.UNKNOWN : Outcome.NOT_STORED);
+    }
+
     /**
      * Returns whether the circuit breaker is open, so that entries are refused without an append.
      *
--- a/server/src/test/java/org/fuchsiawinch/server/BatchingAppenderTest.java
+++ b/server/src/test/java/org/fuchsiawinch/server/BatchingAppenderTest.java
@@ -149,4 +149,17 @@
         assertEquals(stored[0], 40);
         assertEquals(store.entries.get(39).key(), "j/39");
     }
+
+    // Guards against callers that wait until they give up, since the append of others lasts.
+    @Test
+    public void reportsInTimeWhileAnAppendLasts() {
+        store.appendDelayMs = 2600;
+        AtomicReference<Outcome> sent = submit(1000);
+        AtomicReference<Outcome> waiting = submit(1000);
+        time.advanceTimeBy(Duration.ofMillis(1700));
+        assertEquals(sent.get(), Outcome.UNKNOWN);
+        assertEquals(waiting.get(), Outcome.NOT_STORED);
+        time.advanceTimeBy(Duration.ofMillis(6000));
+        assertEquals(store.appends, 1);
+    }
 }
