Count gaps between reads in part towards the silence of the owner

The first gap after a sign of life restarts the count as before, since an outage of the store silences the owner, too. Further gaps count as 0.6 s each. ElectionTest: a dead owner was not missed in 18 s of reads every 1.5 s; it is now, after four reads at the earliest. An owner that writes between two outages gets the whole time-out after each.

--- a/server/src/main/java/org/fuchsiawinch/server/owner/WorkerList.java
+++ b/server/src/main/java/org/fuchsiawinch/server/owner/WorkerList.java
@@ -20,8 +20,8 @@
 import reactor.core.scheduler.Scheduler;
 
 /**
- * Converts entries of the workers' stream into inputs of the owner, for a limited time in one go: the owner's heartbeats
- * and the answers to them must not wait behind hundreds of new workers. Not thread-safe.
+ * Converts entries of the workers' stream into inputs of the owner, for a limited time in one go: the owner's
+ * heartbeats and the answers to them must not wait behind hundreds of new workers. Not thread-safe.
  */
 final class WorkerList implements StreamFollower.Listener {
 
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/cell/Election.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/cell/Election.java
@@ -16,6 +16,9 @@
     /** Longest gap in ms between two reads for which silence still counts; one read waits up to 0.5 s. */
     private static final long MAX_READ_GAP_MS = 1200;
 
+    /** Time in ms that a longer gap counts as silence, unless it is the first one since the last sign of life. */
+    private static final long COUNTED_GAP_MS = 600;
+
     /** Part of the time-out over which the nodes spread their claims after silence; over ten times a claim's delay. */
     private static final int TIMEOUT_SPREAD_DIVISOR = 3;
 
@@ -48,6 +51,9 @@
     /** Whether this node has read the stream to its end, so that later records are news. */
     private boolean following;
 
+    /** Whether a read came after too long a gap, and no sign of life since. */
+    private boolean readAfterGap;
+
     private long lastHeartbeatMs;
     private long lastRecordMs;
     private long lastReadMs;
@@ -105,12 +111,14 @@
             }
         }
         lastHeartbeatMs = nowMs;
+        readAfterGap = false;
     }
 
     private void signOfLife(long nowMs) {
         boolean observed = following && nowMs - lastReadMs <= MAX_READ_GAP_MS;
         timeout.signOfLife(observed ? nowMs - lastHeartbeatMs : 0, nowMs);
         lastHeartbeatMs = nowMs;
+        readAfterGap = false;
     }
 
     /**
@@ -126,13 +134,16 @@
 
     /**
      * Records that this node has read the stream to its end. After too long a gap between two reads, the owner's
-     * silence is counted from now.
+     * silence is counted from now, as the store was away for the owner, too. Further gaps before its next sign of life
+     * count in part: on a store that is always slow, the silence would never end otherwise.
      *
      * @param nowMs present time in ms
      */
     public void streamEndReached(long nowMs) {
-        if (nowMs - lastReadMs > MAX_READ_GAP_MS) {
-            lastHeartbeatMs = nowMs;
+        long gapMs = nowMs - lastReadMs;
+        if (gapMs > MAX_READ_GAP_MS) {
+            lastHeartbeatMs = readAfterGap ? Math.min(nowMs, lastHeartbeatMs + gapMs - COUNTED_GAP_MS) : nowMs;
+            readAfterGap = true;
             if (following) {
                 timeout.awaitSignOfLife();
             }
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/ElectionTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/ElectionTest.java
@@ -218,4 +218,29 @@
         election.streamEndReached(3400);
         assertTrue(election.epochToClaim(3400).isEmpty());
     }
+
+    /** Guards against a dead owner that is never missed because each read of a slow store takes too long. */
+    @Test
+    public void missesADeadOwnerThoughEachReadComesAfterAGap() {
+        Election election = following();
+        heartbeats(election, "other", 70_000, 400, 100, 2100);
+        long nowMs = 2100;
+        while (election.epochToClaim(nowMs).isEmpty()) {
+            assertTrue(nowMs < 20_000, "no claim");
+            nowMs += 1500;
+            election.streamEndReached(nowMs);
+        }
+        assertTrue(nowMs > 2100 + 3 * 1500, "claim after " + (nowMs - 2100) + " ms");
+    }
+
+    /** Guards against a claim of an owner that the store kept from writing twice in succession. */
+    @Test
+    public void givesTheOwnerTimeAfterEachOutageThatItSurvives() {
+        Election election = following();
+        heartbeats(election, "other", 70_000, 400, 100, 2100);
+        election.streamEndReached(6000);
+        heartbeats(election, "other", 70_000, 400, 6100, 6900);
+        election.streamEndReached(11_000);
+        assertEquals(claimDelayMs(election, 11_000), 2400);
+    }
 }
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/FirstRenewalsTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/FirstRenewalsTest.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.OptionalLong;
+import java.util.Optional;
 
 import org.fuchsiawinch.model.WorkerId;
 import org.fuchsiawinch.workflow.owner.CellOwner;
@@ -33,8 +33,8 @@
     private void takeOver(List<CellRecord> records) {
         asked.clear();
         nowMs = OwnerHarness.START_MS;
-        owner = new CellOwner(OwnerSettings.of("n1", 10_000, 3, 60_000), 2, (event, pairs) -> {}, nowMs);
-        owner.load(records, OptionalLong.of(1), nowMs);
+        owner = new CellOwner(OwnerSettings.of("n1", 10_000, 3, 60_000), 2, (event, pairs) -> {}, nowMs, nowMs);
+        owner.load(records, Optional.empty(), nowMs);
         for (int i = 0; i < WORKERS; i++) {
             input(new OwnerInput.WorkerListed(new WorkerRegistration(
                     worker(i), "desk", "r1", List.of("a", "r1"), OwnerHarness.WORKER_CAPACITY, false)));
