--- a/standin/src/main/java/org/fuchsiawinch/standin/userplatform/RunModel.java
+++ b/standin/src/main/java/org/fuchsiawinch/standin/userplatform/RunModel.java
@@ -56,8 +56,9 @@
      *
      * @param run the run
      * @param outcome the platform's outcome code
+     * @param leaseHeld whether the worker's lease held all the time between the end and its acknowledgement
      */
-    void acknowledged(RunId run, String outcome);
+    void acknowledged(RunId run, String outcome, boolean leaseHeld);
 
     /**
      * Returns a model in which each run succeeds after the same time.
@@ -89,7 +90,7 @@
             }
 
             @Override
-            public void acknowledged(RunId run, String outcome) {
+            public void acknowledged(RunId run, String outcome, boolean leaseHeld) {
                 // Nothing is kept of ended runs.
             }
         };
--- a/standin/src/main/java/org/fuchsiawinch/standin/userplatform/UserPlatformWorker.java
+++ b/standin/src/main/java/org/fuchsiawinch/standin/userplatform/UserPlatformWorker.java
@@ -23,6 +23,7 @@
     private long fence;
     private long leaseEndMs;
     private long lastEndSequence;
+    private long lastLapsedSequence;
 
     /**
      * Run in progress.
@@ -177,7 +178,8 @@
         leaseEndMs = Math.max(leaseEndMs, newLeaseEndMs);
         endedRuns.stream()
                 .filter(end -> end.sequence() <= acknowledgedSequence)
-                .forEach(end -> model.acknowledged(runId(end.task(), end.run()), end.outcome()));
+                .forEach(end -> model.acknowledged(
+                        runId(end.task(), end.run()), end.outcome(), end.sequence() > lastLapsedSequence));
         endedRuns.removeIf(end -> end.sequence() <= acknowledgedSequence);
         return true;
     }
@@ -208,10 +210,13 @@
      * @param nowMs present time in ms since the Unix epoch
      */
     public void advance(long nowMs) {
+        boolean leaseExpired = clockMs(nowMs) > leaseEndMs;
+        if (leaseExpired) {
+            lastLapsedSequence = lastEndSequence;
+        }
         if (running.isEmpty()) {
             return;
         }
-        boolean leaseExpired = clockMs(nowMs) > leaseEndMs;
         Map.copyOf(running).forEach((task, run) -> {
             Optional<String> outcome =
                     leaseExpired ? Optional.of("lapsed") : model.outcome(runId(task, run.number()), nowMs);
