Take no permission for leases from a stale claim

A claim without a condition may be stored late, after records that the node had not read at its newest claim, and its owner then took the leases of the earlier owner for expired. A suspension during a load was not passed on, so that the owner granted leases on its claim of before. A listener that starts its follower again made it read twice as often for good.

--- a/server/src/main/java/org/fuchsiawinch/server/Node.java
+++ b/server/src/main/java/org/fuchsiawinch/server/Node.java
@@ -82,7 +82,10 @@
     /** The owner before the claim; empty if another node may have claimed the cell in between. */
     private Optional<Predecessor> predecessor = Optional.empty();
 
-    /** Time in ms at which the newest claim was sent. */
+    /** Newest epoch of a claim without a condition, which may be stored after records that this node has not read. */
+    private long unconditionalEpoch = Long.MIN_VALUE;
+
+    /** Time in ms at which the claimed epoch was first claimed; any of its claims may be the stored one. */
     private long claimSentMs;
 
     /** Whether a claim, or the read after a failed one, is unanswered. */
@@ -218,6 +221,8 @@
         }
         metrics.counter("suspensions").inc();
         log.line("node-suspended", "suspendedMs", suspendedMs);
+        // A claim in flight permits no leases any more.
+        claimSentMs = Long.MIN_VALUE / 2;
         ownership.ifPresent(OwnerSession::suspended);
         operatorFollower.startAgain();
         cellFollower.startAgain();
@@ -273,10 +278,16 @@
      */
     private void claim(long epoch) {
         claimInFlight = true;
+        long nowMs = clock.getAsLong();
+        if (!claimedEpoch.equals(OptionalLong.of(epoch))) {
+            claimSentMs = nowMs;
+        }
         claimedEpoch = OptionalLong.of(epoch);
         boolean conditional = movedClaims < MAX_CONDITIONAL_CLAIMS;
-        predecessor = conditional ? Optional.of(election.predecessor()) : Optional.empty();
-        claimSentMs = clock.getAsLong();
+        if (!conditional) {
+            unconditionalEpoch = epoch;
+        }
+        predecessor = epoch == unconditionalEpoch ? Optional.empty() : Optional.of(election.predecessor());
         log.line(
                 "cell-claimed",
                 "epoch",
@@ -288,7 +299,7 @@
                 "silentMs",
                 election.ownerSilenceMs(),
                 "timeoutMs",
-                election.timeoutMs(claimSentMs));
+                election.timeoutMs(nowMs));
         CellRecord record = new CellRecord.Owner(settings.name(), epoch, false);
         List<StreamStore.Entry> entries = List.of(new StreamStore.Entry(record.key(), codec.encode(record)));
         ports.store()
--- a/server/src/main/java/org/fuchsiawinch/server/owner/OwnerSession.java
+++ b/server/src/main/java/org/fuchsiawinch/server/owner/OwnerSession.java
@@ -46,6 +46,9 @@
     /** Longest time in ms since the last proof that no other node had claimed the cell for a load to be valid. */
     private static final long MAX_PROOF_AGE_MS = 500;
 
+    /** A time in ms before all others; half the minimum, so that differences do not overflow. */
+    private static final long NEVER_MS = Long.MIN_VALUE / 2;
+
     /** Workers write about once a second; the pause lets one read return several entries. */
     private static final StreamFollower.PollSettings WORKERS_POLL = new StreamFollower.PollSettings(1000, 200);
 
@@ -62,9 +65,12 @@
     private final StreamFollower workerFollower;
     private final FencedAppender appender;
     private final Optional<Predecessor> predecessor;
-    private final long claimSentMs;
     private final Runnable suspensionCheck;
     private final long claimStoredMs;
+
+    /** Time in ms at which the claim was sent; long ago if the machine has been suspended since. */
+    private long claimSentMs;
+
     private Optional<CellOwner> owner = Optional.empty();
     private Guarantees guarantees;
     private Disposable ticker = () -> {};
@@ -135,7 +141,7 @@
         this.barrier = new FailureBarrier(log);
         this.onEnd = onEnd;
         this.claimStoredMs = clock.getAsLong();
-        this.provenMs = Long.MIN_VALUE / 2;
+        this.provenMs = NEVER_MS;
         this.workerList = new WorkerList(ports.entryDecoder(), scheduler, barrier, this::handle);
         this.workerFollower = new StreamFollower(
                 Stream.WORKERS, ports.store(), WORKERS_POLL, scheduler, clock, epoch, workerList, log);
@@ -181,6 +187,9 @@
 
     /** Handles that the machine has been suspended together with its clock. */
     public void suspended() {
+        // A load in progress has to be proven anew, and its claim permits no leases.
+        claimSentMs = NEVER_MS;
+        provenMs = NEVER_MS;
         handle(new OwnerInput.Suspended());
     }
 
--- a/server/src/main/java/org/fuchsiawinch/server/stream/StreamFollower.java
+++ b/server/src/main/java/org/fuchsiawinch/server/stream/StreamFollower.java
@@ -101,6 +101,9 @@
     /** Read in flight or scheduled action. */
     private Disposable pending = () -> {};
 
+    /** Number of restarts; a listener may ask for one while it receives entries. */
+    private int restarts;
+
     /** Signals the end of the probes that are in flight. */
     private Sinks.Empty<Void> endOfProbes = Sinks.empty();
 
@@ -149,6 +152,7 @@
         if (closed) {
             return;
         }
+        restarts++;
         lastAnswerMs = NEVER_MS;
         endProbing();
         start();
@@ -294,6 +298,7 @@
     }
 
     private void applySnapshot(List<StreamStore.StoredEntry> entries, long end) {
+        int restartsBefore = restarts;
         markReachable();
         snapshotOffsets.clear();
         snapshotEnd = end;
@@ -306,7 +311,9 @@
         nextOffset = end;
         entries.sort((left, right) -> Long.compare(left.offset(), right.offset()));
         deliverSnapshot(entries);
-        read();
+        if (restarts == restartsBefore) {
+            read();
+        }
     }
 
     private void read() {
@@ -365,8 +372,12 @@
         }
         StreamStore.ReadResult.Entries read = (StreamStore.ReadResult.Entries) result;
         boolean foundEntries = !read.entries().isEmpty();
+        int restartsBefore = restarts;
         markReachable();
         apply(read);
+        if (restarts != restartsBefore) {
+            return;
+        }
         boolean behind = nextOffset < read.end();
         schedule(foundEntries && !behind ? poll.pauseMs() : 0, this::read);
     }
--- a/server/src/test/java/org/fuchsiawinch/server/StreamFollowerTest.java
+++ b/server/src/test/java/org/fuchsiawinch/server/StreamFollowerTest.java
@@ -27,12 +27,16 @@
     private List<String> log;
     private StreamFollower follower;
 
+    /** What the listener does when it receives the next entries. */
+    private Runnable onNextEntries;
+
     @BeforeMethod
     public void create() {
         time = VirtualTimeScheduler.create();
         store = new FakeStore(time);
         received = new ArrayList<>();
         log = new ArrayList<>();
+        onNextEntries = () -> {};
         follower = new StreamFollower(
                 Stream.CELL,
                 store,
@@ -59,6 +63,11 @@
             }
             entries.forEach(stored -> received.add(
                     stored.entry().key() + "=" + new String(stored.entry().value(), StandardCharsets.UTF_8)));
+            if (!entries.isEmpty()) {
+                Runnable action = onNextEntries;
+                onNextEntries = () -> {};
+                action.run();
+            }
         }
 
         @Override
@@ -260,4 +269,18 @@
         assertTrue(log.contains("dependency-regained"), log.toString());
         assertTrue(store.cancelledReads >= 3, "reads given up " + store.cancelledReads);
     }
+
+    // Guards against a follower that reads twice as often for good, as its listener has noticed a suspension.
+    @Test
+    public void readsOneAtATimeAfterItsListenerStartsItAgain() {
+        follower.start();
+        advance(1000);
+        onNextEntries = follower::startAgain;
+        store.put("a", "1");
+        advance(2000);
+        int before = store.reads;
+        advance(5000);
+        assertTrue(store.reads - before <= 11, store.reads - before + " reads in 5 s; each should wait 0.5 s");
+        assertEquals(received, List.of("snapshot", "a=1", "snapshot", "a=1"));
+    }
 }
