--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Placer.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Placer.java
@@ -211,7 +211,7 @@
         return place(unit, Set.of());
     }
 
-    /** Places all tasks of the unit or none as if preferences did not exist. */
+    /** Places all tasks of the unit or none, regardless of the preferences that are waived. */
     Optional<List<WorkerState>> place(SchedulingUnit unit, Set<Preference> waived) {
         Optional<List<WorkerState>> found = find(unit, waived);
         found.ifPresent(workers -> workers.forEach(worker -> {
@@ -224,7 +224,7 @@
         return found;
     }
 
-    /** Returns whether the unit could be placed if preferences did not exist; takes nothing from the free capacity. */
+    /** Returns whether the unit could be placed with some preferences waived; takes nothing from the free capacity. */
     boolean fits(SchedulingUnit unit, Set<Preference> waived) {
         return find(unit, waived).isPresent();
     }
