Review: case 6 with eight workers and up to three rounds

Cause: one of four workers was above the site's share of crashes. Which answer the woken process handles first is a race, so the script plays up to three rounds and ends with the first that breaks the rule.

--- a/review/6/StaleOwner.java
+++ b/review/6/StaleOwner.java
@@ -3,6 +3,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -26,9 +27,9 @@
 public final class StaleOwner {
 
     private static final Worker.Kind KIND = new Worker.Kind("a", 32_000, 131_072, 8);
-    private static final int WORKERS = 4;
+    private static final int WORKERS = 8;
     private static final long WORK_MS = 8000;
-    private static final long DOWN_MS = 400;
+    private static final long DOWN_MS = 600;
 
     /** From the new boot's start to the end of the freeze. */
     private static final long WAKE_MS = 150;
@@ -36,12 +37,32 @@
     /** Longest freeze on the site. */
     private static final long MAX_FREEZE_MS = 4000;
 
-    private static final String JOB = "5c0e7a21d94b1000";
-    private static final String TASK = JOB + ".0.0.0";
-    private static final String URGENT = "5c0e7a21d94b2000";
+    /** Rounds at most; the last one is the first that breaks the rule. */
+    private static final int ROUNDS = 3;
 
     private StaleOwner() {}
 
+    /** One freeze of the present owner. */
+    private static final class Round {
+        private final String job;
+        private final String urgent;
+        private final Nodes.Node owner;
+        private final CountDownLatch frozen = new CountDownLatch(1);
+        private final CountDownLatch elsewhere = new CountDownLatch(1);
+        private volatile Worker assigned;
+        private volatile long frozenMs;
+
+        private Round(int number, Nodes.Node owner) {
+            this.job = String.format("5c0e7a21d94b1%03d", number);
+            this.urgent = String.format("5c0e7a21d94b2%03d", number);
+            this.owner = owner;
+        }
+
+        private String task() {
+            return job + ".0.0.0";
+        }
+    }
+
     public static void main(String[] arguments) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         Path here = Path.of(arguments[0]);
@@ -61,9 +82,7 @@
         Map<String, Worker.Item> items = new ConcurrentHashMap<>();
         Map<String, Set<String>> running = new ConcurrentHashMap<>();
         Map<String, Integer> done = new ConcurrentHashMap<>();
-        AtomicReference<Worker> assigned = new AtomicReference<>();
-        CountDownLatch frozen = new CountDownLatch(1);
-        CountDownLatch elsewhere = new CountDownLatch(1);
+        AtomicReference<Round> current = new AtomicReference<>();
         // Until when a call of the new owner waits at each worker.
         Map<String, Long> askedUntilMs = new ConcurrentHashMap<>();
         Worker.Observer observer = new Worker.Observer() {
@@ -80,8 +99,9 @@
                             + " while it runs: " + others);
                 }
                 others.add(worker.id + " run " + run);
-                if (task.equals(TASK) && worker != assigned.get()) {
-                    elsewhere.countDown();
+                Round round = current.get();
+                if (task.equals(round.task()) && worker != round.assigned) {
+                    round.elsewhere.countDown();
                 }
             }
 
@@ -98,7 +118,7 @@
         List<Worker> workers = new ArrayList<>();
         for (int i = 0; i < WORKERS; i++) {
             Worker worker =
-                    new Worker("i-" + (100 + i), "desk", "r" + i / 2, 10_000, 1500, store, recorder, observer);
+                    new Worker("i-" + (100 + i), "desk", "r" + i / 4, 10_000, 1500, store, recorder, observer);
             worker.endConnections();
             worker.start(KIND);
             workers.add(worker);
@@ -111,13 +131,11 @@
         while (nodes.owner() == null && recorder.ms() < giveUpMs) {
             Thread.sleep(100);
         }
-        Nodes.Node owner = nodes.owner();
-        if (owner == null) {
+        if (nodes.owner() == null) {
             recorder.line("no node holds the cell");
             return 2;
         }
-        Thread.sleep(5000);
-        long[] frozenMs = {0};
+        Thread.sleep(4000);
         if (trouble) {
             workers.forEach(worker -> worker.deliverBy((to, path, order) -> {
                 if (path.equals("/-/hold")) {
@@ -126,57 +144,93 @@
                 return true;
             }));
             store.observeBy((address, body, status) -> {
-                if (frozenMs[0] == 0
+                Round round = current.get();
+                if (round != null
+                        && round.frozenMs == 0
                         && status == 200
-                        && address.equals(owner.storeAddress)
-                        && body.contains("s/" + JOB)) {
-                    workers.stream().filter(worker -> body.contains(worker.id)).findFirst().ifPresent(assigned::set);
-                    frozenMs[0] = recorder.ms();
-                    owner.signal("STOP");
-                    recorder.line("work item " + TASK + " is assigned to " + assigned.get().id);
-                    frozen.countDown();
+                        && address.equals(round.owner.storeAddress)
+                        && body.contains("s/" + round.job)) {
+                    // The record of the job names one worker; other records of the append may name all.
+                    String record = body.substring(body.indexOf("s/" + round.job));
+                    round.assigned = workers.stream()
+                            .filter(worker -> record.contains(worker.id))
+                            .min(Comparator.comparingInt(worker -> record.indexOf(worker.id)))
+                            .orElseThrow();
+                    round.frozenMs = recorder.ms();
+                    round.owner.signal("STOP");
+                    recorder.line("work item " + round.task() + " is assigned to " + round.assigned.id);
+                    round.frozen.countDown();
                 }
             });
         }
-        Nodes.Node other = nodes.all().stream().filter(node -> node != owner).findFirst().orElseThrow();
-        items.put(TASK, new Worker.Item("check", 8000, 16_384, 8, "", WORK_MS));
-        client.call(other, "POST", "/checks/" + JOB, job("check"));
-        if (trouble && !frozen.await(5, TimeUnit.SECONDS)) {
-            recorder.line("no freeze");
-            return 2;
-        }
-        // Urgent work, which the next owner places first.
-        items.put(URGENT + ".0.0.0", new Worker.Item("quote", 8000, 16_384, 8, "", WORK_MS));
-        Client.Answer urgent = client.call(other, "POST", "/quotes/" + URGENT, job("quote"));
-        if (trouble) {
-            boolean ready = elsewhere.await(3, TimeUnit.SECONDS);
-            if (ready) {
+        int struck = 0;
+        String states = "";
+        for (int number = 1; number <= ROUNDS && recorder.broken().isEmpty(); number++) {
+            long endMs = recorder.ms() + 8000;
+            while (nodes.owner() == null && recorder.ms() < endMs) {
                 Thread.sleep(100);
-                // The call that is waiting lasts longer than the worker is down.
-                while (askedUntilMs.getOrDefault(assigned.get().id, 0L) - recorder.ms() < DOWN_MS) {
-                    Thread.sleep(5);
-                }
-                assigned.get().losePower();
-                Thread.sleep(DOWN_MS);
-                assigned.get().powerUp(KIND);
-                Thread.sleep(WAKE_MS);
             }
-            owner.signal("CONT");
-            long freezeMs = recorder.ms() - frozenMs[0];
-            recorder.line("the freeze took " + freezeMs + " ms");
-            if (!ready || freezeMs > MAX_FREEZE_MS) {
-                return 2;
+            if (nodes.owner() == null) {
+                continue;
             }
+            Round round = new Round(number, nodes.owner());
+            current.set(round);
+            struck += play(round, trouble, items, client, nodes, askedUntilMs, recorder) ? 1 : 0;
+            // The work items end.
+            Thread.sleep(WORK_MS + 3000);
+            states += client.callWithRetries("GET", "/checks/" + round.job, "").body();
         }
-        Thread.sleep(20_000);
-        Client.Answer state = client.callWithRetries("GET", "/checks/" + JOB, "");
-        String summary = "urgent job " + urgent.status() + ", job " + state.body() + ", work item done "
-                + done.getOrDefault(TASK, 0) + " times, broken " + recorder.broken().size();
+        String summary = "rounds " + struck + ", jobs " + states + ", broken " + recorder.broken().size();
         recorder.line(summary);
         System.out.println(summary);
+        if (struck == 0) {
+            return 2;
+        }
         return recorder.broken().isEmpty() ? 0 : 1;
     }
 
+    private static boolean play(
+            Round round,
+            boolean trouble,
+            Map<String, Worker.Item> items,
+            Client client,
+            Nodes nodes,
+            Map<String, Long> askedUntilMs,
+            Recorder recorder)
+            throws Exception {
+        Nodes.Node other =
+                nodes.all().stream().filter(node -> node != round.owner).findFirst().orElseThrow();
+        items.put(round.task(), new Worker.Item("check", 8000, 16_384, 8, "", WORK_MS));
+        client.call(other, "POST", "/checks/" + round.job, job("check"));
+        if (trouble && !round.frozen.await(5, TimeUnit.SECONDS)) {
+            recorder.line("no freeze");
+            return false;
+        }
+        // Urgent work, which the next owner places first.
+        items.put(round.urgent + ".0.0.0", new Worker.Item("quote", 8000, 16_384, 8, "", WORK_MS));
+        client.call(other, "POST", "/quotes/" + round.urgent, job("quote"));
+        if (!trouble) {
+            return true;
+        }
+        boolean ready = round.elsewhere.await(MAX_FREEZE_MS - 1500, TimeUnit.MILLISECONDS);
+        if (ready) {
+            Thread.sleep(100);
+            // The call that is waiting lasts longer than the worker is down.
+            while (askedUntilMs.getOrDefault(round.assigned.id, 0L) - recorder.ms() < DOWN_MS + WAKE_MS
+                    && recorder.ms() - round.frozenMs < MAX_FREEZE_MS - DOWN_MS - WAKE_MS - 200) {
+                Thread.sleep(5);
+            }
+            round.assigned.losePower();
+            Thread.sleep(DOWN_MS);
+            round.assigned.powerUp(KIND);
+            Thread.sleep(WAKE_MS);
+        }
+        round.owner.signal("CONT");
+        long freezeMs = recorder.ms() - round.frozenMs;
+        recorder.line("the freeze took " + freezeMs + " ms");
+        return ready && freezeMs <= MAX_FREEZE_MS;
+    }
+
     private static String job(String spec) {
         return Json.write(Json.map(
                 "spec",
