--- a/server/src/main/java/org/fuchsiawinch/server/failure/ContainedGateway.java
+++ b/server/src/main/java/org/fuchsiawinch/server/failure/ContainedGateway.java
@@ -1,5 +1,7 @@
 package org.fuchsiawinch.server.failure;
 
+import java.util.function.BooleanSupplier;
+
 import org.fuchsiawinch.server.port.WorkerGateway;
 import org.fuchsiawinch.workflow.owner.OwnerEffect;
 import org.fuchsiawinch.workflow.owner.StartOutcome;
@@ -34,11 +36,12 @@
     }
 
     @Override
-    public Mono<StartOutcome> start(String address, long epoch, OwnerEffect.Start order) {
-        return ErrorSignals.defer(() -> gateway.start(address, epoch, order)).onErrorResume(failure -> {
-            barrier.report("worker-start", failure);
-            return Mono.just(StartOutcome.UNANSWERED);
-        });
+    public Mono<StartOutcome> start(String address, long epoch, OwnerEffect.Start order, BooleanSupplier permitted) {
+        return ErrorSignals.defer(() -> gateway.start(address, epoch, order, permitted))
+                .onErrorResume(failure -> {
+                    barrier.report("worker-start", failure);
+                    return Mono.just(StartOutcome.UNANSWERED);
+                });
     }
 
     @Override
--- a/server/src/main/java/org/fuchsiawinch/server/owner/OwnerSession.java
+++ b/server/src/main/java/org/fuchsiawinch/server/owner/OwnerSession.java
@@ -359,7 +359,7 @@
             renew(renew);
         } else if (effect instanceof OwnerEffect.Start start) {
             ports.gateway()
-                    .start(workerList.address(start.worker()), epoch, start)
+                    .start(workerList.address(start.worker()), epoch, start, () -> mayStillSend(start))
                     .subscribe(outcome -> handle(new OwnerInput.StartAnswered(start.worker(), start.run(), outcome)));
         } else if (effect instanceof OwnerEffect.Stop stop) {
             ports.gateway()
@@ -370,6 +370,13 @@
         }
     }
 
+    private boolean mayStillSend(OwnerEffect.Start start) {
+        suspensionCheck.run();
+        return !ended
+                && owner.filter(current -> current.mayStillSend(start, clock.getAsLong()))
+                        .isPresent();
+    }
+
     private void renew(OwnerEffect.Renew renew) {
         long sentMs = clock.getAsLong();
         ports.gateway().renew(workerList.address(renew.worker()), epoch, renew).subscribe(result -> {
--- a/server/src/main/java/org/fuchsiawinch/server/port/WorkerGateway.java
+++ b/server/src/main/java/org/fuchsiawinch/server/port/WorkerGateway.java
@@ -1,5 +1,7 @@
 package org.fuchsiawinch.server.port;
 
+import java.util.function.BooleanSupplier;
+
 import org.fuchsiawinch.workflow.owner.OwnerEffect;
 import org.fuchsiawinch.workflow.owner.StartOutcome;
 import org.fuchsiawinch.workflow.owner.WorkerReport;
@@ -27,9 +29,10 @@
      * @param address host and port of the worker; empty if unknown: nothing is sent and the call fails
      * @param epoch the owner's epoch, which fences off orders of earlier owners
      * @param order the worker, the run and its input
-     * @return outcome of the start
+     * @param permitted whether the order may still be sent; called on the node's single thread, right before it is
+     * @return outcome of the start; {@link StartOutcome#WITHHELD} if it was not permitted any more
      */
-    Mono<StartOutcome> start(String address, long epoch, OwnerEffect.Start order);
+    Mono<StartOutcome> start(String address, long epoch, OwnerEffect.Start order, BooleanSupplier permitted);
 
     /**
      * Stops a run of a task.
--- a/server/src/test/java/org/fuchsiawinch/server/NodeFailureTest.java
+++ b/server/src/test/java/org/fuchsiawinch/server/NodeFailureTest.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 import com.codahale.metrics.MetricRegistry;
@@ -102,7 +103,8 @@
         }
 
         @Override
-        public Mono<StartOutcome> start(String address, long epoch, OwnerEffect.Start order) {
+        public Mono<StartOutcome> start(
+                String address, long epoch, OwnerEffect.Start order, BooleanSupplier permitted) {
             return Mono.just(StartOutcome.STARTED);
         }
 
--- a/server/src/test/java/org/fuchsiawinch/server/TakeoverLeaseTest.java
+++ b/server/src/test/java/org/fuchsiawinch/server/TakeoverLeaseTest.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 import com.codahale.metrics.MetricRegistry;
 import org.fuchsiawinch.model.Resources;
@@ -178,7 +179,8 @@
         }
 
         @Override
-        public Mono<StartOutcome> start(String address, long epoch, OwnerEffect.Start order) {
+        public Mono<StartOutcome> start(
+                String address, long epoch, OwnerEffect.Start order, BooleanSupplier permitted) {
             return Mono.never();
         }
 
--- a/server/src/test/java/org/fuchsiawinch/server/UnresponsiveWorkers.java
+++ b/server/src/test/java/org/fuchsiawinch/server/UnresponsiveWorkers.java
@@ -1,5 +1,7 @@
 package org.fuchsiawinch.server;
 
+import java.util.function.BooleanSupplier;
+
 import org.fuchsiawinch.server.port.WorkerGateway;
 import org.fuchsiawinch.workflow.owner.OwnerEffect;
 import org.fuchsiawinch.workflow.owner.StartOutcome;
@@ -14,7 +16,7 @@
     }
 
     @Override
-    public Mono<StartOutcome> start(String address, long epoch, OwnerEffect.Start order) {
+    public Mono<StartOutcome> start(String address, long epoch, OwnerEffect.Start order, BooleanSupplier permitted) {
         return Mono.never();
     }
 
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/cell/Election.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/cell/Election.java
@@ -101,6 +101,7 @@
             owner = claim.node();
             released = claim.released();
             countsFromSending = claim.countsFromSending();
+            timeout.term(claim.termMs());
             vacant = released || owner.equals(node);
         }
     }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
@@ -163,7 +163,7 @@
             tick(nowMs);
         } else if (input instanceof OwnerInput.Suspended) {
             appendSentMs = CellState.NEVER_MS;
-            state.forbidLeases();
+            state.forbidOrders();
         } else if (input instanceof OwnerInput.WorkersPending list) {
             workersPending = list.pending();
         } else if (input instanceof OwnerInput.GuaranteesChanged changed) {
@@ -197,6 +197,18 @@
         return unreachedLeases.recordOfRelease(nowMs).stream().toList();
     }
 
+    /**
+     * Returns whether a start order may still be sent. Call right before it is sent, as it may have waited for a
+     * connection.
+     *
+     * @param start the order
+     * @param nowMs present time in ms
+     * @return false if another node may have claimed the cell
+     */
+    public boolean mayStillSend(OwnerEffect.Start start, long nowMs) {
+        return state.mayOrderStarts(nowMs);
+    }
+
     /**
      * Returns the number of runs that hold capacity of a worker.
      *
@@ -429,25 +441,33 @@
         appendPending = false;
         lastAppendMs = nowMs;
         state.lastStoredMs = appendSentMs;
+        state.term.appendStored(appendSentMs, nowMs);
         unreachedLeases.appendStored(nowMs);
+        endsStored(nowMs);
+        List<ActiveRun> starts = startsBeingStored;
+        startsBeingStored = List.of();
+        if (starts.isEmpty() || state.mayOrderStarts(nowMs)) {
+            starts.forEach(run -> runTracker.assignmentStored(run, nowMs));
+            return;
+        }
+        state.log.line(
+                "starts-deferred", "epoch", epoch, "runs", starts.size(), "confirmationAgeMs", nowMs - appendSentMs);
+        state.pendingStarts.addAll(0, starts);
+    }
+
+    private void endsStored(long nowMs) {
         endsBeingStored.forEach((id, end) -> findWorker(id).ifPresent(worker -> {
             if (end.incarnation() == worker.incarnation && end.sequence() > worker.acknowledgedSequence) {
                 worker.acknowledgedSequence = end.sequence();
                 worker.nextRenewalMs = nowMs;
             }
         }));
-        List<ActiveRun> starts = startsBeingStored;
-        startsBeingStored = List.of();
-        if (!state.mayGrantLeases(nowMs)) {
-            // A start grants a lease, so it waits for the next confirmation.
-            state.pendingStarts.addAll(0, starts);
-            return;
-        }
-        starts.forEach(run -> runTracker.assignmentStored(run, nowMs));
     }
 
     private void append(long nowMs) {
-        boolean heartbeatDue = nowMs - lastAppendMs >= state.settings.heartbeatMs() || !state.mayGrantLeases(nowMs);
+        boolean heartbeatDue = nowMs - lastAppendMs >= state.settings.heartbeatMs()
+                || !state.mayGrantLeases(nowMs)
+                || !state.pendingStarts.isEmpty();
         if (heartbeatDue || !state.changedJobs.isEmpty()) {
             state.changedJobs.addAll(state.begunJobs);
             state.begunJobs.clear();
@@ -462,8 +482,10 @@
             records.add(learnedRunTimes());
         }
         Optional<CellRecord> unreachedWorkers = unreachedLeases.recordToStore(nowMs);
-        if (records.isEmpty() && (heartbeatDue || unreachedWorkers.isPresent())) {
-            records.add(new CellRecord.Owner(state.settings.node(), epoch, false));
+        boolean heartbeat = records.isEmpty() && (heartbeatDue || unreachedWorkers.isPresent());
+        if (heartbeat || !records.isEmpty() && state.term.announcementDue()) {
+            state.term.announced();
+            records.add(new CellRecord.Owner(state.settings.node(), epoch, false, state.term.wantedMs()));
         }
         unreachedWorkers.ifPresent(records::add);
         startsBeingStored = List.copyOf(state.pendingStarts);
@@ -478,8 +500,8 @@
         }
         if (records.isEmpty()) {
             if (unstoredEnds) {
-                // Ends that changed no job need no record; lastAppendMs stays, so that the heartbeat is not delayed.
-                appendStored(lastAppendMs);
+                // Ends that changed no job need no record.
+                endsStored(nowMs);
             }
             return;
         }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellState.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellState.java
@@ -53,6 +53,8 @@
     /** Time in ms at which the last append that the store has confirmed was sent; at first that of the claim. */
     long lastStoredMs;
 
+    final OwnershipTerm term = new OwnershipTerm();
+
     List<OwnerEffect> effects = new ArrayList<>();
 
     /** A time in ms before all others; half the minimum, so that differences do not overflow. */
@@ -79,9 +81,18 @@
         return nowMs - lastStoredMs <= OwnerSettings.MAX_STORE_SILENCE_MS;
     }
 
-    /** Forbids leases until the store confirms another append. */
-    void forbidLeases() {
+    /**
+     * Returns whether this owner may order starts. Beside another owner, a start may run a task twice, as a worker
+     * that has restarted knows no epoch.
+     */
+    boolean mayOrderStarts(long nowMs) {
+        return term.certain(nowMs) && mayGrantLeases(nowMs);
+    }
+
+    /** Forbids leases and starts until the store confirms another append. */
+    void forbidOrders() {
         lastStoredMs = NEVER_MS;
+        term.end();
     }
 
     /** Returns the accelerator count of the largest worker; 0 if there is none. */
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/OwnerLoad.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/OwnerLoad.java
@@ -102,6 +102,8 @@
                 maxTickGapMs,
                 "maxAppendMs",
                 maxAppendMs,
+                "termMs",
+                state.term.announcedMs(),
                 "standingJobs",
                 standingJobs.count(),
                 "longestStandingMs",
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTracker.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTracker.java
@@ -83,6 +83,7 @@
             case FENCED -> state.effects.add(new OwnerEffect.StepDown("worker " + worker.id + " knows a higher epoch"));
             case SUPERSEDED -> run.absenceConclusiveAfterMs = nowMs;
             case UNANSWERED -> startUnanswered(run, nowMs);
+            case WITHHELD -> startWithheld(run, nowMs);
             default -> startRefused(run, outcome, nowMs);
         }
     }
@@ -102,12 +103,23 @@
     private void startUnanswered(ActiveRun run, long nowMs) {
         run.startUnanswered = true;
         run.startUnansweredMs = nowMs;
-        boolean mayRepeat = run.startOrders < MAX_START_ORDERS && state.mayGrantLeases(nowMs);
+        boolean mayRepeat = run.startOrders < MAX_START_ORDERS && state.mayOrderStarts(nowMs);
         if (run.stage != ActiveRun.Stage.RUNNING && mayRepeat && !run.stopping) {
             sendStart(run, nowMs);
         }
     }
 
+    /** Sends the order after the next append, unless an earlier one for the run may be carried out meanwhile. */
+    private void startWithheld(ActiveRun run, long nowMs) {
+        run.startOrders--;
+        if (run.startOrders > 0) {
+            run.startUnansweredMs = nowMs;
+            return;
+        }
+        run.stage = ActiveRun.Stage.STORING;
+        state.pendingStarts.add(run);
+    }
+
     private void startRefused(ActiveRun run, StartOutcome outcome, long nowMs) {
         if (outcome == StartOutcome.REJECTED && failingJobs.runFailed(run.worker, run.job, nowMs, nowMs)) {
             state.log.line("worker-quarantined", "worker", run.worker.id, "cause", "rejects-starts");
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/StartOutcome.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/StartOutcome.java
@@ -14,6 +14,8 @@
     NO_ROOM,
     /** Refused: the worker is unhealthy, has another incarnation or rejects the order. */
     REJECTED,
+    /** Not sent: the permission to send it had ended before a connection was free. */
+    WITHHELD,
     /** No answer: the order may have been carried out, or may still be. */
     UNANSWERED
 }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/record/CellRecord.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/record/CellRecord.java
@@ -125,12 +125,33 @@
      * @param released whether the node has given up the cell
      * @param countsFromSending whether the owner counts the silence of the store from the sending of its appends;
      *     earlier versions of the program count it from the answers
+     * @param termMs time in ms after the reading of any record of the owner in which no other node claims the cell;
+     *     holds from this record on
      */
-    record Owner(String node, long epoch, boolean released, boolean countsFromSending) implements CellRecord {
+    record Owner(String node, long epoch, boolean released, boolean countsFromSending, long termMs)
+            implements CellRecord {
+
+        /** Shortest term in ms. */
+        public static final long MIN_TERM_MS = 1200;
+
+        /** Longest term in ms; bounds the time without an owner after one has died. */
+        public static final long MAX_TERM_MS = 4 * MIN_TERM_MS;
+
+        /**
+         * Limits the term to its valid range.
+         */
+        public Owner {
+            termMs = Math.max(MIN_TERM_MS, Math.min(MAX_TERM_MS, termMs));
+        }
 
         /** Creates a record of this version of the program. */
+        public Owner(String node, long epoch, boolean released, long termMs) {
+            this(node, epoch, released, true, termMs);
+        }
+
+        /** Creates a record of this version of the program with the shortest term. */
         public Owner(String node, long epoch, boolean released) {
-            this(node, epoch, released, true);
+            this(node, epoch, released, MIN_TERM_MS);
         }
 
         @Override
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/record/RecordCodec.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/record/RecordCodec.java
@@ -67,7 +67,7 @@
             } else if (record instanceof CellRecord.Owner owner) {
                 packer.packString(owner.node()).packLong(owner.epoch()).packBoolean(owner.released());
                 if (owner.countsFromSending()) {
-                    packer.packBoolean(true);
+                    packer.packBoolean(true).packLong(owner.termMs());
                 }
             } else if (record instanceof CellRecord.CancelRequested request
                     && request.workspace().isPresent()) {
@@ -150,7 +150,10 @@
         String node = unpacker.unpackString();
         long epoch = unpackEpoch(unpacker);
         boolean released = unpacker.unpackBoolean();
-        return new CellRecord.Owner(node, epoch, released, unpacker.hasNext() && unpacker.unpackBoolean());
+        // Earlier versions of the program write fewer fields.
+        boolean countsFromSending = unpacker.hasNext() && unpacker.unpackBoolean();
+        long termMs = unpacker.hasNext() ? unpacker.unpackLong() : CellRecord.Owner.MIN_TERM_MS;
+        return new CellRecord.Owner(node, epoch, released, countsFromSending, termMs);
     }
 
     private static long unpackEpoch(MessageUnpacker unpacker) throws IOException {
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/ElectionTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/ElectionTest.java
@@ -129,6 +129,20 @@
         return election;
     }
 
+    /** Guards against a claim before the end of a longer term, up to which the owner orders starts. */
+    @Test
+    public void waitsForTheTermThatTheOwnerHasAnnounced() {
+        Election election = following();
+        heartbeats(election, "other", 70_000, 400, 0, 30_000);
+        election.apply(new CellRecord.Owner("other", 70_000, false, 2400), 30_100);
+        election.streamEndReached(30_100);
+        assertEquals(claimDelayMs(election, 30_100), 2400);
+        election.apply(new CellRecord.Owner("other", 70_000, false), 32_600);
+        election.streamEndReached(32_600);
+        readEvery(election, 100, 32_600, 33_700);
+        assertTrue(election.epochToClaim(33_700).isEmpty());
+    }
+
     /** Guards against a time-out that stays long on a calm system. */
     @Test
     public void claimsAfterTheShortestTimeoutOnACalmSystem() {
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/FaultSimulation.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/FaultSimulation.java
@@ -146,6 +146,19 @@
                 Optional.empty());
     }
 
+    /** Returns the worker to which the newest stored record of a job assigns one of its tasks. */
+    Optional<SimulatedWorker> assignedWorker(String job) {
+        return store.newest().stream()
+                .filter(CellRecord.Progress.class::isInstance)
+                .map(CellRecord.Progress.class::cast)
+                .filter(progress -> progress.job().equals(job))
+                .flatMap(progress -> progress.steps().stream())
+                .flatMap(List::stream)
+                .flatMap(task -> task.worker().stream())
+                .findFirst()
+                .map(workers::get);
+    }
+
     Submission submission(TaskRef task) {
         return submissions.get(task.job());
     }
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/OwnerHarness.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/OwnerHarness.java
@@ -65,6 +65,9 @@
     /** Time in ms at which a successor that follows the stream reads the last record of the owner. */
     private long lastRecordMs = START_MS;
 
+    /** Shortest time in ms from a start order to the earliest claim of a node that has read the last stored record. */
+    long minTermLeftMs = Long.MAX_VALUE;
+
     /** Share of the workers that is kept free for urgent work. */
     double headroomShare = 0.125;
 
@@ -201,6 +204,7 @@
         } else if (effect instanceof OwnerEffect.Renew renew) {
             workers.get(renew.worker()).renew(caller, epoch, renew);
         } else if (effect instanceof OwnerEffect.Start start) {
+            minTermLeftMs = Math.min(minTermLeftMs, lastRecordMs + termMs() - nowMs);
             FakeWorker worker = workers.get(start.worker());
             long sentEpoch = epoch;
             schedule(
@@ -223,6 +227,12 @@
         }
     }
 
+    private long termMs() {
+        return stored.get(CellRecord.OWNER_KEY) instanceof CellRecord.Owner record
+                ? record.termMs()
+                : CellRecord.Owner.MIN_TERM_MS;
+    }
+
     private void append(CellOwner caller, OwnerEffect.Append append) {
         if (storeDown) {
             schedule(100, () -> append(caller, append));
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/RecordCodecTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/RecordCodecTest.java
@@ -70,7 +70,7 @@
             {new CellRecord.CancelRequested("0123456789abcdef")},
             {new CellRecord.CancelRequested("0123456789abcdef", Optional.of(new WorkspaceId("ws")))},
             {new CellRecord.Progress("0123456789abcdef", "plans", JobPhase.ACTIVE, 0, List.of(List.of(task, task)))},
-            {new CellRecord.Owner("n1", 70_000, true, false)},
+            {new CellRecord.Owner("n1", 70_000, true, false, CellRecord.Owner.MIN_TERM_MS)},
             {new CellRecord.UnreachedWorkers(70_000, Map.of(new WorkerId("w1"), 4000L, new WorkerId("w2"), 0L))},
             {new CellRecord.LearnedRunTimes(Map.of(new WorkerId("i-1"), 0.5), Map.of("plans", -0.25))},
             {new CellRecord.Removed("s/0123456789abcdef")},
@@ -201,17 +201,29 @@
         assertEquals(new JobState(job(steps)).criticalPathAfterMs(100), 3990);
     }
 
-    /** Guards against an owner of an earlier version, whose records lack the last field, that is taken for a newer one. */
+    /** Guards against an owner of an earlier version, whose records lack the last fields, that is taken for a newer one. */
     @Test
-    public void ownerWithoutTheLastFieldIsOfAnEarlierVersion() {
-        CellRecord.Owner earlier = new CellRecord.Owner("n1", 70_000, true, false);
-        CellRecord.Owner present = new CellRecord.Owner("n1", 70_000, true);
+    public void ownerWithoutTheLastFieldsIsOfAnEarlierVersion() {
+        int termBytes = 3;
+        CellRecord.Owner present = new CellRecord.Owner("n1", 70_000, true, 2400);
+        CellRecord.Owner withoutTerm = new CellRecord.Owner("n1", 70_000, true);
+        CellRecord.Owner earliest = new CellRecord.Owner("n1", 70_000, true, false, CellRecord.Owner.MIN_TERM_MS);
         byte[] whole = codec.encode(present);
         assertEquals(codec.decode(present.key(), whole), present);
-        assertEquals(codec.decode(present.key(), Arrays.copyOf(whole, whole.length - 1)), earlier);
-        for (int length = 1; length < whole.length - 1; length++) {
-            byte[] truncated = Arrays.copyOf(whole, length);
-            assertThrows(RecordFormatException.class, () -> codec.decode(present.key(), truncated));
+        assertEquals(codec.decode(present.key(), Arrays.copyOf(whole, whole.length - termBytes)), withoutTerm);
+        assertEquals(codec.decode(present.key(), Arrays.copyOf(whole, whole.length - termBytes - 1)), earliest);
+        for (int length = 1; length < whole.length; length++) {
+            if (length != whole.length - termBytes && length != whole.length - termBytes - 1) {
+                byte[] truncated = Arrays.copyOf(whole, length);
+                assertThrows(RecordFormatException.class, () -> codec.decode(present.key(), truncated));
+            }
         }
     }
+
+    /** Guards against a record of another writer whose term lets owners overlap, or leaves the cell without one for ever. */
+    @Test
+    public void limitsTheTermOfAnOwner() {
+        assertEquals(new CellRecord.Owner("n1", 1, false, -5).termMs(), CellRecord.Owner.MIN_TERM_MS);
+        assertEquals(new CellRecord.Owner("n1", 1, false, Long.MAX_VALUE).termMs(), CellRecord.Owner.MAX_TERM_MS);
+    }
 }
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/RestartSafetyTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/RestartSafetyTest.java
@@ -4,6 +4,8 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
+import static org.testng.Assert.assertTrue;
+
 /** Guards against tasks that run twice when a worker starts again under its id or leaves the list while it runs. */
 public class RestartSafetyTest {
 
@@ -145,4 +147,35 @@
         simulation.run(15_000);
         simulation.rules.checkAllEnded();
     }
+
+    /** Lengths in ms of the pause of the former owner; the others take the cell after 1.2 s of silence. */
+    @DataProvider
+    public Object[][] pauses() {
+        return new Object[][] {{2000L}, {2600L}, {3500L}};
+    }
+
+    // Guards against a start order of a former owner that was paused before the store's answer reached it, to a worker
+    // that has restarted meanwhile, beside the run of the present owner.
+    @Test(dataProvider = "pauses")
+    public void aFormerOwnerStartsNothingAfterAPause(long pauseMs) {
+        FaultSimulation simulation = new FaultSimulation(1, 3, 2).run(20_000);
+        SimulatedNode former = simulation.nodes.stream()
+                .filter(SimulatedNode::owns)
+                .findFirst()
+                .orElseThrow();
+        simulation.submit("job", task(8000));
+        while (simulation.assignedWorker("job").isEmpty()) {
+            simulation.run(1);
+        }
+        SimulatedWorker assigned = simulation.assignedWorker("job").orElseThrow();
+        assertTrue(assigned.running.isEmpty(), "the start was sent before the pause");
+        former.freeze(pauseMs);
+        // The next owner places the task elsewhere.
+        assigned.leaving = true;
+        simulation.run(pauseMs - 20);
+        assertTrue(holder(simulation) != assigned, "the next owner has started nothing");
+        assigned.crash(1);
+        simulation.run(20_000);
+        simulation.rules.checkAllEnded();
+    }
 }
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/StoreSilenceTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/StoreSilenceTest.java
@@ -5,6 +5,7 @@
 import org.fuchsiawinch.workflow.job.JobPhase;
 import org.fuchsiawinch.workflow.owner.OwnerInput;
 import org.fuchsiawinch.workflow.owner.OwnerSettings;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -22,6 +23,9 @@
     /** Time in ms that an answer of the store may take. */
     private static final long STORE_ANSWER_MS = 1200;
 
+    /** Time in ms of a suspension that is not noticed. */
+    private static final long TERM_MARGIN_MS = 500;
+
     private static FakeWorker holder(OwnerHarness harness) {
         return harness.workers.values().stream()
                 .filter(worker -> !worker.running.isEmpty())
@@ -104,6 +108,34 @@
         assertEquals(harness.startCount(), 1);
     }
 
+    /** Times in ms of an answer of the store after which an owner can be certain that it still owns the cell. */
+    @DataProvider
+    public Object[][] storeAnswers() {
+        return new Object[][] {{300L}, {700L}, {1500L}, {2500L}};
+    }
+
+    /** Guards against a cell that starts nothing as its store is always slow. */
+    @Test(dataProvider = "storeAnswers")
+    public void startsOnASlowStore(long answerMs) {
+        OwnerHarness harness = new OwnerHarness().workers(1).takeOver().run(3500);
+        harness.storeAnswerMs = answerMs;
+        harness.submit("job", 1, OwnerHarness.tasks(1, 8, 30_000)).run(3 * answerMs + 500);
+        assertEquals(harness.startCount(), 1);
+    }
+
+    /** Guards against start orders at a time at which another node may have claimed the cell. */
+    @Test(dataProvider = "storeAnswers")
+    public void ordersNoStartAfterTheAnnouncedTerm(long answerMs) {
+        OwnerHarness harness = new OwnerHarness().workers(8).takeOver().run(3500);
+        for (int job = 0; job < 40; job++) {
+            harness.storeAnswerMs = job % 5 == 0 ? answerMs : OwnerHarness.STORE_LATENCY_MS;
+            harness.submit("job" + job, 1, OwnerHarness.tasks(1, 1, 30_000)).run(200);
+        }
+        harness.run(5000);
+        assertEquals(harness.startCount(), 40);
+        assertTrue(harness.minTermLeftMs >= TERM_MARGIN_MS, "ms left " + harness.minTermLeftMs);
+    }
+
     /** Guards against leases on the permission of before a suspension in which the owner's clock stood still. */
     @Test
     public void suspendedOwnerGrantsNoLeaseBeforeTheStoreConfirmsAnotherAppend() {
