Log which process of a worker has registered, and with what

The log could not tell whether the work was assigned before the restart was known, between that and the new entry, or after the entry: worker-listed was written for a first entry and for a change of leaving only.

Change: the process's start time (born) of an entry is decoded; worker-listed is also written when another process has registered, with that time, the one of the last report, and the accelerators.

--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
@@ -296,7 +296,9 @@
 
     private void workerListed(WorkerRegistration registration, long nowMs) {
         WorkerState worker = state.worker(registration.id(), nowMs);
-        boolean changed = !worker.listed || worker.registration.leaving() != registration.leaving();
+        boolean changed = !worker.listed
+                || worker.registration.leaving() != registration.leaving()
+                || worker.registration.incarnation() != registration.incarnation();
         worker.registration = registration;
         worker.listed = true;
         if (changed) {
@@ -306,8 +308,14 @@
                     registration.id(),
                     "leaving",
                     registration.leaving(),
+                    "incarnation",
+                    registration.incarnation(),
+                    "answeredIncarnation",
+                    worker.incarnation,
                     "rack",
                     registration.rack(),
+                    "accelerators",
+                    registration.capacity().accelerators(),
                     "runs",
                     worker.runs.size());
         }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerRegistration.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerRegistration.java
@@ -9,6 +9,7 @@
  * Registration of a worker in the platform's list of workers.
  *
  * @param id the worker
+ * @param incarnation start time of the process that has registered, in ms since the Unix epoch; 0 if unknown
  * @param service service whose tasks the worker runs
  * @param rack rack; empty text if unknown
  * @param labels all labels of the worker
@@ -16,7 +17,13 @@
  * @param leaving whether the worker is draining and gets no new work
  */
 public record WorkerRegistration(
-        WorkerId id, String service, String rack, List<String> labels, Resources capacity, boolean leaving) {
+        WorkerId id,
+        long incarnation,
+        String service,
+        String rack,
+        List<String> labels,
+        Resources capacity,
+        boolean leaving) {
 
     /**
      * Copies the list of labels.
@@ -24,4 +31,10 @@
     public WorkerRegistration {
         labels = List.copyOf(labels);
     }
+
+    /** Creates a registration of an unknown process. */
+    public WorkerRegistration(
+            WorkerId id, String service, String rack, List<String> labels, Resources capacity, boolean leaving) {
+        this(id, 0, service, rack, labels, capacity, leaving);
+    }
 }
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/SimulatedWorker.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/SimulatedWorker.java
@@ -88,7 +88,8 @@
     void checkIn() {
         if (up && !cutFromStore && !simulation.store.down) {
             simulation.store.checkIn(
-                    new WorkerRegistration(id, "desk", rack, List.of("a", rack), CAPACITY, leaving), simulation.nowMs);
+                    new WorkerRegistration(id, incarnation, "desk", rack, List.of("a", rack), CAPACITY, leaving),
+                    simulation.nowMs);
         }
         simulation.schedule(CHECK_IN_INTERVAL_MS, this::checkIn);
     }
