Ask a worker at once whose entry names another process

The next process refuses such an order once it has had a stop or a call under the present epoch.

Cause: a restart counted only once a renewal had been answered by the new process.

Change: an entry with a later start time than the last report's ends the wait for the call under way: the worker is renewed at once, without wait, lease or acknowledgement. Failures of renewals tell when they were sent, so that the one of the earlier call doesn't count for the later.

Tests: RestartedWorkerTest.asksANewProcessAsSoonAsItHasRegistered and RestartSafetyTest.barsALateStartBeforeTheRestartIsNoticed[4990], known red so far, fail without the call of registered(). The latter test has two rows now: the order that comes before the worker has registered stays known red ([5002]).

--- a/server/src/main/java/org/fuchsiawinch/server/owner/OwnerSession.java
+++ b/server/src/main/java/org/fuchsiawinch/server/owner/OwnerSession.java
@@ -384,7 +384,7 @@
                 handle(new OwnerInput.Renewed(renew.worker(), sentMs, answered.report()));
             } else {
                 boolean fenced = result instanceof WorkerGateway.RenewResult.Fenced;
-                handle(new OwnerInput.RenewalFailed(renew.worker(), fenced, result.toString()));
+                handle(new OwnerInput.RenewalFailed(renew.worker(), sentMs, fenced, result.toString()));
             }
         });
     }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
@@ -280,7 +280,7 @@
                 return;
             }
             findWorker(failed.worker())
-                    .ifPresent(worker -> leaseRenewer.renewalFailed(worker, failed.problem(), nowMs));
+                    .ifPresent(worker -> leaseRenewer.renewalFailed(worker, failed.sentMs(), failed.problem(), nowMs));
         } else if (input instanceof OwnerInput.StartAnswered answered) {
             findWorker(answered.worker())
                     .ifPresent(worker -> runTracker.startAnswered(worker, answered.run(), answered.outcome(), nowMs));
@@ -301,6 +301,7 @@
                 || worker.registration.incarnation() != registration.incarnation();
         worker.registration = registration;
         worker.listed = true;
+        leaseRenewer.registered(worker, nowMs);
         if (changed) {
             state.log.line(
                     "worker-listed",
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
@@ -130,7 +130,29 @@
         return answering && endsSettled ? UNSTORED_DELAY_MS / 2 : 0;
     }
 
-    void renewalFailed(WorkerState worker, String problem, long nowMs) {
+    /**
+     * Renews a worker at once if another process of it has registered than the one that has answered last. The renewal
+     * in flight may have to wait for its time-out; until then the new process would know neither the epoch nor which
+     * starts must not happen any more.
+     */
+    void registered(WorkerState worker, long nowMs) {
+        boolean answered = !worker.contacted || worker.registration.describes(worker.incarnation);
+        if (answered || worker.registration.incarnation() < worker.incarnation) {
+            return;
+        }
+        if (worker.renewing) {
+            worker.renewing = false;
+            worker.renewalUnanswered();
+        }
+        worker.renewalFailing = true;
+        worker.nextRenewalMs = nowMs;
+    }
+
+    void renewalFailed(WorkerState worker, long sentMs, String problem, long nowMs) {
+        // A later renewal has been sent since.
+        if (sentMs < worker.renewalSentMs) {
+            return;
+        }
         worker.renewing = false;
         worker.renewalUnanswered();
         worker.renewalFailing = true;
@@ -149,7 +171,7 @@
     }
 
     void renewalAnswered(WorkerState worker, long sentMs, WorkerReport report, long nowMs) {
-        worker.renewing = false;
+        worker.renewing &= sentMs < worker.renewalSentMs;
         // A late answer of an earlier process of the worker.
         if (worker.contacted && report.incarnation() < worker.incarnation) {
             return;
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/OwnerInput.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/OwnerInput.java
@@ -57,10 +57,11 @@
      * Failure of a renewal.
      *
      * @param worker the worker
+     * @param sentMs time in ms at which the renewal was sent, on the owner's clock
      * @param fenced whether the worker knows a higher epoch
      * @param problem description of the failure, for the log
      */
-    record RenewalFailed(WorkerId worker, boolean fenced, String problem) implements OwnerInput {}
+    record RenewalFailed(WorkerId worker, long sentMs, boolean fenced, String problem) implements OwnerInput {}
 
     /**
      * Answer to a start order, or its time-out.
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerRegistration.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerRegistration.java
@@ -32,6 +32,17 @@
         labels = List.copyOf(labels);
     }
 
+    /**
+     * Returns whether the registration holds for a process of the worker. The next process may have another service,
+     * rack, labels and capacity.
+     *
+     * @param reportedIncarnation start time that the process has reported, in ms since the Unix epoch; 0 if unknown
+     * @return true unless another process is known to have registered
+     */
+    public boolean describes(long reportedIncarnation) {
+        return incarnation == 0 || reportedIncarnation == 0 || incarnation == reportedIncarnation;
+    }
+
     /** Creates a registration of an unknown process. */
     public WorkerRegistration(
             WorkerId id, String service, String rack, List<String> labels, Resources capacity, boolean leaving) {
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/FakeWorker.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/FakeWorker.java
@@ -233,11 +233,11 @@
     void renew(CellOwner caller, long epoch, OwnerEffect.Renew order) {
         long sentMs = harness.nowMs;
         if (silent) {
-            harness.answer(caller, order.waitMs() + 700, new OwnerInput.RenewalFailed(id, false, "silent"));
+            harness.answer(caller, order.waitMs() + 700, new OwnerInput.RenewalFailed(id, sentMs, false, "silent"));
             return;
         }
         if (epoch < fence) {
-            harness.answer(caller, 2, new OwnerInput.RenewalFailed(id, true, "fence"));
+            harness.answer(caller, 2, new OwnerInput.RenewalFailed(id, sentMs, true, "fence"));
             return;
         }
         fence = epoch;
@@ -251,7 +251,7 @@
             harness.answer(
                     caller,
                     Math.max(0, untilMs - harness.nowMs) + 700,
-                    new OwnerInput.RenewalFailed(id, false, "silent"));
+                    new OwnerInput.RenewalFailed(id, sentMs, false, "silent"));
             return;
         }
         if (ended.isEmpty() && harness.nowMs < untilMs) {
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/FirstRenewalsTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/FirstRenewalsTest.java
@@ -84,7 +84,7 @@
                 int timedOut = askedByTick.get(tick - TIMEOUT_TICKS);
                 int from = tick == TIMEOUT_TICKS ? 0 : askedByTick.get(tick - TIMEOUT_TICKS - 1);
                 List.copyOf(asked.subList(from, timedOut))
-                        .forEach(worker -> input(new OwnerInput.RenewalFailed(worker, false, "time-out")));
+                        .forEach(worker -> input(new OwnerInput.RenewalFailed(worker, nowMs, false, "time-out")));
             }
         }
         assertEquals(asked.stream().distinct().count(), WORKERS);
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/RestartSafetyTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/RestartSafetyTest.java
@@ -137,12 +137,18 @@
         simulation.rules.checkAllEnded();
     }
 
-    // Guards against an unanswered start that a restarted worker carries out before the owner has heard of the restart.
-    @Test
-    public void barsALateStartBeforeTheRestartIsNoticed() {
+    /** Times in ms of a crash: the worker registers again before, or after, the late start arrives. */
+    @DataProvider
+    public Object[][] lateCrashes() {
+        return new Object[][] {{4990}, {5002}};
+    }
+
+    // Guards against an unanswered start that a restarted worker carries out before the owner has had an answer of it.
+    @Test(dataProvider = "lateCrashes")
+    public void barsALateStartBeforeTheRestartIsNoticed(int crashMs) {
         FaultSimulation simulation = settled(1);
         simulation.links.nextStartDelays.add(5000L);
-        simulation.submit("job", task(500)).run(4990);
+        simulation.submit("job", task(500)).run(crashMs);
         restartAll(simulation);
         simulation.run(15_000);
         simulation.rules.checkAllEnded();
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/SimulatedLinks.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/SimulatedLinks.java
@@ -63,8 +63,8 @@
             call(
                     new Call(node, session, renew.worker(), renew.waitMs(), order),
                     (worker, answer) -> worker.renew(epoch, renew, sentMs, answer),
-                    new OwnerInput.RenewalFailed(renew.worker(), false, "unanswered"),
-                    new OwnerInput.RenewalFailed(renew.worker(), false, "refused"));
+                    new OwnerInput.RenewalFailed(renew.worker(), sentMs, false, "unanswered"),
+                    new OwnerInput.RenewalFailed(renew.worker(), sentMs, false, "refused"));
         } else if (order instanceof OwnerEffect.Start start) {
             call(
                     new Call(node, session, start.worker(), 0, order),
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/SimulatedWorker.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/SimulatedWorker.java
@@ -232,7 +232,7 @@
 
     void renew(long epoch, OwnerEffect.Renew order, long sentMs, Consumer<OwnerInput> answer) {
         if (epoch < fence) {
-            answer.accept(new OwnerInput.RenewalFailed(id, true, "fence"));
+            answer.accept(new OwnerInput.RenewalFailed(id, sentMs, true, "fence"));
             return;
         }
         fence = epoch;
