--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/ActiveRun.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/ActiveRun.java
@@ -26,6 +26,10 @@
     final JobState job;
     final WorkerState worker;
     final Resources need;
+
+    /** Process of the worker that was known when the run was created. */
+    final long assignedIncarnation;
+
     Stage stage;
     int startOrders;
     /** Whether a start order was not answered, so that it may still be carried out. */
@@ -58,6 +62,7 @@
         this.job = job;
         this.worker = worker;
         this.stage = stage;
+        this.assignedIncarnation = worker.incarnation;
         this.need = step().perTask();
     }
 
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
@@ -203,10 +203,14 @@
      *
      * @param start the order
      * @param nowMs present time in ms
-     * @return false if another node may have claimed the cell
+     * @return false if another node may have claimed the cell, or the worker has changed
      */
     public boolean mayStillSend(OwnerEffect.Start start, long nowMs) {
-        return state.mayOrderStarts(nowMs);
+        return state.mayOrderStarts(nowMs)
+                && findWorker(start.worker())
+                        .map(worker -> worker.runs.get(start.run()))
+                        .filter(run -> run.worker.accepts(run))
+                        .isPresent();
     }
 
     /**
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTracker.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTracker.java
@@ -39,6 +39,10 @@
             release(run, "withdrawn", nowMs);
             return;
         }
+        if (!run.worker.accepts(run)) {
+            release(run, "worker-changed", nowMs);
+            return;
+        }
         run.stage = ActiveRun.Stage.ORDERED;
         sendStart(run, nowMs);
     }
@@ -103,7 +107,8 @@
     private void startUnanswered(ActiveRun run, long nowMs) {
         run.startUnanswered = true;
         run.startUnansweredMs = nowMs;
-        boolean mayRepeat = run.startOrders < MAX_START_ORDERS && state.mayOrderStarts(nowMs);
+        boolean mayRepeat =
+                run.startOrders < MAX_START_ORDERS && state.mayOrderStarts(nowMs) && run.worker.accepts(run);
         if (run.stage != ActiveRun.Stage.RUNNING && mayRepeat && !run.stopping) {
             sendStart(run, nowMs);
         }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerState.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerState.java
@@ -133,11 +133,17 @@
 
     /** Returns whether the worker may get new work, apart from its quarantine. */
     boolean reachable(long nowMs) {
-        return listed
-                && contacted
-                && nowMs >= usableFromMs
-                && !registration.leaving()
-                && nowMs - lastContactMs <= MAX_SILENCE_MS;
+        return contacted && accepts() && nowMs >= usableFromMs && nowMs - lastContactMs <= MAX_SILENCE_MS;
+    }
+
+    /** Returns whether the process that has answered last is registered, and not as draining. */
+    private boolean accepts() {
+        return listed && !registration.leaving() && registration.describes(incarnation);
+    }
+
+    /** Returns whether a run may still be started: nothing has changed that its assignment relies on. */
+    boolean accepts(ActiveRun run) {
+        return accepts() && run.assignedIncarnation == incarnation;
     }
 
     /**
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/FakeWorker.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/FakeWorker.java
@@ -40,6 +40,10 @@
 
     Resources capacity = OwnerHarness.WORKER_CAPACITY;
     boolean silent;
+
+    /** Whether start orders stay without an answer, so far without a time-out either, and are not carried out. */
+    boolean ignoresStarts;
+
     boolean losesStartReplies;
     boolean failsAllRuns;
     boolean hangs;
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/OwnerHarness.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/OwnerHarness.java
@@ -206,6 +206,9 @@
         } else if (effect instanceof OwnerEffect.Start start) {
             minTermLeftMs = Math.min(minTermLeftMs, lastRecordMs + termMs() - nowMs);
             FakeWorker worker = workers.get(start.worker());
+            if (worker.ignoresStarts) {
+                return;
+            }
             long sentEpoch = epoch;
             schedule(
                     LINK_LATENCY_MS,
