--- a/server/src/main/java/org/fuchsiawinch/server/owner/OwnerSession.java
+++ b/server/src/main/java/org/fuchsiawinch/server/owner/OwnerSession.java
@@ -142,7 +142,7 @@
         this.onEnd = onEnd;
         this.claimStoredMs = clock.getAsLong();
         this.provenMs = NEVER_MS;
-        this.workerList = new WorkerList(ports.entryDecoder(), scheduler, clock, barrier, this::handle);
+        this.workerList = new WorkerList(ports.entryDecoder(), scheduler, clock, barrier, log, this::handle);
         this.workerFollower = new StreamFollower(
                 Stream.WORKERS, ports.store(), WORKERS_POLL, scheduler, clock, epoch, workerList, log);
         this.appender = new FencedAppender(ports.store(), scheduler, epoch, log, () -> end("fenced-by-store"));
--- a/server/src/main/java/org/fuchsiawinch/server/port/EntryDecoder.java
+++ b/server/src/main/java/org/fuchsiawinch/server/port/EntryDecoder.java
@@ -31,7 +31,28 @@
      * Worker and its network address.
      *
      * @param registration the worker
+     * @param sequence number of the entry among those of the worker's process, rising; 0 if unknown
      * @param address host and port at which it accepts orders
      */
-    record WorkerListing(WorkerRegistration registration, String address) {}
+    record WorkerListing(WorkerRegistration registration, long sequence, String address) {
+
+        /** Creates the listing of a worker that does not number its entries. */
+        public WorkerListing(WorkerRegistration registration, String address) {
+            this(registration, 0, address);
+        }
+
+        /**
+         * Returns whether the worker has written another of its entries after this one.
+         *
+         * @param other the other entry
+         * @return true if the other one is of a later process, or a later one of the same process
+         */
+        public boolean olderThan(WorkerListing other) {
+            long incarnation = registration.incarnation();
+            long otherIncarnation = other.registration.incarnation();
+            return incarnation == otherIncarnation
+                    ? sequence < other.sequence
+                    : incarnation != 0 && incarnation < otherIncarnation;
+        }
+    }
 }
--- a/server/src/test/java/org/fuchsiawinch/server/owner/WorkerListTest.java
+++ b/server/src/test/java/org/fuchsiawinch/server/owner/WorkerListTest.java
@@ -44,22 +44,38 @@
         time = VirtualTimeScheduler.create();
         inputs = new ArrayList<>();
         nowMs = 0;
-        list = new WorkerList(new TextDecoder(), time, () -> nowMs, new FailureBarrier(DecisionLog.NONE), inputs::add);
+        list = new WorkerList(
+                new TextDecoder(),
+                time,
+                () -> nowMs,
+                new FailureBarrier(DecisionLog.NONE),
+                DecisionLog.NONE,
+                inputs::add);
     }
 
-    /** Decodes entries whose value is the id of the worker; fails on one. */
+    /** Decodes entries whose value is the id of the worker, or id, process, sequence and state; fails on one. */
     private final class TextDecoder implements EntryDecoder {
 
         @Override
         public Optional<WorkerListing> decodeWorker(String key, byte[] value) {
             nowMs += ENTRY_MS;
-            String id = new String(value, StandardCharsets.UTF_8);
-            if (id.equals("odd")) {
+            String[] fields = new String(value, StandardCharsets.UTF_8).split(" ");
+            if (fields[0].equals("odd")) {
                 throw new IllegalStateException("odd entry");
             }
-            Resources capacity = new Resources(1, 1, 1, 1, 1);
+            boolean versioned = fields.length > 1;
+            long incarnation = versioned ? Long.parseLong(fields[1]) : 0;
             return Optional.of(new WorkerListing(
-                    new WorkerRegistration(new WorkerId(id), "desk", "r", List.of(), capacity, false), "host:1"));
+                    new WorkerRegistration(
+                            new WorkerId(fields[0]),
+                            incarnation,
+                            "desk",
+                            "r",
+                            List.of(),
+                            new Resources(1, 1, 1, 1, 1),
+                            versioned && fields[3].equals("draining")),
+                    versioned ? Long.parseLong(fields[2]) : 0,
+                    "host:" + (1 + incarnation)));
         }
 
         @Override
@@ -137,6 +153,61 @@
         assertEquals(listed(), 99);
     }
 
+    private void read(String... values) {
+        for (String value : values) {
+            list.onEntries(List.of(entry(0, "key", value)));
+        }
+    }
+
+    private WorkerRegistration lastListed() {
+        return inputs.stream()
+                .filter(OwnerInput.WorkerListed.class::isInstance)
+                .map(input -> ((OwnerInput.WorkerListed) input).registration())
+                .reduce((first, second) -> second)
+                .orElseThrow();
+    }
+
+    /** Guards against new work on a draining worker: the store carries out an earlier entry of it seconds later. */
+    @Test
+    public void ignoresAnEntryThatIsOlderThanTheLastOne() {
+        read("w 7 4 ready", "w 7 6 draining");
+        nowMs += 6000;
+        read("w 7 5 ready");
+        assertTrue(lastListed().leaving());
+        read("w 7 7 ready");
+        assertEquals(lastListed().leaving(), false);
+    }
+
+    /** Guards against orders to the address, or by the kind, of an earlier process of a worker. */
+    @Test
+    public void ignoresAnEntryOfAnEarlierProcess() {
+        read("w 7 9 ready", "w 8 1 ready", "w 7 10 ready");
+        assertEquals(lastListed().incarnation(), 8);
+        assertEquals(list.address(new WorkerId("w")), "host:9");
+    }
+
+    /** Guards against a worker that has left and is in use again as one of its entries comes late. */
+    @Test
+    public void ignoresALateEntryOfAWorkerThatHasLeft() {
+        read("w 7 4 ready", "w 7 6 draining", "");
+        int before = inputs.size();
+        read("w 7 5 ready");
+        assertEquals(inputs.size(), before);
+        read("w 7 7 ready");
+        assertEquals(inputs.size(), before + 1);
+    }
+
+    /** Guards against a worker that is never used again as another writer has left an entry of a high number for it. */
+    @Test
+    public void usesTheEntriesOfAWorkerAgainAfterOneOfAnotherWriter() {
+        read("w 7 4 ready", "w 99 9007199254740993 draining", "w 7 5 ready");
+        assertTrue(lastListed().leaving());
+        nowMs += 16_000;
+        read("w 7 15 ready");
+        assertEquals(lastListed().leaving(), false);
+        assertEquals(lastListed().incarnation(), 7);
+    }
+
     @Test
     public void deliversNothingOnceClosed() {
         list.onSnapshot(entries(100));
