--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/ActiveRun.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/ActiveRun.java
@@ -27,8 +27,11 @@
     final WorkerState worker;
     final Resources need;
 
-    /** Process of the worker that was known when the run was created. */
-    final long assignedIncarnation;
+    /** Process of the worker that the run was assigned to, as far as this owner knew it. */
+    private long assignedIncarnation;
+
+    /** Whether an earlier owner has assigned the run, and the worker has not told yet what has become of it. */
+    boolean inherited;
 
     Stage stage;
     int startOrders;
@@ -74,6 +77,18 @@
         return job.task(id.task());
     }
 
+    /** Returns whether the run was assigned to the process of its worker that has answered last. */
+    boolean assignedToPresentProcess() {
+        return assignedIncarnation == worker.incarnation;
+    }
+
+    /** Takes over an assignment whose start order is sent after the next append. */
+    void adopt() {
+        stage = Stage.STORING;
+        assignedIncarnation = worker.incarnation;
+        absenceConclusiveAfterMs = NEVER;
+    }
+
     /** Returns whether the task is still assigned to this run; false once the task was released from it. */
     boolean current() {
         TaskState task = task();
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
@@ -430,6 +430,7 @@
         ActiveRun run = new ActiveRun(new TaskRun(ref, stored.run()), job, worker, ActiveRun.Stage.ORDERED);
         // The first renewal under this epoch fences off the earlier owner's orders, so the run cannot start after it.
         run.absenceConclusiveAfterMs = nowMs - 1;
+        run.inherited = true;
         worker.add(run);
     }
 
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/LeaseRenewer.java
@@ -282,7 +282,7 @@
             return;
         }
         if (run.absenceConclusiveAfterMs < sentMs) {
-            runTracker.release(run, "never-ran-or-ended", nowMs);
+            runTracker.absent(run, nowMs);
         } else if (run.stage == ActiveRun.Stage.RUNNING && run.confirmedMs < sentMs) {
             runTracker.stop(run, "vanished", nowMs);
         } else if (run.stage == ActiveRun.Stage.ORDERED && run.startUnansweredMs < sentMs) {
@@ -309,6 +309,7 @@
             return;
         }
         run.listed = true;
+        run.inherited = false;
         runTracker.confirm(run, nowMs);
         if (run.current()) {
             RunTracker.saveCheckpoint(run.job, run.id, task.checkpoint());
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Placer.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/Placer.java
@@ -498,8 +498,18 @@
 
     /** Returns whether a worker is eligible for the unit's tasks, regardless of its free capacity. */
     static boolean eligible(WorkerState worker, SchedulingUnit unit) {
-        StepSpec step = unit.spec();
-        return worker.registration.service().equals(unit.job().submission().service())
+        return eligible(worker, unit.job(), unit.spec());
+    }
+
+    /** Returns whether a worker may get work, is eligible for a step's tasks, and has room for all that it holds. */
+    static boolean holds(WorkerState worker, JobState job, StepSpec step, long nowMs) {
+        return worker.reachable(nowMs)
+                && eligible(worker, job, step)
+                && worker.used.fitsIn(worker.registration.capacity());
+    }
+
+    private static boolean eligible(WorkerState worker, JobState job, StepSpec step) {
+        return worker.registration.service().equals(job.submission().service())
                 && step.requiredLabel()
                         .map(worker.registration.labels()::contains)
                         .orElse(true)
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTracker.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTracker.java
@@ -328,6 +328,35 @@
         }
     }
 
+    /**
+     * Handles a run that is not running and cannot start by any order that was answered. One that an earlier owner has
+     * assigned is ordered on the same worker: an order of that owner may be held back and reach the worker's next
+     * process, which knows no epoch, and would start the task beside a run on another worker.
+     */
+    void absent(ActiveRun run, long nowMs) {
+        boolean wanted = run.inherited
+                && run.current()
+                && !run.stopping
+                && !run.job.phase().ended();
+        run.inherited = false;
+        if (!wanted || !Placer.holds(run.worker, run.job, run.step(), nowMs)) {
+            release(run, "never-ran-or-ended", nowMs);
+            return;
+        }
+        state.log.line(
+                "run-adopted",
+                "request",
+                run.id.task().job(),
+                "run",
+                run.id,
+                "worker",
+                run.worker.id,
+                "incarnation",
+                run.worker.incarnation);
+        run.adopt();
+        state.pendingStarts.add(run);
+    }
+
     /** Removes a run that is certainly not running and releases its task, unless it has been released already. */
     void release(ActiveRun run, String cause, long nowMs) {
         run.worker.remove(run);
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerState.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerState.java
@@ -143,7 +143,7 @@
 
     /** Returns whether a run may still be started: nothing has changed that its assignment relies on. */
     boolean accepts(ActiveRun run) {
-        return accepts() && run.assignedIncarnation == incarnation;
+        return accepts() && run.assignedToPresentProcess();
     }
 
     /**
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/RestartSafetyTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/RestartSafetyTest.java
@@ -184,4 +184,31 @@
         simulation.run(20_000);
         simulation.rules.checkAllEnded();
     }
+
+    /** Delays in ms of the former owner's order; the worker loses power shortly before it arrives. */
+    @DataProvider
+    public Object[][] ordersOfFormerOwners() {
+        return new Object[][] {{3000L}, {4500L}, {6000L}};
+    }
+
+    // Guards against a start order of a former owner that a restarted worker carries out late, beside the run of the
+    // next owner on another worker.
+    @Test(dataProvider = "ordersOfFormerOwners")
+    public void aLateOrderOfAFormerOwnerStartsNothingBesideAnotherRun(long delayMs) {
+        FaultSimulation simulation = new FaultSimulation(1, 3, 2).run(20_000);
+        // Ends before the next owner places work, which would choose this worker.
+        simulation.submit("first", FaultSimulation.step(1, 4, 1000, false)).run(200);
+        simulation.links.nextStartDelays.add(delayMs);
+        simulation.submit("job", FaultSimulation.step(1, 4, 8000, false));
+        while (simulation.assignedWorker("job").isEmpty()) {
+            simulation.run(1);
+        }
+        SimulatedWorker assigned = simulation.assignedWorker("job").orElseThrow();
+        simulation.run(10);
+        simulation.nodes.stream().filter(SimulatedNode::owns).forEach(node -> node.kill(20_000));
+        simulation.run(delayMs - 40);
+        assigned.crash(1);
+        simulation.run(30_000);
+        simulation.rules.checkAllEnded();
+    }
 }
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/TakeoverTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/TakeoverTest.java
@@ -1,8 +1,13 @@
 package org.fuchsiawinch.workflow;
 
+import java.util.List;
 import java.util.Optional;
 
+import org.fuchsiawinch.model.Resources;
 import org.fuchsiawinch.workflow.job.JobPhase;
+import org.fuchsiawinch.workflow.job.TaskRef;
+import org.fuchsiawinch.workflow.job.TaskRun;
+import org.fuchsiawinch.workflow.record.CellRecord;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -61,6 +66,41 @@
         assertTrue(harness.startCount() <= 4);
     }
 
+    /** Stores the assignment of a job of one task and gives up the owner before the start is ordered. */
+    private static FakeWorker assignedWorker(OwnerHarness harness) {
+        harness.workers(3).takeOver().run(500);
+        harness.submit("job", 1, OwnerHarness.tasks(1, 8, 3000));
+        harness.run(3);
+        CellRecord.Progress progress = (CellRecord.Progress) harness.stored.get(CellRecord.Progress.PREFIX + "job");
+        return harness.workers.get(progress.steps().get(0).get(0).worker().orElseThrow());
+    }
+
+    // Guards against a second run elsewhere while an order of the earlier owner may reach the worker's next process.
+    @Test
+    public void ordersAnInheritedAssignmentOnItsWorkerAndUnderItsNumber() {
+        OwnerHarness harness = new OwnerHarness();
+        FakeWorker worker = assignedWorker(harness);
+        harness.takeOver().run(5000);
+        assertEquals(worker.startedRuns, List.of(new TaskRun(new TaskRef("job", 0, 0), 1)));
+        assertEquals(harness.startCount(), 1);
+        assertEquals(harness.phase("job"), Optional.of(JobPhase.COMPLETED));
+    }
+
+    // Guards against a start on a worker that drains, or is of another kind or size since the assignment.
+    @Test
+    public void givesUpAnInheritedAssignmentThatItsWorkerCannotTake() {
+        for (boolean leaving : List.of(true, false)) {
+            OwnerHarness harness = new OwnerHarness();
+            FakeWorker worker = assignedWorker(harness);
+            worker.capacity = leaving ? worker.capacity : new Resources(16_000, 32_000, 4, 0, 0);
+            harness.takeOver();
+            harness.list(worker, leaving);
+            harness.run(6000);
+            assertEquals(worker.startedRuns, List.of());
+            assertEquals(harness.phase("job"), Optional.of(JobPhase.COMPLETED));
+        }
+    }
+
     @Test
     public void stepsDownWhenAWorkerKnowsAHigherEpoch() {
         OwnerHarness harness = new OwnerHarness().workers(2).takeOver();
