--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
@@ -209,7 +209,7 @@
         return state.mayOrderStarts(nowMs)
                 && findWorker(start.worker())
                         .map(worker -> worker.runs.get(start.run()))
-                        .filter(run -> run.worker.accepts(run))
+                        .filter(run -> run.worker.accepts(run, nowMs))
                         .isPresent();
     }
 
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTracker.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTracker.java
@@ -39,7 +39,7 @@
             release(run, "withdrawn", nowMs);
             return;
         }
-        if (!run.worker.accepts(run)) {
+        if (!run.worker.accepts(run, nowMs)) {
             release(run, "worker-changed", nowMs);
             return;
         }
@@ -108,7 +108,7 @@
         run.startUnanswered = true;
         run.startUnansweredMs = nowMs;
         boolean mayRepeat =
-                run.startOrders < MAX_START_ORDERS && state.mayOrderStarts(nowMs) && run.worker.accepts(run);
+                run.startOrders < MAX_START_ORDERS && state.mayOrderStarts(nowMs) && run.worker.accepts(run, nowMs);
         if (run.stage != ActiveRun.Stage.RUNNING && mayRepeat && !run.stopping) {
             sendStart(run, nowMs);
         }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerState.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerState.java
@@ -13,6 +13,9 @@
     /** Silence in ms after which a worker gets no new work; a renewal waits up to 2 s. */
     private static final long MAX_SILENCE_MS = 2800;
 
+    /** Time in ms after which a renewal that acknowledges ends is overdue; the worker answers it without a wait. */
+    private static final long MAX_ACKNOWLEDGEMENT_MS = 250;
+
     /** A time in ms before all others; half the minimum, so that differences do not overflow. */
     private static final long NEVER_MS = Long.MIN_VALUE / 2;
 
@@ -133,7 +136,20 @@
 
     /** Returns whether the worker may get new work, apart from its quarantine. */
     boolean reachable(long nowMs) {
-        return contacted && accepts() && nowMs >= usableFromMs && nowMs - lastContactMs <= MAX_SILENCE_MS;
+        return contacted
+                && accepts()
+                && nowMs >= usableFromMs
+                && nowMs - lastContactMs <= MAX_SILENCE_MS
+                && !acknowledgementInDoubt(nowMs);
+    }
+
+    /**
+     * Returns whether a renewal that acknowledges ends is unanswered and no answer has come since. The worker may have
+     * restarted; its next process would forget ends of its own by that renewal, before this owner has seen them.
+     */
+    private boolean acknowledgementInDoubt(long nowMs) {
+        boolean overdue = renewing && sentAcknowledgement > 0 && nowMs - renewalSentMs > MAX_ACKNOWLEDGEMENT_MS;
+        return overdue || unansweredAcknowledgementMs > lastContactMs;
     }
 
     /** Returns whether the process that has answered last is registered, and not as draining. */
@@ -142,8 +158,8 @@
     }
 
     /** Returns whether a run may still be started: nothing has changed that its assignment relies on. */
-    boolean accepts(ActiveRun run) {
-        return accepts() && run.assignedToPresentProcess();
+    boolean accepts(ActiveRun run, long nowMs) {
+        return accepts() && run.assignedToPresentProcess() && !acknowledgementInDoubt(nowMs);
     }
 
     /**
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/RestartSafetyTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/RestartSafetyTest.java
@@ -59,6 +59,34 @@
         simulation.rules.checkAllEnded();
     }
 
+    /** Delays in ms of a renewal that acknowledges ends, and is not answered. */
+    @DataProvider
+    public Object[][] lateAcknowledgements() {
+        return new Object[][] {{650L}, {700L}, {750L}, {900L}, {1500L}};
+    }
+
+    // Guards against work for a new process, of which nothing has been heard, that may still forget the end of it: a
+    // renewal that acknowledges ends of the earlier process is under way.
+    @Test(dataProvider = "lateAcknowledgements")
+    public void startsNothingWhileAnAcknowledgementIsUnanswered(long delayMs) {
+        FaultSimulation simulation = settled(1);
+        simulation.links.nextAcknowledgementDelays.add(delayMs);
+        simulation.submit("first", task(300));
+        SimulatedWorker worker = simulation.workers.values().iterator().next();
+        while (!simulation.links.nextAcknowledgementDelays.isEmpty()) {
+            simulation.run(1);
+        }
+        // The entry of the new process is late, too.
+        worker.cutFromStore = true;
+        simulation.run(20);
+        worker.crash(1);
+        simulation.run(240);
+        simulation.submit("second", task(300)).run(2000);
+        worker.cutFromStore = false;
+        simulation.run(30_000);
+        simulation.rules.checkAllEnded();
+    }
+
     // Guards against an unanswered start that is carried out after a restart, beside the run that replaced it.
     @Test
     public void barsALateStartAfterARestart() {
