End the certain time with the term that is announced last

Cause: a shorter term holds for the other nodes once they have read the record that announces it, while the owner still counted the longer one from the append before, until that record was confirmed. Found on reading the change again.

Change: the certain time is cut when a shorter term is sent.

Test: StoreSilenceTest.ordersNoStartByATermThatHasBeenShortened fails before (a repeated order 200 ms before a claim is possible, 500 asked for).

--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
@@ -498,7 +498,7 @@
         Optional<CellRecord> unreachedWorkers = unreachedLeases.recordToStore(nowMs);
         boolean heartbeat = records.isEmpty() && (heartbeatDue || unreachedWorkers.isPresent());
         if (heartbeat || !records.isEmpty() && state.term.announcementDue()) {
-            state.term.announced();
+            state.term.announced(nowMs);
             records.add(new CellRecord.Owner(state.settings.node(), epoch, false, state.term.wantedMs()));
         }
         unreachedWorkers.ifPresent(records::add);
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/OwnershipTerm.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/OwnershipTerm.java
@@ -46,9 +46,10 @@
         return wantedMs() != announcedMs;
     }
 
-    /** Records that the next append announces the wanted term. */
-    void announced() {
+    /** Records that the append that is sent now announces the wanted term; a shorter one holds from now on. */
+    void announced(long nowMs) {
         announcedMs = wantedMs();
+        certainUntilMs = Math.min(certainUntilMs, nowMs + announcedMs - MARGIN_MS);
     }
 
     /**
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/OwnerHarness.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/OwnerHarness.java
@@ -230,7 +230,8 @@
         }
     }
 
-    private long termMs() {
+    /** Returns the term in ms of the newest stored record of the owner. */
+    long termMs() {
         return stored.get(CellRecord.OWNER_KEY) instanceof CellRecord.Owner record
                 ? record.termMs()
                 : CellRecord.Owner.MIN_TERM_MS;
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/StoreSilenceTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/StoreSilenceTest.java
@@ -3,8 +3,12 @@
 import java.util.Optional;
 
 import org.fuchsiawinch.workflow.job.JobPhase;
+import org.fuchsiawinch.workflow.job.TaskRef;
+import org.fuchsiawinch.workflow.job.TaskRun;
 import org.fuchsiawinch.workflow.owner.OwnerInput;
 import org.fuchsiawinch.workflow.owner.OwnerSettings;
+import org.fuchsiawinch.workflow.owner.StartOutcome;
+import org.fuchsiawinch.workflow.record.CellRecord;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -136,6 +140,27 @@
         assertTrue(harness.minTermLeftMs >= TERM_MARGIN_MS, "ms left " + harness.minTermLeftMs);
     }
 
+    /** Guards against starts by a longer term that another node which has read the next record no longer waits for. */
+    @Test
+    public void ordersNoStartByATermThatHasBeenShortened() {
+        OwnerHarness harness = new OwnerHarness().workers(1).takeOver().run(3500);
+        harness.storeAnswerMs = 700;
+        harness.run(3000);
+        assertEquals(harness.termMs(), 2400);
+        FakeWorker worker = harness.workers.values().iterator().next();
+        worker.ignoresStarts = true;
+        harness.submit("job", 1, OwnerHarness.tasks(1, 8, 30_000));
+        harness.runUntil(() -> harness.minTermLeftMs < Long.MAX_VALUE);
+        harness.storeAnswerMs = OwnerHarness.STORE_LATENCY_MS;
+        harness.run(500);
+        harness.storeAnswerMs = 5000;
+        harness.runUntil(() -> harness.termMs() == CellRecord.Owner.MIN_TERM_MS);
+        harness.run(1000);
+        harness.input(new OwnerInput.StartAnswered(
+                worker.id, new TaskRun(new TaskRef("job", 0, 0), 1), StartOutcome.UNANSWERED));
+        assertTrue(harness.minTermLeftMs >= TERM_MARGIN_MS, "ms left " + harness.minTermLeftMs);
+    }
+
     /** Guards against leases on the permission of before a suspension in which the owner's clock stood still. */
     @Test
     public void suspendedOwnerGrantsNoLeaseBeforeTheStoreConfirmsAnotherAppend() {
