Start nothing in data centres that operators drain

Every node now follows the requests, the owner takes the workers of these data centres out of placement, reservations, headroom and preemption, and an order is checked again right before it is sent. Running work ends normally. Where the settings have a bound on drains, nothing starts while the last read of the operators' stream is older than half of it.

An append without records no longer takes the starts that wait for one: they were lost if nothing was stored, which the new bound made possible. The retention of ended jobs moves to a class of its own.

--- a/server/src/main/java/org/fuchsiawinch/server/Node.java
+++ b/server/src/main/java/org/fuchsiawinch/server/Node.java
@@ -22,8 +22,10 @@
 import org.fuchsiawinch.workflow.cell.CellRules;
 import org.fuchsiawinch.workflow.cell.Election;
 import org.fuchsiawinch.workflow.cell.JobIndex;
+import org.fuchsiawinch.workflow.drain.DrainRegister;
 import org.fuchsiawinch.workflow.owner.DecisionLog;
 import org.fuchsiawinch.workflow.owner.Guarantees;
+import org.fuchsiawinch.workflow.owner.OwnerInput;
 import org.fuchsiawinch.workflow.owner.Predecessor;
 import org.fuchsiawinch.workflow.record.CellRecord;
 import org.fuchsiawinch.workflow.record.RecordCodec;
@@ -56,6 +58,9 @@
     /** Time in ms without a claim after an ownership that failed, so that another node takes the cell. */
     private static final long FAILED_OWNER_PAUSE_MS = 3000;
 
+    /** A time in ms before all others; half the minimum, so that differences do not overflow. */
+    private static final long NEVER_MS = Long.MIN_VALUE / 2;
+
     /** Silence in ms of the cell's owner from which on it is logged; the next line follows after twice as long. */
     private static final long FIRST_SILENCE_LINE_MS = 2000;
 
@@ -75,7 +80,12 @@
     private final StreamFollower operatorFollower;
     private final BatchingAppender requestAppender;
     private final CallerRequestHandler requestHandler;
+    private final DrainRegister drains = new DrainRegister();
     private Optional<CellRules> rules = Optional.empty();
+
+    /** Time in ms of the last read of the operators' stream to its end. */
+    private long drainsReadMs = NEVER_MS;
+
     private Optional<OwnerSession> ownership = Optional.empty();
     private OptionalLong claimedEpoch = OptionalLong.empty();
 
@@ -222,7 +232,9 @@
         metrics.counter("suspensions").inc();
         log.line("node-suspended", "suspendedMs", suspendedMs);
         // A claim in flight permits no leases any more.
-        claimSentMs = Long.MIN_VALUE / 2;
+        claimSentMs = NEVER_MS;
+        drainsReadMs = NEVER_MS;
+        passOnDrains();
         ownership.ifPresent(OwnerSession::suspended);
         operatorFollower.startAgain();
         cellFollower.startAgain();
@@ -354,6 +366,7 @@
                 claimSentMs,
                 predecessor,
                 rules.map(CellRules::guarantees).orElse(Guarantees.NONE),
+                new OwnerInput.DrainsRead(drains.dataCentres(), drainsReadMs),
                 ports,
                 scheduler,
                 clock,
@@ -374,6 +387,11 @@
         cellFollower.changePolling(FOLLOWER_POLL);
     }
 
+    private void passOnDrains() {
+        ownership.ifPresent(
+                session -> session.drainsRead(new OwnerInput.DrainsRead(drains.dataCentres(), drainsReadMs)));
+    }
+
     /** Applies the cell's records to the job index and the election, and passes them to the ownership. */
     private final class CellListener implements StreamFollower.Listener {
 
@@ -418,26 +436,30 @@
         }
     }
 
-    /** Applies newer versions of the operators' document and ignores older ones. */
+    /** Applies drain requests and newer versions of the operators' document, and ignores older ones. */
     private final class OperatorListener implements StreamFollower.Listener {
 
         @Override
         public void onSnapshot(List<StreamStore.StoredEntry> entries) {
+            drains.replace(List.of());
             onEntries(entries);
         }
 
         @Override
         public void onEntries(List<StreamStore.StoredEntry> entries) {
             for (StreamStore.StoredEntry stored : entries) {
-                ports.entryDecoder()
-                        .decodeRules(stored.entry().key(), stored.entry().value())
-                        .ifPresent(this::apply);
+                String key = stored.entry().key();
+                byte[] value = stored.entry().value();
+                ports.entryDecoder().decodeDrain(key, value).ifPresent(drains::apply);
+                ports.entryDecoder().decodeRules(key, value).ifPresent(this::apply);
             }
+            passOnDrains();
         }
 
         @Override
         public void onCaughtUp() {
-            // The age of the rules is the staleness of the follower.
+            drainsReadMs = clock.getAsLong();
+            passOnDrains();
         }
 
         private void apply(CellRules changed) {
--- a/server/src/main/java/org/fuchsiawinch/server/failure/ContainedDecoder.java
+++ b/server/src/main/java/org/fuchsiawinch/server/failure/ContainedDecoder.java
@@ -5,6 +5,7 @@
 
 import org.fuchsiawinch.server.port.EntryDecoder;
 import org.fuchsiawinch.workflow.cell.CellRules;
+import org.fuchsiawinch.workflow.drain.DrainEntry;
 
 /** Decoder that skips an entry if another decoder throws on it. Thread-safe as that decoder. */
 public final class ContainedDecoder implements EntryDecoder {
@@ -33,6 +34,11 @@
         return contain("decode-rules", () -> decoder.decodeRules(key, value));
     }
 
+    @Override
+    public Optional<DrainEntry> decodeDrain(String key, byte[] value) {
+        return contain("decode-drain", () -> decoder.decodeDrain(key, value));
+    }
+
     private <T> Optional<T> contain(String task, Supplier<Optional<T>> decoding) {
         try {
             return decoding.get();
--- a/server/src/main/java/org/fuchsiawinch/server/owner/OwnerSession.java
+++ b/server/src/main/java/org/fuchsiawinch/server/owner/OwnerSession.java
@@ -73,6 +73,7 @@
 
     private Optional<CellOwner> owner = Optional.empty();
     private Guarantees guarantees;
+    private OwnerInput.DrainsRead drains;
     private Disposable ticker = () -> {};
 
     /** Time in ms of the last answer of the store which shows that no other node had claimed the cell. */
@@ -109,6 +110,7 @@
      * @param claimSentMs time in ms at which the claim was sent
      * @param predecessor the previous owner; empty if it is not certain
      * @param guarantees guarantees in force
+     * @param drains last read of the drain requests
      * @param ports ports to the platform
      * @param scheduler scheduler of the node's single thread
      * @param clock supplies the present Unix time in ms
@@ -122,6 +124,7 @@
             long claimSentMs,
             Optional<Predecessor> predecessor,
             Guarantees guarantees,
+            OwnerInput.DrainsRead drains,
             Ports ports,
             Scheduler scheduler,
             LongSupplier clock,
@@ -134,6 +137,7 @@
         this.predecessor = predecessor;
         this.suspensionCheck = suspensionCheck;
         this.guarantees = guarantees;
+        this.drains = drains;
         this.ports = ports;
         this.scheduler = scheduler;
         this.clock = clock;
@@ -185,6 +189,16 @@
         handle(new OwnerInput.GuaranteesChanged(changed));
     }
 
+    /**
+     * Handles a read of the operators' stream to its end.
+     *
+     * @param read the drain requests in force
+     */
+    public void drainsRead(OwnerInput.DrainsRead read) {
+        drains = read;
+        handle(read);
+    }
+
     /** Handles that the machine has been suspended together with its clock. */
     public void suspended() {
         // A load in progress has to be proven anew, and its claim permits no leases.
@@ -320,6 +334,7 @@
         loadHeartbeat.dispose();
         log.line("cell-taken", "epoch", epoch, "records", records.size(), "loadMs", nowMs - claimStoredMs);
         handle(new OwnerInput.GuaranteesChanged(guarantees));
+        handle(drains);
         handle(new OwnerInput.RecordsRead(List.copyOf(recordsBeforeLoad)));
         recordsBeforeLoad.clear();
         workerFollower.start();
--- a/server/src/main/java/org/fuchsiawinch/server/port/EntryDecoder.java
+++ b/server/src/main/java/org/fuchsiawinch/server/port/EntryDecoder.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 
 import org.fuchsiawinch.workflow.cell.CellRules;
+import org.fuchsiawinch.workflow.drain.DrainEntry;
 import org.fuchsiawinch.workflow.owner.WorkerRegistration;
 
 /** Decodes entries of the platform's store that workers and operators write. */
@@ -27,6 +28,17 @@
      */
     Optional<CellRules> decodeRules(String key, byte[] value);
 
+    /**
+     * Decodes the operators' request to drain a data centre. The default knows no such requests.
+     *
+     * @param key key of the entry
+     * @param value value of the entry; empty if the entry has been removed
+     * @return the request, or empty if the entry is another one
+     */
+    default Optional<DrainEntry> decodeDrain(String key, byte[] value) {
+        return Optional.empty();
+    }
+
     /**
      * Worker and its network address.
      *
--- /dev/null
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/drain/package-info.java
@@ -0,0 +1,2 @@
+/** Data centres to whose workers the operators let nothing more be sent. */
+package org.fuchsiawinch.workflow.drain;
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
@@ -25,9 +25,6 @@
  */
 public final class CellOwner {
 
-    /** Interval in ms between removals of jobs past their retention; far below the retention period. */
-    private static final long RETENTION_CHECK_MS = 5000;
-
     /** Interval in ms between records of learned run times; bounds the observations that a takeover loses. */
     private static final long LEARNED_RECORD_MS = 2500;
 
@@ -48,6 +45,7 @@
     private final StallDetector stallDetector;
     private final OwnerLoad load;
     private final StandingJobs standingJobs;
+    private final JobRetention retention;
     private final long epoch;
     private final long ownedSinceMs;
     private boolean appendPending;
@@ -74,7 +72,6 @@
     /** Time in ms at which the append in flight was first sent. */
     private long appendSentMs;
 
-    private long lastRetentionCheckMs;
     private long lastLearnedRecordMs;
     private List<CellRecord> pendingRemovals = List.of();
 
@@ -105,6 +102,7 @@
         this.scheduler = new Scheduler(state, runTracker);
         this.stallDetector = new StallDetector(state, runTracker);
         this.standingJobs = new StandingJobs(state, scheduler);
+        this.retention = new JobRetention(state);
         this.load = new OwnerLoad(state, standingJobs, nowMs);
         this.ownedSinceMs = nowMs;
         this.lastAppendMs = nowMs;
@@ -168,6 +166,8 @@
             workersPending = list.pending();
         } else if (input instanceof OwnerInput.GuaranteesChanged changed) {
             state.guarantees = changed.guarantees();
+        } else if (input instanceof OwnerInput.DrainsRead drains) {
+            state.drainedWorkers.read(drains.drainedDataCentres(), drains.readMs());
         } else {
             workerInput(input, nowMs);
         }
@@ -305,6 +305,7 @@
                 || worker.registration.incarnation() != registration.incarnation();
         worker.registration = registration;
         worker.listed = true;
+        state.drainedWorkers.registered(worker);
         leaseRenewer.registered(worker, nowMs);
         if (changed) {
             state.log.line(
@@ -317,6 +318,8 @@
                     registration.incarnation(),
                     "answeredIncarnation",
                     worker.incarnation,
+                    "dataCentre",
+                    registration.dataCentre(),
                     "rack",
                     registration.rack(),
                     "accelerators",
@@ -435,9 +438,8 @@
     }
 
     private void tick(long nowMs) {
-        if (nowMs - lastRetentionCheckMs >= RETENTION_CHECK_MS && pendingRemovals.isEmpty()) {
-            lastRetentionCheckMs = nowMs;
-            pendingRemovals = removeExpiredJobs(nowMs);
+        if (pendingRemovals.isEmpty()) {
+            pendingRemovals = retention.removalsDue(nowMs);
         }
         leaseRenewer.expireLeases(nowMs);
         stallDetector.check(nowMs);
@@ -481,7 +483,7 @@
     private void append(long nowMs) {
         boolean heartbeatDue = nowMs - lastAppendMs >= state.settings.heartbeatMs()
                 || !state.mayGrantLeases(nowMs)
-                || !state.pendingStarts.isEmpty();
+                || !state.pendingStarts.isEmpty() && state.drainedWorkers.known(nowMs);
         if (heartbeatDue || !state.changedJobs.isEmpty()) {
             state.changedJobs.addAll(state.begunJobs);
             state.begunJobs.clear();
@@ -502,8 +504,6 @@
             records.add(new CellRecord.Owner(state.settings.node(), epoch, false, state.term.wantedMs()));
         }
         unreachedWorkers.ifPresent(records::add);
-        startsBeingStored = List.copyOf(state.pendingStarts);
-        state.pendingStarts.clear();
         endsBeingStored = new TreeMap<>();
         boolean unstoredEnds = false;
         for (WorkerState worker : state.workers.values()) {
@@ -519,35 +519,11 @@
             }
             return;
         }
+        startsBeingStored = List.copyOf(state.pendingStarts);
+        state.pendingStarts.clear();
         appendPending = true;
         appendSentMs = nowMs;
         load.appendSent(nowMs);
         state.effects.add(new OwnerEffect.Append(records));
     }
-
-    private List<CellRecord> removeExpiredJobs(long nowMs) {
-        List<CellRecord> removed = new ArrayList<>();
-        state.jobs.values().removeIf(job -> {
-            boolean expired = job.phase().ended()
-                    && !state.openJobs.containsKey(job.submission().id())
-                    && nowMs - job.endedAtMs() > state.settings.retentionMs();
-            if (expired) {
-                String id = job.submission().id();
-                state.cancelled.remove(id);
-                state.duplicateRuns.forget(id);
-                removed.add(new CellRecord.Removed(CellRecord.Accepted.PREFIX + id));
-                removed.add(new CellRecord.Removed(CellRecord.Progress.PREFIX + id));
-                removed.add(new CellRecord.Removed(CellRecord.CancelRequested.PREFIX + id));
-            }
-            return expired;
-        });
-        state.earlyCancellations.values().removeIf(early -> {
-            boolean expired = nowMs - early.readAtMs() > state.settings.retentionMs();
-            if (expired) {
-                removed.add(new CellRecord.Removed(early.request().key()));
-            }
-            return expired;
-        });
-        return removed;
-    }
 }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellState.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellState.java
@@ -49,6 +49,7 @@
     final RunTimePredictor predictor = new RunTimePredictor();
     final DuplicateRuns duplicateRuns = new DuplicateRuns(this);
     Guarantees guarantees = Guarantees.NONE;
+    final DrainedWorkers drainedWorkers;
 
     /** Time in ms at which the last append that the store has confirmed was sent; at first that of the claim. */
     long lastStoredMs;
@@ -66,6 +67,7 @@
     CellState(OwnerSettings settings, DecisionLog log) {
         this.settings = settings;
         this.log = log;
+        this.drainedWorkers = new DrainedWorkers(this);
     }
 
     WorkerState worker(WorkerId id, long nowMs) {
@@ -83,10 +85,10 @@
 
     /**
      * Returns whether this owner may order starts. Beside another owner, a start may run a task twice, as a worker
-     * that has restarted knows no epoch.
+     * that has restarted knows no epoch; with old drain requests, a start may reach a drained data centre.
      */
     boolean mayOrderStarts(long nowMs) {
-        return term.certain(nowMs) && mayGrantLeases(nowMs);
+        return term.certain(nowMs) && mayGrantLeases(nowMs) && drainedWorkers.known(nowMs);
     }
 
     /** Forbids leases and starts until the store confirms another append. */
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/OwnerInput.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/OwnerInput.java
@@ -1,6 +1,7 @@
 package org.fuchsiawinch.workflow.owner;
 
 import java.util.List;
+import java.util.Set;
 
 import org.fuchsiawinch.model.WorkerId;
 import org.fuchsiawinch.workflow.job.TaskRun;
@@ -23,6 +24,20 @@
      */
     record GuaranteesChanged(Guarantees guarantees) implements OwnerInput {}
 
+    /**
+     * Read of the operators' stream to its end.
+     *
+     * @param drainedDataCentres data centres in which nothing may start
+     * @param readMs time in ms of the read, on the owner's clock
+     */
+    record DrainsRead(Set<String> drainedDataCentres, long readMs) implements OwnerInput {
+
+        /** Copies the set. */
+        public DrainsRead {
+            drainedDataCentres = Set.copyOf(drainedDataCentres);
+        }
+    }
+
     /**
      * Addition of a worker to the platform's list, or change of its registration.
      *
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/OwnerSettings.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/OwnerSettings.java
@@ -1,5 +1,7 @@
 package org.fuchsiawinch.workflow.owner;
 
+import java.util.OptionalLong;
+
 /**
  * Settings of the owner of a cell.
  *
@@ -13,6 +15,7 @@
  * @param remoteFactor factor by which a task's run time grows away from the rack of its data or its gang
  * @param retentionMs time in ms for which an ended job is kept
  * @param headroomShare share of the workers that units which can wait leave free for urgent units
+ * @param drainBoundMs time in ms within which the drain of a data centre has to take effect; empty if there is no bound
  */
 public record OwnerSettings(
         String node,
@@ -24,7 +27,8 @@
         long heartbeatMs,
         double remoteFactor,
         long retentionMs,
-        double headroomShare) {
+        double headroomShare,
+        OptionalLong drainBoundMs) {
 
     /** Maximum share by which a worker's clock may run slow, as the platform states. */
     public static final double CLOCK_DRIFT = 0.02;
@@ -76,6 +80,28 @@
                 HEARTBEAT_MS,
                 remoteFactor,
                 statusMs + RETENTION_SLACK_MS,
-                HEADROOM_SHARE);
+                HEADROOM_SHARE,
+                OptionalLong.empty());
+    }
+
+    /**
+     * Returns these settings with another bound on drains.
+     *
+     * @param boundMs time in ms within which the drain of a data centre has to take effect; empty if there is no bound
+     * @return the settings
+     */
+    public OwnerSettings withDrainBound(OptionalLong boundMs) {
+        return new OwnerSettings(
+                node,
+                leaseMs,
+                longestLeaseMs,
+                leavingLeaseMs,
+                busyWorkerWaitMs,
+                idleWorkerWaitMs,
+                heartbeatMs,
+                remoteFactor,
+                retentionMs,
+                headroomShare,
+                boundMs);
     }
 }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerRegistration.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerRegistration.java
@@ -10,6 +10,7 @@
  *
  * @param id the worker
  * @param incarnation start time of the process that has registered, in ms since the Unix epoch; 0 if unknown
+ * @param dataCentre data centre of the worker; empty text if unknown
  * @param service service whose tasks the worker runs
  * @param rack rack; empty text if unknown
  * @param labels all labels of the worker
@@ -19,6 +20,7 @@
 public record WorkerRegistration(
         WorkerId id,
         long incarnation,
+        String dataCentre,
         String service,
         String rack,
         List<String> labels,
@@ -43,7 +45,19 @@
         return incarnation == 0 || reportedIncarnation == 0 || incarnation == reportedIncarnation;
     }
 
-    /** Creates a registration of an unknown process. */
+    /** Creates a registration in an unknown data centre. */
+    public WorkerRegistration(
+            WorkerId id,
+            long incarnation,
+            String service,
+            String rack,
+            List<String> labels,
+            Resources capacity,
+            boolean leaving) {
+        this(id, incarnation, "", service, rack, labels, capacity, leaving);
+    }
+
+    /** Creates a registration of an unknown process in an unknown data centre. */
     public WorkerRegistration(
             WorkerId id, String service, String rack, List<String> labels, Resources capacity, boolean leaving) {
         this(id, 0, service, rack, labels, capacity, leaving);
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerState.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerState.java
@@ -27,6 +27,9 @@
     /** Whether the platform lists the worker. */
     boolean listed;
 
+    /** Whether nothing more may start on the worker, as the operators drain its data centre. */
+    boolean drained;
+
     /** Whether a renewal is in flight. */
     boolean renewing;
 
@@ -152,9 +155,9 @@
         return overdue || unansweredAcknowledgementMs > lastContactMs;
     }
 
-    /** Returns whether the process that has answered last is registered, and not as draining. */
+    /** Returns whether the process that has answered last is registered, and neither it nor its data centre drains. */
     private boolean accepts() {
-        return listed && !registration.leaving() && registration.describes(incarnation);
+        return listed && !drained && !registration.leaving() && registration.describes(incarnation);
     }
 
     /** Returns whether a run may still be started: nothing has changed that its assignment relies on. */
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/OwnerHarness.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/OwnerHarness.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
@@ -71,11 +72,18 @@
     /** Share of the workers that is kept free for urgent work. */
     double headroomShare = 0.125;
 
+    /** Time in ms within which the drain of a data centre has to take effect; empty if there is no bound. */
+    OptionalLong drainBoundMs = OptionalLong.empty();
+
     /** Whether the members of a gang start work and end together; if not, each works independently. */
     boolean gangsSynchronized;
 
     GroundTruth groundTruth = task -> step(task).estimatedMs();
     boolean steppedDown;
+
+    /** Number of appends that were stored. */
+    int appends;
+
     private long sequence;
 
     record Event(long atMs, long sequence, Runnable action) implements Comparable<Event> {
@@ -110,7 +118,8 @@
         epoch++;
         steppedDown = false;
         owner = new CellOwner(
-                new OwnerSettings("n" + epoch, 6000, 10_000, 3000, 1000, 2000, 400, 3, 60_000, headroomShare),
+                new OwnerSettings(
+                        "n" + epoch, 6000, 10_000, 3000, 1000, 2000, 400, 3, 60_000, headroomShare, drainBoundMs),
                 epoch,
                 new Recorder(),
                 nowMs,
@@ -246,6 +255,7 @@
             return;
         }
         append.records().forEach(record -> stored.put(record.key(), record));
+        appends++;
         lastRecordMs = nowMs;
         reply(caller, storeAnswerMs, new OwnerInput.Appended());
     }
