Guard the pause of a former owner by a worker that cannot take its task

The new test lets the worker lose power during the pause and come back as a kind that cannot hold the task; the successor places it elsewhere, and the former owner wakes.

--- a/workflow/src/test/java/org/fuchsiawinch/workflow/RestartSafetyTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/RestartSafetyTest.java
@@ -1,5 +1,6 @@
 package org.fuchsiawinch.workflow;
 
+import org.fuchsiawinch.model.Resources;
 import org.fuchsiawinch.workflow.job.StepSpec;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -213,6 +214,32 @@
         simulation.rules.checkAllEnded();
     }
 
+    // Guards against the same if the worker does not drain, but has lost power during the pause and is back as a kind
+    // that cannot hold the task. It is back as the earlier kind before the former owner goes on.
+    @Test(dataProvider = "pauses")
+    public void aFormerOwnerStartsNothingOnAWorkerThatWasOfAnotherKind(long pauseMs) {
+        FaultSimulation simulation = new FaultSimulation(1, 3, 2).run(20_000);
+        SimulatedNode former = simulation.nodes.stream()
+                .filter(SimulatedNode::owns)
+                .findFirst()
+                .orElseThrow();
+        simulation.submit("job", task(8000));
+        while (simulation.assignedWorker("job").isEmpty()) {
+            simulation.run(1);
+        }
+        SimulatedWorker assigned = simulation.assignedWorker("job").orElseThrow();
+        assertTrue(assigned.running.isEmpty(), "the start was sent before the pause");
+        former.freeze(pauseMs);
+        assigned.capacity = new Resources(16_000, 16_000, 0, 0, 0);
+        assigned.crash(1);
+        simulation.run(pauseMs - 20);
+        assertTrue(holder(simulation) != assigned, "the next owner has started nothing");
+        assigned.capacity = SimulatedWorker.CAPACITY;
+        assigned.crash(1);
+        simulation.run(20_000);
+        simulation.rules.checkAllEnded();
+    }
+
     /** Delays in ms of the former owner's order; the worker loses power shortly before it arrives. */
     @DataProvider
     public Object[][] ordersOfFormerOwners() {
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/SimulatedWorker.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/SimulatedWorker.java
@@ -26,7 +26,7 @@
 
     static final long MAX_LEASE_MS = 10_000;
     static final long CHECK_IN_INTERVAL_MS = 500;
-    private static final Resources CAPACITY = new Resources(16_000, 16_000, 4, 0, 0);
+    static final Resources CAPACITY = new Resources(16_000, 16_000, 4, 0, 0);
     private static final long STOP_MS = 300;
     private static final long GANG_START_TIMEOUT_MS = 3000;
     private static final long GANG_BREAK_MS = 200;
@@ -39,6 +39,9 @@
     boolean up = true;
     boolean leaving;
 
+    /** Capacity of the present process; the next one may have another. */
+    Resources capacity = CAPACITY;
+
     /** Whether the worker cannot reach the store, so that its entry expires. */
     boolean cutFromStore;
 
@@ -88,7 +91,7 @@
     void checkIn() {
         if (up && !cutFromStore && !simulation.store.down) {
             simulation.store.checkIn(
-                    new WorkerRegistration(id, incarnation, "desk", rack, List.of("a", rack), CAPACITY, leaving),
+                    new WorkerRegistration(id, incarnation, "desk", rack, List.of("a", rack), capacity, leaving),
                     simulation.nowMs);
         }
         simulation.schedule(CHECK_IN_INTERVAL_MS, this::checkIn);
@@ -141,7 +144,7 @@
         int used = running.keySet().stream()
                 .mapToInt(run -> simulation.step(run.task()).perTask().accelerators())
                 .sum();
-        if (used + step.perTask().accelerators() > CAPACITY.accelerators()) {
+        if (used + step.perTask().accelerators() > capacity.accelerators()) {
             return StartOutcome.NO_ROOM;
         }
         begin(order.run(), step);
