Learn run times from runs that have ended

Callers' estimates are rough, and what corrected them was one mean error a queue, with a constant deviation, moved by whichever workspace ran most.

The forecast replaces the prior error and the deviation of a job; what its own runs report still goes first. Placement, order, reservations and preemption use it through RunTimePredictor.

--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/ActiveRun.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/ActiveRun.java
@@ -35,6 +35,10 @@
 
     Stage stage;
     int startOrders;
+
+    /** Whether the run goes on from a checkpoint, so that its run time is only a part. */
+    boolean resumed;
+
     /** Whether a start order was not answered, so that it may still be carried out. */
     boolean startUnanswered;
 
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
@@ -401,6 +401,7 @@
 
     private void restore(CellRecord.LearnedRunTimes learned, long nowMs) {
         state.predictor.restore(learned.queueErrors());
+        state.predictor.model().restore(learned.runTimes());
         learned.logSpeeds()
                 .forEach((id, speed) -> state.worker(id, nowMs).health.restoreLogSpeed(speed));
     }
@@ -411,7 +412,8 @@
                 .values()
                 .forEach(
                         worker -> speeds.put(worker.id, worker.health.logSpeed().mean()));
-        return new CellRecord.LearnedRunTimes(speeds, state.predictor.queueErrors());
+        return new CellRecord.LearnedRunTimes(
+                speeds, state.predictor.queueErrors(), state.predictor.model().groupsToStore());
     }
 
     private void restoreTask(JobState job, TaskRef ref, CellRecord.TaskProgress stored, long nowMs) {
@@ -451,6 +453,7 @@
         }
         standingJobs.check(fleetKnown, load.appendAgeMs(nowMs), nowMs);
         load.tick(nowMs);
+        state.runTimes.tick(nowMs);
     }
 
     private void appendStored(long nowMs) {
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellState.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellState.java
@@ -47,6 +47,7 @@
 
     final JobUtility utility = new JobUtility();
     final RunTimePredictor predictor = new RunTimePredictor();
+    final RunTimeObserver runTimes = new RunTimeObserver(this);
     final DuplicateRuns duplicateRuns = new DuplicateRuns(this);
     Guarantees guarantees = Guarantees.NONE;
     final DrainedWorkers drainedWorkers;
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTimePredictor.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTimePredictor.java
@@ -2,14 +2,19 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.WeakHashMap;
 
+import org.fuchsiawinch.workflow.forecast.RunKind;
+import org.fuchsiawinch.workflow.forecast.RunTimeForecast;
+import org.fuchsiawinch.workflow.forecast.RunTimeModel;
 import org.fuchsiawinch.workflow.job.JobState;
 import org.fuchsiawinch.workflow.job.StepSpec;
 
 /**
- * Predicts run times from the callers' estimates. Attributes observed progress to the worker's speed and to the error
- * of the caller's estimate: tasks of a job share one error, whose prior mean is the error of the queue, and tasks on a
+ * Predicts run times from the callers' estimates, as corrected by runs that have ended ({@link RunTimeModel}).
+ * Attributes observed progress to the worker's speed and to the error of the caller's estimate: tasks of a job share
+ * one error, whose prior mean is that of the ended runs of its kind or else the error of the queue, and tasks on a
  * worker share its speed. Errors and speeds are kept as natural logarithms. Not thread-safe.
  */
 final class RunTimePredictor {
@@ -36,6 +41,7 @@
 
     private final Map<JobState, GaussianEstimate> jobErrors = new WeakHashMap<>();
     private final Map<String, GaussianEstimate> queueErrors = new HashMap<>();
+    private final RunTimeModel model = new RunTimeModel();
 
     /**
      * Updates the estimates from the observed progress of a run.
@@ -49,7 +55,7 @@
         GaussianEstimate queue = queueErrors.computeIfAbsent(
                 job.submission().queue(), name -> new GaussianEstimate(0, QUEUE_ERROR_VARIANCE));
         GaussianEstimate error =
-                jobErrors.computeIfAbsent(job, added -> new GaussianEstimate(queue.mean(), JOB_ERROR_VARIANCE));
+                jobErrors.computeIfAbsent(job, added -> new GaussianEstimate(priorError(job), JOB_ERROR_VARIANCE));
         double innovation = Math.log(Math.max(1e-3, progressRate)) - speed.mean() - error.mean();
         double boundedInnovation = Math.max(-MAX_INNOVATION, Math.min(MAX_INNOVATION, innovation));
         double innovationVariance = speed.variance() + error.variance() + queue.variance() + TASK_RUN_TIME_VARIANCE;
@@ -117,7 +123,30 @@
                 startAgeMs,
                 runMs + job.criticalPathAfterMs(step) * factor,
                 job.criticalPathMs() * factor,
-                LOG_RUN_TIME_DEVIATION);
+                logDeviation(job));
+    }
+
+    /** Returns the model that learns from ended runs. */
+    RunTimeModel model() {
+        return model;
+    }
+
+    private double logDeviation(JobState job) {
+        return learned(job).map(RunTimeForecast::deviation).orElse(LOG_RUN_TIME_DEVIATION);
+    }
+
+    /** Returns what ended runs say of the job's first step; empty if too few are known. */
+    private Optional<RunTimeForecast> learned(JobState job) {
+        return model.forecast(kind(job, job.submission().steps().get(0), false));
+    }
+
+    /** Returns the kind of a run of the step. */
+    static RunKind kind(JobState job, StepSpec step, boolean remote) {
+        return new RunKind(
+                job.submission().queue(),
+                job.submission().workspace(),
+                RunKind.shape(step.perTask().accelerators(), step.count(), step.gang()),
+                remote);
     }
 
     /** Returns the factor that corrects the run-time estimates of the job. */
@@ -130,7 +159,14 @@
         if (known != null) {
             return known.mean();
         }
-        GaussianEstimate queue = queueErrors.get(job.submission().queue());
-        return queue == null ? 0 : queue.mean();
+        return priorError(job);
+    }
+
+    /** Returns the expected log estimate error of a job none of whose runs has reported progress. */
+    private double priorError(JobState job) {
+        return learned(job).map(forecast -> -forecast.median()).orElseGet(() -> {
+            GaussianEstimate queue = queueErrors.get(job.submission().queue());
+            return queue == null ? 0 : queue.mean();
+        });
     }
 }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTracker.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTracker.java
@@ -49,6 +49,7 @@
 
     private void sendStart(ActiveRun run, long nowMs) {
         run.startOrders++;
+        run.resumed = !run.task().checkpoint().isEmpty();
         long leaseEndMs = run.worker.newLeaseEndMs(state.settings.leaseMs(), nowMs);
         run.worker.leaseSent(leaseEndMs, nowMs);
         run.worker.unansweredStarts.sent(run.id, run.worker.incarnation, nowMs);
@@ -227,6 +228,7 @@
         TaskState task = job == null ? null : job.task(end.run().task());
         if (run != null) {
             worker.remove(run);
+            state.runTimes.ended(run, end.end(), nowMs);
         }
         if (end.end() == WorkerReport.RunEnd.DONE) {
             state.duplicateRuns.check(worker, end.run(), "DONE");
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/record/CellRecord.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/record/CellRecord.java
@@ -6,6 +6,7 @@
 
 import org.fuchsiawinch.model.WorkerId;
 import org.fuchsiawinch.model.WorkspaceId;
+import org.fuchsiawinch.workflow.forecast.RunTimeModel;
 import org.fuchsiawinch.workflow.job.JobPhase;
 import org.fuchsiawinch.workflow.job.Submission;
 import org.fuchsiawinch.workflow.job.TaskPhase;
@@ -190,8 +191,11 @@
      *
      * @param logSpeeds natural logarithm of each worker's speed
      * @param queueErrors natural logarithm of the mean factor by which each queue's estimates exceed true run times
+     * @param runTimes distributions of run times by kind
      */
-    record LearnedRunTimes(Map<WorkerId, Double> logSpeeds, Map<String, Double> queueErrors) implements CellRecord {
+    record LearnedRunTimes(
+            Map<WorkerId, Double> logSpeeds, Map<String, Double> queueErrors, List<RunTimeModel.Group> runTimes)
+            implements CellRecord {
 
         /** Key of the only record of this type. */
         public static final String KEY = "learned";
@@ -202,6 +206,12 @@
         public LearnedRunTimes {
             logSpeeds = Map.copyOf(logSpeeds);
             queueErrors = Map.copyOf(queueErrors);
+            runTimes = List.copyOf(runTimes);
+        }
+
+        /** Creates a record without distributions. */
+        public LearnedRunTimes(Map<WorkerId, Double> logSpeeds, Map<String, Double> queueErrors) {
+            this(logSpeeds, queueErrors, List.of());
         }
 
         @Override
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/record/RecordCodec.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/record/RecordCodec.java
@@ -12,6 +12,8 @@
 import org.fuchsiawinch.model.Resources;
 import org.fuchsiawinch.model.WorkerId;
 import org.fuchsiawinch.model.WorkspaceId;
+import org.fuchsiawinch.workflow.forecast.RunKind;
+import org.fuchsiawinch.workflow.forecast.RunTimeModel;
 import org.fuchsiawinch.workflow.job.JobPhase;
 import org.fuchsiawinch.workflow.job.StepSpec;
 import org.fuchsiawinch.workflow.job.Submission;
@@ -320,6 +322,22 @@
         for (Map.Entry<String, Double> error : learned.queueErrors().entrySet()) {
             packer.packString(error.getKey()).packFloat(error.getValue().floatValue());
         }
+        // Earlier releases end here and ignore what follows.
+        if (learned.runTimes().isEmpty()) {
+            return;
+        }
+        packer.packArrayHeader(learned.runTimes().size());
+        for (RunTimeModel.Group group : learned.runTimes()) {
+            RunKind kind = group.kind();
+            packer.packString(kind.queue())
+                    .packString(kind.workspace().value())
+                    .packString(kind.shape())
+                    .packBoolean(kind.remote())
+                    .packMapHeader(group.weights().size());
+            for (Map.Entry<Integer, Integer> weight : group.weights().entrySet()) {
+                packer.packInt(weight.getKey()).packInt(weight.getValue());
+            }
+        }
     }
 
     private static CellRecord.LearnedRunTimes unpackLearned(MessageUnpacker unpacker) throws IOException {
@@ -331,7 +349,24 @@
         for (int left = unpacker.unpackMapHeader(); left > 0; left--) {
             errors.put(unpacker.unpackString(), unpackFinite(unpacker));
         }
-        return new CellRecord.LearnedRunTimes(speeds, errors);
+        List<RunTimeModel.Group> runTimes = new ArrayList<>();
+        for (int left = unpacker.hasNext() ? unpacker.unpackArrayHeader() : 0; left > 0; left--) {
+            runTimes.add(unpackRunTimes(unpacker));
+        }
+        return new CellRecord.LearnedRunTimes(speeds, errors, runTimes);
+    }
+
+    private static RunTimeModel.Group unpackRunTimes(MessageUnpacker unpacker) throws IOException {
+        RunKind kind = new RunKind(
+                unpacker.unpackString(),
+                new WorkspaceId(unpacker.unpackString()),
+                unpacker.unpackString(),
+                unpacker.unpackBoolean());
+        Map<Integer, Integer> weights = new HashMap<>();
+        for (int left = unpacker.unpackMapHeader(); left > 0; left--) {
+            weights.put(unpacker.unpackInt(), unpacker.unpackInt());
+        }
+        return new RunTimeModel.Group(kind, weights);
     }
 
     private static Optional<String> optional(String text) {
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/RecordCodecTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/RecordCodecTest.java
@@ -10,6 +10,8 @@
 import org.fuchsiawinch.model.Resources;
 import org.fuchsiawinch.model.WorkerId;
 import org.fuchsiawinch.model.WorkspaceId;
+import org.fuchsiawinch.workflow.forecast.RunKind;
+import org.fuchsiawinch.workflow.forecast.RunTimeModel;
 import org.fuchsiawinch.workflow.job.JobPhase;
 import org.fuchsiawinch.workflow.job.JobState;
 import org.fuchsiawinch.workflow.job.StepSpec;
@@ -82,6 +84,20 @@
         assertEquals(codec.decode(record.key(), codec.encode(record)), record);
     }
 
+    // Guards against learned run times that a successor, or a node of an earlier release, cannot read.
+    @Test
+    public void addsRunTimesToTheEndOfLearnedValues() {
+        RunKind kind = new RunKind("plans", new WorkspaceId("ws"), "8x4", true);
+        CellRecord.LearnedRunTimes record = new CellRecord.LearnedRunTimes(
+                Map.of(new WorkerId("i-1"), 0.5),
+                Map.of("plans", -0.25),
+                List.of(new RunTimeModel.Group(kind, Map.of(23, 40, -30, 1))));
+        byte[] value = codec.encode(record);
+        assertEquals(codec.decode(record.key(), value), record);
+        byte[] earlier = codec.encode(new CellRecord.LearnedRunTimes(record.logSpeeds(), record.queueErrors()));
+        assertEquals(Arrays.copyOf(value, earlier.length), earlier);
+    }
+
     @Test(dataProvider = "records")
     public void rejectsTruncatedValues(CellRecord record) {
         byte[] whole = codec.encode(record);
