--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerRegistration.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerRegistration.java
@@ -1,6 +1,7 @@
 package org.fuchsiawinch.workflow.owner;
 
 import java.util.List;
+import java.util.OptionalLong;
 
 import org.fuchsiawinch.model.Resources;
 import org.fuchsiawinch.model.WorkerId;
@@ -16,6 +17,7 @@
  * @param labels all labels of the worker
  * @param capacity total resources of the worker; slots and connections are not used
  * @param leaving whether the worker is draining and gets no new work
+ * @param leavesInMs time in ms from the registration until a draining worker may exit; empty if it states none
  */
 public record WorkerRegistration(
         WorkerId id,
@@ -25,7 +27,8 @@
         String rack,
         List<String> labels,
         Resources capacity,
-        boolean leaving) {
+        boolean leaving,
+        OptionalLong leavesInMs) {
 
     /**
      * Copies the list of labels.
@@ -54,12 +57,12 @@
             List<String> labels,
             Resources capacity,
             boolean leaving) {
-        this(id, incarnation, "", service, rack, labels, capacity, leaving);
+        this(id, incarnation, "", service, rack, labels, capacity, leaving, OptionalLong.empty());
     }
 
     /** Creates a registration of an unknown process in an unknown data centre. */
     public WorkerRegistration(
             WorkerId id, String service, String rack, List<String> labels, Resources capacity, boolean leaving) {
-        this(id, 0, service, rack, labels, capacity, leaving);
+        this(id, 0, "", service, rack, labels, capacity, leaving, OptionalLong.empty());
     }
 }
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/DrainedDataCentreTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/DrainedDataCentreTest.java
@@ -47,7 +47,8 @@
                 worker.rack,
                 List.of("a", worker.rack),
                 OwnerHarness.WORKER_CAPACITY,
-                false)));
+                false,
+                OptionalLong.empty())));
     }
 
     private void drain(String... dataCentres) {
