Keep the constant deviation of a job's forecast

The learned spread of a group contains the differences between jobs, whose objectives grow with their work. The learned median stays, and the log shows median and tail by queue.

--- a/workflow/src/main/java/org/fuchsiawinch/workflow/forecast/RunTimeDistribution.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/forecast/RunTimeDistribution.java
@@ -26,10 +26,6 @@
 
     private static final double MEDIAN = 0.5;
 
-    /** Probabilities one standard deviation around the median of a normal distribution. */
-    private static final double UPPER = 0.8413;
-
-    private static final double LOWER = 1 - UPPER;
     private static final double TAIL = 0.95;
 
     private final float[] completed = new float[BINS];
@@ -60,8 +56,7 @@
 
     RunTimeForecast forecast() {
         if (forecast == null) {
-            double deviation = Math.max(BIN_WIDTH, (quantile(UPPER) - quantile(LOWER)) / 2);
-            forecast = new RunTimeForecast(quantile(MEDIAN), deviation, quantile(TAIL), observations());
+            forecast = new RunTimeForecast(quantile(MEDIAN), quantile(TAIL), observations());
         }
         return forecast;
     }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/forecast/RunTimeForecast.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/forecast/RunTimeForecast.java
@@ -5,8 +5,7 @@
  * observations are natural logarithms.
  *
  * @param median median
- * @param deviation standard deviation of the normal distribution with the same middle two thirds
  * @param tail ratio that five runs in a hundred exceed
  * @param observations effective number of runs on which the forecast rests, after fading
  */
-public record RunTimeForecast(double median, double deviation, double tail, double observations) {}
+public record RunTimeForecast(double median, double tail, double observations) {}
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTimeObserver.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTimeObserver.java
@@ -32,6 +32,7 @@
         private int runs;
         private double ofEstimate;
         private double ofForecast;
+        private Optional<RunTimeForecast> newest = Optional.empty();
     }
 
     RunTimeObserver(CellState state) {
@@ -92,6 +93,7 @@
         Errors queue = errors.computeIfAbsent(kind.queue(), added -> new Errors());
         Optional<RunTimeForecast> forecast = state.predictor.model().forecast(kind);
         queue.runs++;
+        queue.newest = forecast;
         queue.ofEstimate += Math.abs(logRatio);
         queue.ofForecast +=
                 Math.abs(logRatio - forecast.map(RunTimeForecast::median).orElse(0.0));
@@ -111,11 +113,23 @@
                 "estimateError",
                 mean(sums.ofEstimate, sums.runs),
                 "forecastError",
-                mean(sums.ofForecast, sums.runs)));
+                mean(sums.ofForecast, sums.runs),
+                "medianRatio",
+                sums.newest
+                        .map(forecast -> rounded(Math.exp(forecast.median())))
+                        .orElse(1.0),
+                "tailRatio",
+                sums.newest.map(forecast -> rounded(Math.exp(forecast.tail()))).orElse(1.0),
+                "knownRuns",
+                sums.newest.map(RunTimeForecast::observations).orElse(0.0)));
         errors.clear();
     }
 
     private static double mean(double sum, int count) {
-        return Math.round(1000 * sum / count) / 1000.0;
+        return rounded(sum / count);
+    }
+
+    private static double rounded(double value) {
+        return Math.round(1000 * value) / 1000.0;
     }
 }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTimePredictor.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTimePredictor.java
@@ -30,7 +30,8 @@
 
     /**
      * Standard deviation of the log ratio of actual to predicted run time; callers' estimates are off by a factor of
-     * about 1.5.
+     * about 1.5. The learned spread of a group is no substitute: it contains the differences between jobs, whose
+     * objectives grow alike, and cost utility in the offline model.
      */
     private static final double LOG_RUN_TIME_DEVIATION = 0.4;
 
@@ -123,7 +124,7 @@
                 startAgeMs,
                 runMs + job.criticalPathAfterMs(step) * factor,
                 job.criticalPathMs() * factor,
-                logDeviation(job));
+                LOG_RUN_TIME_DEVIATION);
     }
 
     /** Returns the model that learns from ended runs. */
@@ -131,10 +132,6 @@
         return model;
     }
 
-    private double logDeviation(JobState job) {
-        return learned(job).map(RunTimeForecast::deviation).orElse(LOG_RUN_TIME_DEVIATION);
-    }
-
     /** Returns what ended runs say of the job's first step; empty if too few are known. */
     private Optional<RunTimeForecast> learned(JobState job) {
         return model.forecast(kind(job, job.submission().steps().get(0), false));
