Send callers of a node without the store to another node at once

What callers saw: a node that could not reach the store refused them with Retry-After 1, whatever the cause. Such a node also showed the old phase of jobs that had ended meanwhile.

A caller on its first try now comes back at once, to another node; one that has been refused before waits as it did, since the store may be away for all. Callers state the time that they have left, by which a first try is told. The phase of an open job is refused while nothing is heard of the store.

--- a/server/src/main/java/org/fuchsiawinch/server/api/CallerRequestHandler.java
+++ b/server/src/main/java/org/fuchsiawinch/server/api/CallerRequestHandler.java
@@ -1,6 +1,7 @@
 package org.fuchsiawinch.server.api;
 
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -46,7 +47,10 @@
      */
     private static final long MAX_STORE_SILENCE_MS = 1300;
 
-    private static final int RETRY_AFTER_S = 1;
+    /** Causes of refusals that other nodes need not share. */
+    private static final Set<String> DEPENDENCY_CAUSES =
+            Set.of("store-silent", "store-refuses", "store-unreachable", "rules-outdated");
+
     private static final Pattern JOB_ID = Pattern.compile("[0-9a-f]{16}");
 
     private final JobIndex index;
@@ -58,6 +62,7 @@
     private final LongSupplier clock;
     private final DecisionLog log;
     private final MetricRegistry metrics;
+    private final RetryAdvice retryAdvice = new RetryAdvice();
 
     /**
      * Creates a handler.
@@ -122,7 +127,7 @@
                 return Mono.just(new Answer.Malformed(malformed.problem()));
             }
             if (decoded instanceof JobBody.Unsupported unsupported) {
-                return Mono.just(new Answer.Unavailable("unsupported-" + unsupported.feature(), RETRY_AFTER_S));
+                return Mono.just(new Answer.Unavailable("unsupported-" + unsupported.feature(), RetryAdvice.WAIT_S));
             }
             return accept(request, resolved, (JobBody.Job) decoded);
         });
@@ -140,13 +145,21 @@
                 return Mono.just(
                         new Answer.Pending(index.queuedCount(resolved.queue().name())));
             }
-            return withJob(
-                    resolved,
-                    job -> Mono.just(new Answer.State(job.reportedPhase())),
-                    () -> Mono.just(new Answer.NoSuchJob()));
+            return withJob(resolved, job -> Mono.just(phaseAnswer(job)), () -> Mono.just(new Answer.NoSuchJob()));
         });
     }
 
+    /**
+     * Returns the phase of a job, or sends the caller to another node if this one hears nothing of the store: the job
+     * may have ended meanwhile, and its caller would wait for an answer that the other nodes have.
+     */
+    private Answer phaseAnswer(JobIndex.JobSummary job) {
+        boolean outdated = cellFollower.stalenessMs(clock.getAsLong()) > MAX_STORE_SILENCE_MS;
+        return outdated && !job.phase().ended()
+                ? new Answer.Unavailable("store-silent", RetryAdvice.WAIT_S)
+                : new Answer.State(job.reportedPhase());
+    }
+
     /**
      * Cancels a job. Idempotent; a job that has ended stays as it is. A job that does not exist is cancelled for the
      * case that its submission, which the caller had no answer to, is stored later.
@@ -188,9 +201,19 @@
         long startedMs = clock.getAsLong();
         Optional<CellRules> currentRules = rules.get();
         Mono<Answer> answer = currentRules.isEmpty()
-                ? Mono.just(new Answer.Unavailable("no-rules", RETRY_AFTER_S))
+                ? Mono.just(new Answer.Unavailable("no-rules", RetryAdvice.WAIT_S))
                 : ErrorSignals.defer(() -> withQueue(request, currentRules.get(), startedMs, action));
-        return answer.doOnNext(sent -> recordAnswer(verb, request, sent, startedMs));
+        return answer.map(sent -> advised(request, sent, startedMs))
+                .doOnNext(sent -> recordAnswer(verb, request, sent, startedMs));
+    }
+
+    /** Tells a caller that is refused for want of the store when to come back. */
+    private Answer advised(CallerRequest request, Answer answer, long startedMs) {
+        if (!(answer instanceof Answer.Unavailable refusal) || !DEPENDENCY_CAUSES.contains(refusal.cause())) {
+            return answer;
+        }
+        int retryAfterS = retryAdvice.retryAfterS(queue(request), request.maxWaitMs(), startedMs);
+        return new Answer.Unavailable(refusal.cause(), retryAfterS);
     }
 
     private Mono<Answer> withQueue(
@@ -204,12 +227,13 @@
         if (workspace.isEmpty() && !queue.get().open()) {
             return Mono.just(refuse(rulesCurrent, new Answer.UnknownKey()));
         }
+        retryAdvice.arrived(queue.get().name(), request.maxWaitMs(), nowMs);
         String job = request.path().substring(queue.get().pathPrefix().length());
         return action.apply(new ResolvedRequest(queue.get(), workspace, job));
     }
 
     private static Answer refuse(boolean rulesCurrent, Answer refusal) {
-        return rulesCurrent ? refusal : new Answer.Unavailable("rules-outdated", RETRY_AFTER_S);
+        return rulesCurrent ? refusal : new Answer.Unavailable("rules-outdated", RetryAdvice.WAIT_S);
     }
 
     private Mono<Answer> withJob(
@@ -225,7 +249,9 @@
             if (found.isPresent()) {
                 return action.apply(found.get());
             }
-            return caughtUp ? missing.get() : Mono.just(new Answer.Unavailable("store-unreachable", RETRY_AFTER_S));
+            return caughtUp
+                    ? missing.get()
+                    : Mono.just(new Answer.Unavailable("store-unreachable", RetryAdvice.WAIT_S));
         });
     }
 
@@ -248,7 +274,7 @@
                 body.steps());
         // The steps are valid here. All nodes would skip a record with a problem, so the job would be lost.
         if (submission.problem().isPresent()) {
-            return Mono.just(new Answer.Unavailable("queue-rules-out-of-range", RETRY_AFTER_S));
+            return Mono.just(new Answer.Unavailable("queue-rules-out-of-range", RetryAdvice.WAIT_S));
         }
         return append(request, new CellRecord.Accepted(submission), new Answer.Accepted());
     }
@@ -256,7 +282,7 @@
     private Mono<Answer> append(CallerRequest request, CellRecord record, Answer success) {
         long nowMs = clock.getAsLong();
         if (cellFollower.stalenessMs(nowMs) > MAX_STORE_SILENCE_MS) {
-            return Mono.just(new Answer.Unavailable("store-silent", RETRY_AFTER_S));
+            return Mono.just(new Answer.Unavailable("store-silent", RetryAdvice.WAIT_S));
         }
         long appendDeadlineMs = nowMs + Math.min(MAX_APPEND_WAIT_MS, request.maxWaitMs() / APPEND_WAIT_DIVISOR);
         return appender.store(new StreamStore.Entry(record.key(), codec.encode(record)), appendDeadlineMs)
@@ -267,7 +293,7 @@
                     }
                     return outcome == BatchingAppender.Outcome.UNKNOWN
                             ? new Answer.Uncertain()
-                            : new Answer.Unavailable("store-refuses", RETRY_AFTER_S);
+                            : new Answer.Unavailable("store-refuses", RetryAdvice.WAIT_S);
                 });
     }
 
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/cell/RecentMaximum.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/cell/RecentMaximum.java
@@ -1,7 +1,7 @@
 package org.fuchsiawinch.workflow.cell;
 
 /** Largest value of the recent past: of the last window at least, and of the last two at most. Not thread-safe. */
-final class RecentMaximum {
+public final class RecentMaximum {
 
     private final long windowMs;
     private long windowStartMs;
@@ -14,7 +14,7 @@
      * @param windowMs length of a window in ms
      * @param nowMs present time in ms
      */
-    RecentMaximum(long windowMs, long nowMs) {
+    public RecentMaximum(long windowMs, long nowMs) {
         this.windowMs = windowMs;
         this.windowStartMs = nowMs;
     }
@@ -25,7 +25,7 @@
      * @param value the value, not negative
      * @param nowMs present time in ms
      */
-    void add(long value, long nowMs) {
+    public void add(long value, long nowMs) {
         startDueWindow(nowMs);
         current = Math.max(current, value);
     }
@@ -36,7 +36,7 @@
      * @param nowMs present time in ms
      * @return the value; 0 if there is none
      */
-    long value(long nowMs) {
+    public long value(long nowMs) {
         startDueWindow(nowMs);
         return Math.max(current, previous);
     }
