--- a/ctl/src/main/java/org/fuchsiawinch/ctl/command/Commands.java
+++ b/ctl/src/main/java/org/fuchsiawinch/ctl/command/Commands.java
@@ -16,7 +16,7 @@
     public static List<Command> all() {
         return Stream.of(
                         DocumentCommands.all(),
-                        List.of(PlanCommand.command(), ProposeCommand.command()),
+                        List.of(PlanCommand.command(), ProposeCommand.command(), RulesCommands.check()),
                         FleetCommands.all())
                 .flatMap(List::stream)
                 .toList();
--- /dev/null
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/check/package-info.java
@@ -0,0 +1,2 @@
+/** Checks of the operators' rules before they are sent. */
+package org.fuchsiawinch.workflow.check;
