Show fragmentation in the owner's load

owner-load has idleAccelerators, those of workers without runs, beside freeAccelerators: a task of eight accelerators that waits beside many free ones could not be told from one that nothing holds up. OwnerLoadTest guards it.

--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/OwnerLoad.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/OwnerLoad.java
@@ -62,6 +62,7 @@
         int quarantined = 0;
         int silent = 0;
         int freeAccelerators = 0;
+        int idleAccelerators = 0;
         int totalAccelerators = 0;
         int runs = 0;
         for (WorkerState worker : state.workers.values()) {
@@ -76,6 +77,7 @@
             if (worker.usable(nowMs)) {
                 usable++;
                 freeAccelerators += worker.free().accelerators();
+                idleAccelerators += worker.runs.isEmpty() ? worker.free().accelerators() : 0;
             }
         }
         state.log.line(
@@ -94,6 +96,8 @@
                 silent,
                 "freeAccelerators",
                 freeAccelerators,
+                "idleAccelerators",
+                idleAccelerators,
                 "totalAccelerators",
                 totalAccelerators,
                 "runs",
--- a/workflow/src/test/java/org/fuchsiawinch/workflow/OwnerLoadTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/OwnerLoadTest.java
@@ -38,6 +38,16 @@
         assertEquals(Integer.parseInt(line.get("waitingTasks")), 5 - runs);
     }
 
+    // Guards against fragmentation that the line does not show: free accelerators beside runs hold no wide task.
+    @Test
+    public void tellsIdleWorkersFromFreeAcceleratorsBesideRuns() {
+        OwnerHarness harness = new OwnerHarness().workers(3).takeOver().run(3500);
+        harness.submit("job", 1, OwnerHarness.tasks(1, 3, 60_000)).run(3000);
+        Map<String, String> line = last(harness);
+        assertEquals(line.get("freeAccelerators"), "21");
+        assertEquals(line.get("idleAccelerators"), "16");
+    }
+
     @Test
     public void showsLateTicksAndSlowAppends() {
         OwnerHarness harness = new OwnerHarness().workers(1).takeOver().run(4050);
