--- a/workflow/src/main/java/org/fuchsiawinch/workflow/forecast/RunTimeModel.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/forecast/RunTimeModel.java
@@ -30,6 +30,8 @@
     /** Forecasts for workspaces without runs of their own, by queue and distance; cleared with each run. */
     private final Map<RunKind, Optional<RunTimeForecast>> votes = new HashMap<>();
 
+    private long runs;
+
     /**
      * State of one group, to be stored.
      *
@@ -56,11 +58,21 @@
         if (!Double.isFinite(logRatio)) {
             return;
         }
+        runs++;
         group(kind).add(logRatio, completed);
         group(kind.ofAnyShape()).add(logRatio, completed);
         votes.clear();
     }
 
+    /**
+     * Returns a number that rises with each run that is added, and when groups are restored.
+     *
+     * @return the number
+     */
+    public long runs() {
+        return runs;
+    }
+
     /**
      * Returns the forecast for runs of a kind.
      *
@@ -131,6 +143,7 @@
      * @param stored the groups
      */
     public void restore(List<Group> stored) {
+        runs++;
         stored.forEach(group -> group(group.kind()).restore(group.weights()));
         votes.clear();
     }
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTimePredictor.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTimePredictor.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.WeakHashMap;
 
 import org.fuchsiawinch.workflow.forecast.RunKind;
@@ -38,12 +39,21 @@
     /** Maximum absolute innovation that is used for an update, as a natural logarithm: a factor of about ten. */
     private static final double MAX_INNOVATION = 2.3;
 
+    /** Number of ended runs after which the error of a job is looked up anew. */
+    private static final long LEARNED_ERROR_RUNS = 16;
+
     private static final double PERCENT = 100;
 
     private final Map<JobState, GaussianEstimate> jobErrors = new WeakHashMap<>();
     private final Map<String, GaussianEstimate> queueErrors = new HashMap<>();
     private final RunTimeModel model = new RunTimeModel();
 
+    /** Errors by job, as each pass asks for those of all jobs several times. */
+    private final Map<JobState, LearnedError> learnedErrors = new WeakHashMap<>();
+
+    /** What a model that had learned from a number of runs says of a job's error. */
+    private record LearnedError(long runs, OptionalDouble error) {}
+
     /**
      * Updates the estimates from the observed progress of a run.
      *
@@ -132,11 +142,6 @@
         return model;
     }
 
-    /** Returns what ended runs say of the job's first step; empty if too few are known. */
-    private Optional<RunTimeForecast> learned(JobState job) {
-        return model.forecast(kind(job, job.submission().steps().get(0), false));
-    }
-
     /** Returns the kind of a run of the step. */
     static RunKind kind(JobState job, StepSpec step, boolean remote) {
         return new RunKind(
@@ -161,9 +166,25 @@
 
     /** Returns the expected log estimate error of a job none of whose runs has reported progress. */
     private double priorError(JobState job) {
-        return learned(job).map(forecast -> -forecast.median()).orElseGet(() -> {
-            GaussianEstimate queue = queueErrors.get(job.submission().queue());
-            return queue == null ? 0 : queue.mean();
-        });
+        OptionalDouble learned = learnedError(job);
+        if (learned.isPresent()) {
+            return learned.getAsDouble();
+        }
+        GaussianEstimate queue = queueErrors.get(job.submission().queue());
+        return queue == null ? 0 : queue.mean();
+    }
+
+    /** Returns the error that ended runs of the kind of the job's first step show; empty if too few are known. */
+    private OptionalDouble learnedError(JobState job) {
+        LearnedError learned = learnedErrors.get(job);
+        if (learned == null || model.runs() - learned.runs() >= LEARNED_ERROR_RUNS) {
+            Optional<RunTimeForecast> forecast =
+                    model.forecast(kind(job, job.submission().steps().get(0), false));
+            learned = new LearnedError(
+                    model.runs(),
+                    forecast.map(known -> OptionalDouble.of(-known.median())).orElse(OptionalDouble.empty()));
+            learnedErrors.put(job, learned);
+        }
+        return learned.error();
     }
 }
