--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTimePredictor.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTimePredictor.java
@@ -44,15 +44,24 @@
 
     private static final double PERCENT = 100;
 
-    private final Map<JobState, GaussianEstimate> jobErrors = new WeakHashMap<>();
+    /** Errors by job; each pass asks for those of all jobs several times. */
+    private final Map<JobState, JobError> jobErrors = new WeakHashMap<>();
+
     private final Map<String, GaussianEstimate> queueErrors = new HashMap<>();
     private final RunTimeModel model = new RunTimeModel();
 
-    /** Errors by job, as each pass asks for those of all jobs several times. */
-    private final Map<JobState, LearnedError> learnedErrors = new WeakHashMap<>();
+    /** What is known of the log error of a job's estimates. */
+    private static final class JobError {
+
+        /** The error that the progress of the job's own runs shows; null before the first report. */
+        private GaussianEstimate observed;
 
-    /** What a model that had learned from a number of runs says of a job's error. */
-    private record LearnedError(long runs, OptionalDouble error) {}
+        /** The error that ended runs of its kind show; empty if too few are known. */
+        private OptionalDouble learned = OptionalDouble.empty();
+
+        /** Number of runs that the model had learned from when it was asked; negative if it was not asked yet. */
+        private long learnedRuns = -1;
+    }
 
     /**
      * Updates the estimates from the observed progress of a run.
@@ -65,8 +74,11 @@
         GaussianEstimate speed = worker.health.logSpeed();
         GaussianEstimate queue = queueErrors.computeIfAbsent(
                 job.submission().queue(), name -> new GaussianEstimate(0, QUEUE_ERROR_VARIANCE));
-        GaussianEstimate error =
-                jobErrors.computeIfAbsent(job, added -> new GaussianEstimate(priorError(job), JOB_ERROR_VARIANCE));
+        JobError known = jobError(job);
+        if (known.observed == null) {
+            known.observed = new GaussianEstimate(priorError(job, known), JOB_ERROR_VARIANCE);
+        }
+        GaussianEstimate error = known.observed;
         double innovation = Math.log(Math.max(1e-3, progressRate)) - speed.mean() - error.mean();
         double boundedInnovation = Math.max(-MAX_INNOVATION, Math.min(MAX_INNOVATION, innovation));
         double innovationVariance = speed.variance() + error.variance() + queue.variance() + TASK_RUN_TIME_VARIANCE;
@@ -157,34 +169,32 @@
     }
 
     private double error(JobState job) {
-        GaussianEstimate known = jobErrors.get(job);
-        if (known != null) {
-            return known.mean();
-        }
-        return priorError(job);
+        JobError known = jobError(job);
+        return known.observed == null ? priorError(job, known) : known.observed.mean();
     }
 
-    /** Returns the expected log estimate error of a job none of whose runs has reported progress. */
-    private double priorError(JobState job) {
-        OptionalDouble learned = learnedError(job);
-        if (learned.isPresent()) {
-            return learned.getAsDouble();
+    private JobError jobError(JobState job) {
+        JobError known = jobErrors.get(job);
+        if (known == null) {
+            known = new JobError();
+            jobErrors.put(job, known);
         }
-        GaussianEstimate queue = queueErrors.get(job.submission().queue());
-        return queue == null ? 0 : queue.mean();
+        return known;
     }
 
-    /** Returns the error that ended runs of the kind of the job's first step show; empty if too few are known. */
-    private OptionalDouble learnedError(JobState job) {
-        LearnedError learned = learnedErrors.get(job);
-        if (learned == null || model.runs() - learned.runs() >= LEARNED_ERROR_RUNS) {
+    /** Returns the expected log estimate error of a job none of whose runs has reported progress. */
+    private double priorError(JobState job, JobError known) {
+        if (known.learnedRuns < 0 || model.runs() - known.learnedRuns >= LEARNED_ERROR_RUNS) {
             Optional<RunTimeForecast> forecast =
                     model.forecast(kind(job, job.submission().steps().get(0), false));
-            learned = new LearnedError(
-                    model.runs(),
-                    forecast.map(known -> OptionalDouble.of(-known.median())).orElse(OptionalDouble.empty()));
-            learnedErrors.put(job, learned);
+            known.learned = forecast.map(learned -> OptionalDouble.of(-learned.median()))
+                    .orElse(OptionalDouble.empty());
+            known.learnedRuns = model.runs();
         }
-        return learned.error();
+        if (known.learned.isPresent()) {
+            return known.learned.getAsDouble();
+        }
+        GaussianEstimate queue = queueErrors.get(job.submission().queue());
+        return queue == null ? 0 : queue.mean();
     }
 }
