--- a/workflow/src/test/java/org/fuchsiawinch/workflow/RestartSafetyTest.java
+++ b/workflow/src/test/java/org/fuchsiawinch/workflow/RestartSafetyTest.java
@@ -189,12 +189,9 @@
         return new Object[][] {{2000L}, {2600L}, {3500L}};
     }
 
-    // Guards against a start order of a former owner that was paused before the store's answer reached it, to a worker
-    // that has restarted meanwhile, beside the run of the present owner.
-    @Test(dataProvider = "pauses")
-    public void aFormerOwnerStartsNothingAfterAPause(long pauseMs) {
-        FaultSimulation simulation = new FaultSimulation(1, 3, 2).run(20_000);
-        SimulatedNode former = simulation.nodes.stream()
+    /** Pauses the owner once it has stored the assignment of a task; returns the worker of the task. */
+    private static SimulatedWorker pauseOwnerBeforeAStart(FaultSimulation simulation, long pauseMs) {
+        SimulatedNode owner = simulation.nodes.stream()
                 .filter(SimulatedNode::owns)
                 .findFirst()
                 .orElseThrow();
@@ -204,7 +201,16 @@
         }
         SimulatedWorker assigned = simulation.assignedWorker("job").orElseThrow();
         assertTrue(assigned.running.isEmpty(), "the start was sent before the pause");
-        former.freeze(pauseMs);
+        owner.freeze(pauseMs);
+        return assigned;
+    }
+
+    // Guards against a start order of a former owner that was paused before the store's answer reached it, to a worker
+    // that has restarted meanwhile, beside the run of the present owner.
+    @Test(dataProvider = "pauses")
+    public void aFormerOwnerStartsNothingAfterAPause(long pauseMs) {
+        FaultSimulation simulation = new FaultSimulation(1, 3, 2).run(20_000);
+        SimulatedWorker assigned = pauseOwnerBeforeAStart(simulation, pauseMs);
         // The next owner places the task elsewhere.
         assigned.leaving = true;
         simulation.run(pauseMs - 20);
@@ -219,17 +225,7 @@
     @Test(dataProvider = "pauses")
     public void aFormerOwnerStartsNothingOnAWorkerThatWasOfAnotherKind(long pauseMs) {
         FaultSimulation simulation = new FaultSimulation(1, 3, 2).run(20_000);
-        SimulatedNode former = simulation.nodes.stream()
-                .filter(SimulatedNode::owns)
-                .findFirst()
-                .orElseThrow();
-        simulation.submit("job", task(8000));
-        while (simulation.assignedWorker("job").isEmpty()) {
-            simulation.run(1);
-        }
-        SimulatedWorker assigned = simulation.assignedWorker("job").orElseThrow();
-        assertTrue(assigned.running.isEmpty(), "the start was sent before the pause");
-        former.freeze(pauseMs);
+        SimulatedWorker assigned = pauseOwnerBeforeAStart(simulation, pauseMs);
         assigned.capacity = new Resources(16_000, 16_000, 0, 0, 0);
         assigned.crash(1);
         simulation.run(pauseMs - 20);
