--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTimeObserver.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/RunTimeObserver.java
@@ -39,7 +39,7 @@
         this.state = state;
     }
 
-    /** Handles the end of a run. */
+    /** Handles the end of a run; call before its task is marked as done. */
     void ended(ActiveRun run, WorkerReport.RunEnd end, long nowMs) {
         List<ActiveRun> members = members(run);
         // The first end of a gang counts; at the later ones members are missing.
@@ -99,6 +99,7 @@
                 Math.abs(logRatio - forecast.map(RunTimeForecast::median).orElse(0.0));
     }
 
+    /** Logs the errors since the last lines, once new ones are due. */
     void tick(long nowMs) {
         if (nowMs - lastLineMs < LINE_INTERVAL_MS) {
             return;
