--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/CellOwner.java
@@ -43,7 +43,6 @@
     private final LeaseRenewer leaseRenewer;
     private final Scheduler scheduler;
     private final StallDetector stallDetector;
-    private final DepartingWorkers departingWorkers;
     private final OwnerLoad load;
     private final StandingJobs standingJobs;
     private final JobRetention retention;
@@ -102,7 +101,6 @@
         this.leaseRenewer = new LeaseRenewer(state, runTracker, unreachedLeases);
         this.scheduler = new Scheduler(state, runTracker);
         this.stallDetector = new StallDetector(state, runTracker);
-        this.departingWorkers = new DepartingWorkers(state, runTracker);
         this.standingJobs = new StandingJobs(state, scheduler);
         this.retention = new JobRetention(state);
         this.load = new OwnerLoad(state, standingJobs, nowMs);
@@ -308,7 +306,6 @@
         worker.registration = registration;
         worker.listed = true;
         state.drainedWorkers.registered(worker);
-        departingWorkers.registered(worker, nowMs);
         leaseRenewer.registered(worker, nowMs);
         if (changed) {
             state.log.line(
@@ -317,6 +314,8 @@
                     registration.id(),
                     "leaving",
                     registration.leaving(),
+                    "leavesInMs",
+                    registration.leavesInMs().orElse(-1),
                     "incarnation",
                     registration.incarnation(),
                     "answeredIncarnation",
@@ -448,7 +447,6 @@
         }
         leaseRenewer.expireLeases(nowMs);
         stallDetector.check(nowMs);
-        departingWorkers.check(nowMs);
         for (WorkerState worker : state.workers.values()) {
             runTracker.retryStops(worker, nowMs);
             if (worker.contacted) {
--- a/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerState.java
+++ b/workflow/src/main/java/org/fuchsiawinch/workflow/owner/WorkerState.java
@@ -2,7 +2,6 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.OptionalLong;
 
 import org.fuchsiawinch.model.Resources;
 import org.fuchsiawinch.model.WorkerId;
@@ -31,9 +30,6 @@
     /** Whether nothing more may start on the worker, as the operators drain its data centre. */
     boolean drained;
 
-    /** Time in ms from which on the worker may exit; empty if it does not drain, or has not stated when. */
-    OptionalLong exitMs = OptionalLong.empty();
-
     /** Whether a renewal is in flight. */
     boolean renewing;
 
