--- a/review/standins3/Deployment.java
+++ b/review/standins3/Deployment.java
@@ -24,6 +24,7 @@
     private static final int FIRST_PORT = 20_000;
     private static final int LAST_PORT = 32_000;
     private static final int BLOCK_PORTS = 20;
+    private static final int GRACE_PERIOD_S = 6;
     private static final String[] ZONES = {"suva-a", "suva-b", "lautoka", "nadi"};
 
     private int nextPort =
@@ -109,6 +110,17 @@
         record.line("node %s starts, process %d", node.name, node.process.pid());
     }
 
+    /** Stops a node by SIGTERM, and by SIGKILL after the grace period, and starts it again. */
+    public void restart(Node node) throws IOException, InterruptedException {
+        record.line("node %s gets SIGTERM", node.name);
+        node.process.destroy();
+        if (!node.process.waitFor(GRACE_PERIOD_S, TimeUnit.SECONDS)) {
+            record.line("node %s is killed after its grace period", node.name);
+            node.process.destroyForcibly().waitFor();
+        }
+        start(node);
+    }
+
     private String settings(String name, String zone, int callers, int readiness, int internal) {
         ObjectNode file = new ObjectNode();
         file.put("nodeName", name).put("role", "node").put("machineClass", "frontend");
@@ -126,7 +138,7 @@
                 .put("stabilityWindowMs", 3000)
                 .put("ackTimeoutMs", 4000)
                 .put("drainTimeoutMs", 2000)
-                .put("gracePeriodS", 6)
+                .put("gracePeriodS", GRACE_PERIOD_S)
                 .put("configApplyMs", 2000)
                 .put("holdMaxMs", 10_000)
                 .put("stopTimeoutMs", 400)
