Correct review case 12: the lost work is work that has not been done

Found by holding the claim against the records.

The job has three work items one after the other now, and the check asks that the last one isn't done. The claim says what the records show.

--- a/review/12/TenantName.java
+++ b/review/12/TenantName.java
@@ -1,5 +1,6 @@
 package case12;
 
+import standins3.ArrayNode;
 import standins3.Case;
 import standins3.Deployment;
 import standins3.ObjectNode;
@@ -17,8 +18,9 @@
     private static final String ADDED_KEY = "9pq4k2mz7c5vtw8y1xab";
     private static final String PREFIX = "/lohu930/";
     private static final String JOB = PREFIX + "5c0e7a21d94b36f8";
+    private static final String LAST_TASK = "5c0e7a21d94b36f8.0.2.0";
     private static final int NODES = 3;
-    private static final long RUN_MS = 12_000;
+    private static final long RUN_MS = 8000;
 
     /** Time in ms from the acknowledgement of the version to the first stop: {@code configApplyMs} and a second. */
     private static final long BEFORE_STOPS_MS = 3000;
@@ -52,6 +54,20 @@
         return config;
     }
 
+    /** Returns a job of three work items, each of which needs the end of the one before. */
+    private static String jobOfThreeSteps() {
+        ObjectNode body = new ObjectNode().put("spec", "plan");
+        ArrayNode steps = body.putArray("steps");
+        for (int i = 0; i < 3; i++) {
+            ObjectNode step = steps.addObject();
+            step.put("count", 1).put("cpu", 4000).put("requestedMemoryMb", 1000).put("estimatedMs", RUN_MS);
+            if (i > 0) {
+                step.putArray("after").add(i - 1);
+            }
+        }
+        return body.toString();
+    }
+
     private static String play(Deployment deployment, Record record, Worker worker, Worker other, boolean trouble)
             throws Exception {
         deployment.config(config(7));
@@ -67,7 +83,7 @@
         deployment.config(next);
         Thread.sleep(BEFORE_STOPS_MS);
         int status = deployment
-                .call(deployment.nodes().get(0), "POST", JOB, KEY, Deployment.job("plan", 1, 1, RUN_MS, ""))
+                .call(deployment.nodes().get(0), "POST", JOB, KEY, jobOfThreeSteps())
                 .status();
         if (status != 200) {
             throw new Case.NotRunException("the job was not accepted");
@@ -95,10 +111,11 @@
             Thread.sleep(1000);
         }
         long standingMs = record.nowMs() - standingSinceMs;
-        deployment.call(deployment.nodes().get(0), "POST", PREFIX + "5c0e7a21d94b36f9", KEY, Deployment.job("plan", 1, 1, 1000, ""));
-        return standingMs >= STANDING_MS
-                ? "LOST: from finish_s on nothing of the job has run for " + standingMs + " ms on idle workers, and "
-                        + shown + " calls have told its state"
+        deployment.call(deployment.nodes().get(0), "GET", JOB, ADDED_KEY, "");
+        boolean workLeft = !worker.hasDone(LAST_TASK) && !other.hasDone(LAST_TASK);
+        return workLeft && standingMs >= STANDING_MS
+                ? "LOST: from finish_s on nothing of the job has run for " + standingMs + " ms on idle workers, its last "
+                        + "work item isn't done, and " + shown + " calls have told its state"
                 : "";
     }
 }
--- a/review/standins3/Worker.java
+++ b/review/standins3/Worker.java
@@ -3,9 +3,11 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.ToLongFunction;
 
 
@@ -54,6 +56,7 @@
         private final Map<String, Run> running = new LinkedHashMap<>();
         private final Map<String, Integer> highestEnded = new HashMap<>();
         private final List<End> ends = new ArrayList<>();
+        private final Set<String> done = new HashSet<>();
         private long fence;
         private long leaseEndMs;
         private long lastEnd;
@@ -131,6 +134,11 @@
                 : process.running.values().stream().map(Run::task).toList();
     }
 
+    /** Returns whether a run of a task has ended {@code done} on the present process. */
+    public synchronized boolean hasDone(String task) {
+        return process != null && process.done.contains(task);
+    }
+
     @Override
     public void close() {
         crash();
@@ -182,6 +190,9 @@
         own.running.remove(run.key());
         String saved = how.equals("done") ? "" : saved(own, run);
         own.highestEnded.merge(run.task(), run.number(), Math::max);
+        if (how.equals("done")) {
+            own.done.add(run.task());
+        }
         own.ends.add(new End(++own.lastEnd, run.task(), run.number(), how, saved));
         record.line("worker %s: %s ends: %s", id, run.key(), how);
         notifyAll();
